Add the whole path as separate processes

A request goes from a caller through an entry node to the node beside an upstream and back. Nodes find each other through a membership table at the platform's object API; configuration comes from a watched object. Upstreams announce themselves to their node and call other services through it.

Not in yet: evidence and rights, rate limits, admission, retries, idempotency keys.

--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,35 @@
+//! The operators' listener: administration API, metrics, state dump.
+
+mod configuration;
+mod state;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+pub use configuration::{ApplyResult, ConflictBody};
+pub use state::{STATE_FORMAT, StateDump};
+
+use crate::{http_server, node::Shared};
+
+/// Serves operators until `shutdown`.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
+    http_server::serve(listener, shutdown, move |request| answer(shared.clone(), request)).await;
+}
+
+async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => http_server::text(StatusCode::OK, "ok"),
+        (&Method::GET, "/metrics") => http_server::text(StatusCode::OK, &shared.metrics.render()),
+        (&Method::GET, "/state") => http_server::json(StatusCode::OK, &StateDump::of(&shared)),
+        (&Method::GET, "/v1/nodes") => http_server::json(StatusCode::OK, &**shared.table.load()),
+        (&Method::GET, "/v1/configuration") => configuration::read(&shared).await,
+        (&Method::PUT, "/v1/configuration") => configuration::apply(&shared, request).await,
+        _ => http_server::text(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
--- /dev/null
+++ b/src/bin/hibiscus-standin.rs
@@ -0,0 +1,82 @@
+//! Stand-ins for tests: a platform and an upstream. Never shipped.
+
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+
+use hibiscusdoor::{
+    platform,
+    settings::RawLog,
+    standin::{FaultyStore, UpstreamOptions, run_upstream},
+    telemetry,
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use tokio_util::sync::CancellationToken;
+
+const EXIT_USAGE: u8 = 2;
+
+const USAGE: &str = "\
+hibiscus-standin: stand-ins for tests
+
+Usage:
+  hibiscus-standin platform --listen ADDRESS
+  hibiscus-standin upstream --service NAME --listen ADDRESS --node ADDRESS
+                            [--slots N] [--service-time-ms N] [--calls PATH]
+";
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    match run(arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+async fn run(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
+    telemetry::start_logging(&RawLog::default())?;
+    let shutdown = CancellationToken::new();
+    let signals = tokio::spawn(cancel_on_signal(shutdown.clone()));
+    let listen: SocketAddr = arguments.value_from_str("--listen")?;
+    let result = match arguments.subcommand()?.as_deref() {
+        Some("platform") => {
+            let listener = TcpListener::bind(listen).await?;
+            println!("{}", listener.local_addr()?);
+            let store = Arc::new(FaultyStore::default());
+            platform::serve_objects(listener, store, shutdown).await;
+            Ok(())
+        }
+        Some("upstream") => {
+            let options = UpstreamOptions {
+                service: arguments.value_from_str::<_, String>("--service")?.into(),
+                listen,
+                node: arguments.value_from_str("--node")?,
+                slots: arguments.opt_value_from_str("--slots")?.unwrap_or(16),
+                service_time: Duration::from_millis(
+                    arguments.opt_value_from_str("--service-time-ms")?.unwrap_or(5),
+                ),
+                calls: arguments.opt_value_from_str::<_, String>("--calls")?.map(Arc::from),
+            };
+            run_upstream(options, shutdown).await
+        }
+        _ => anyhow::bail!("expected the stand-in \"platform\" or \"upstream\""),
+    };
+    signals.abort();
+    let _ = signals.await;
+    result
+}
+
+async fn cancel_on_signal(shutdown: CancellationToken) {
+    if let Ok(mut terminate) = signal(SignalKind::terminate()) {
+        terminate.recv().await;
+    }
+    shutdown.cancel();
+}
--- /dev/null
+++ b/src/bin/hibiscusd.rs
@@ -0,0 +1,113 @@
+//! The node daemon.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use hibiscusdoor::{
+    node::{self, Listeners},
+    settings::Settings,
+    telemetry,
+};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+const USAGE: &str = "\
+hibiscusd: overload control beside one upstream instance
+
+Usage: hibiscusd --settings FILE [--check]
+
+Options:
+  --settings FILE   settings in JSON
+  --check           check the settings and exit
+  -h, --help        print this help
+
+Exit codes: 0 done, 1 failed, 2 wrong usage or settings.
+";
+
+/// Arguments of the command line.
+struct Arguments {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let mut raw = pico_args::Arguments::from_env();
+    if raw.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    let arguments = match parse(raw) {
+        Ok(arguments) => arguments,
+        Err(error) => return usage_error(&error),
+    };
+    let settings = match Settings::from_file(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(findings) => return usage_error(&findings),
+    };
+    if arguments.check {
+        println!("{}: no findings", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = telemetry::start_logging(&settings.log) {
+        return usage_error(&error);
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("starting the runtime failed: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    runtime.block_on(serve(settings))
+}
+
+fn parse(mut raw: pico_args::Arguments) -> anyhow::Result<Arguments> {
+    let check = raw.contains("--check");
+    let settings = raw.value_from_str("--settings")?;
+    let rest = raw.finish();
+    anyhow::ensure!(rest.is_empty(), "unexpected arguments: {rest:?}");
+    Ok(Arguments { settings, check })
+}
+
+fn usage_error(error: &impl std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+async fn serve(settings: Settings) -> ExitCode {
+    let listeners = match Listeners::bind(&settings).await {
+        Ok(listeners) => listeners,
+        Err(error) => return usage_error(&error),
+    };
+    // One line on standard output tells a supervisor or a test which ports were bound.
+    match listeners.addresses().map(|addresses| serde_json::to_string(&addresses)) {
+        Ok(Ok(line)) => println!("{line}"),
+        Ok(Err(error)) => return usage_error(&error),
+        Err(error) => return usage_error(&error),
+    }
+    let shutdown = CancellationToken::new();
+    let signals = tokio::spawn(cancel_on_signal(shutdown.clone()));
+    let result = node::run(settings, listeners, shutdown).await;
+    signals.abort();
+    let _ = signals.await;
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+async fn cancel_on_signal(shutdown: CancellationToken) {
+    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    if let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    }
+    shutdown.cancel();
+}
--- /dev/null
+++ b/src/call/mod.rs
@@ -0,0 +1,11 @@
+//! A request as the nodes see it: its context, its outcome and the headers on the wire.
+
+mod context;
+pub mod headers;
+mod outcome;
+
+pub use context::{CallContext, ContextError, ContextSigner};
+pub use outcome::{
+    Answer, Dispatch, Forwarding, NotRun, Outcome, Reason, RefusalBody, Undispatched, Unknown,
+    answer_digest,
+};
--- /dev/null
+++ b/src/config/document.rs
@@ -0,0 +1,207 @@
+//! The configuration document as operators write it and as the platform keeps it.
+
+use std::collections::HashSet;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::{
+    config::KeyHasher,
+    findings::{Collector, Findings},
+    names::{ClassName, KeyId, OrganisationName, Revision, ServiceName},
+};
+
+/// The whole configuration.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Document {
+    /// Rises by one with every accepted change; set by the administration API.
+    pub revision: Revision,
+    /// Id of the change that made this revision, so that a writer can tell whether it won.
+    pub change_id: Option<Uuid>,
+    /// Organisations with their rates.
+    pub organisations: Vec<Organisation>,
+    /// Keys that callers present.
+    pub keys: Vec<Key>,
+    /// Classes of work with their targets.
+    pub classes: Vec<Class>,
+    /// Services that upstreams may announce.
+    pub services: Vec<Service>,
+    /// Routes from paths to services.
+    pub routes: Vec<Route>,
+}
+
+impl Document {
+    /// Replaces the secrets of keys by their hashes.
+    pub fn hash_secrets(&mut self, hasher: &KeyHasher) {
+        for key in &mut self.keys {
+            if let Some(secret) = key.secret.take() {
+                key.hash = Some(hasher.hash(&key.id, &secret).to_hex().to_string());
+            }
+        }
+    }
+}
+
+/// An organisation whose callers present keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// Name, unique.
+    #[schemars(length(min = 1, max = 63))]
+    pub name: OrganisationName,
+    /// Requests a second over the whole fleet.
+    #[schemars(range(min = 0.001, max = 10_000_000.0))]
+    pub rate_per_s: f64,
+    /// Requests that may come at once over the whole fleet.
+    #[schemars(range(min = 1.0, max = 10_000_000.0))]
+    pub burst: f64,
+}
+
+/// A key; the document that is kept holds its hash only.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Public id, the part of the key before the dot.
+    #[schemars(length(min = 1, max = 63))]
+    pub id: KeyId,
+    /// Organisation that requests with this key run for.
+    pub organisation: OrganisationName,
+    /// Keyed hash of the key, in hexadecimal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(length(min = 64, max = 64))]
+    pub hash: Option<String>,
+    /// Secret part of the key in a file that is applied; replaced by `hash` before it is kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(length(min = 20, max = 200))]
+    pub secret: Option<String>,
+}
+
+/// A class of work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Name, unique.
+    #[schemars(length(min = 1, max = 63))]
+    pub name: ClassName,
+    /// What the class must reach.
+    pub target: Target,
+}
+
+/// The target of a class.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Fraction of the requests that must get through.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub must_get_through: f64,
+    /// Latest useful answer after the request came in, in milliseconds.
+    #[schemars(range(min = 1, max = 600_000))]
+    pub answer_within_ms: u64,
+}
+
+/// A service that upstreams may announce.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name, unique.
+    #[schemars(length(min = 1, max = 63))]
+    pub name: ServiceName,
+}
+
+/// A route; the longest matching prefix wins.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Path prefix, matched at segment boundaries.
+    #[schemars(regex(pattern = "^/"))]
+    pub prefix: String,
+    /// Service that answers.
+    pub service: ServiceName,
+    /// Class of the requests.
+    pub class: ClassName,
+    /// Open to all: no key is needed and no rate is charged.
+    #[serde(default)]
+    pub open: bool,
+    /// Which requests may run more than once.
+    #[serde(default)]
+    pub idempotency: Idempotency,
+}
+
+/// Which requests of a route may run more than once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Idempotency {
+    /// GET, HEAD, OPTIONS, PUT and DELETE.
+    #[default]
+    ByMethod,
+    /// Every request.
+    Always,
+    /// No request.
+    Never,
+}
+
+/// Checks what the schema cannot express: names are unique and references exist.
+pub fn check_document(file: &str, document: &Document) -> Result<(), Findings> {
+    let mut collector = Collector::new(file);
+    let organisations =
+        unique(&mut collector, "organisations", document.organisations.iter().map(|it| &it.name));
+    let classes = unique(&mut collector, "classes", document.classes.iter().map(|it| &it.name));
+    let services = unique(&mut collector, "services", document.services.iter().map(|it| &it.name));
+    unique(&mut collector, "keys", document.keys.iter().map(|it| &it.id));
+    for (index, key) in document.keys.iter().enumerate() {
+        let place = format!("/keys/{index}");
+        if !organisations.contains(&key.organisation) {
+            collector.add(
+                format!("{place}/organisation"),
+                "the name of an organisation",
+                &key.organisation,
+            );
+        }
+        if key.id.contains('.') {
+            collector.add(format!("{place}/id"), "an id without a dot", &key.id);
+        }
+        check_key_material(&mut collector, &place, key);
+    }
+    let mut prefixes = HashSet::new();
+    for (index, route) in document.routes.iter().enumerate() {
+        let place = format!("/routes/{index}");
+        if !prefixes.insert(route.prefix.trim_end_matches('/')) {
+            collector.add(format!("{place}/prefix"), "a prefix used once", &route.prefix);
+        }
+        if !services.contains(&route.service) {
+            collector.add(format!("{place}/service"), "the name of a service", &route.service);
+        }
+        if !classes.contains(&route.class) {
+            collector.add(format!("{place}/class"), "the name of a class", &route.class);
+        }
+    }
+    collector.finish(())
+}
+
+fn check_key_material(collector: &mut Collector, place: &str, key: &Key) {
+    match (&key.hash, &key.secret) {
+        (Some(_), Some(_)) => {
+            collector.add(place, "either \"hash\" or \"secret\"", "both");
+        }
+        (None, None) => collector.add(place, "either \"hash\" or \"secret\"", "none"),
+        (Some(hash), None) if blake3::Hash::from_hex(hash).is_err() => {
+            collector.add(format!("{place}/hash"), "64 hexadecimal digits", "other text");
+        }
+        _ => {}
+    }
+}
+
+fn unique<'a>(
+    collector: &mut Collector,
+    list: &str,
+    names: impl Iterator<Item = &'a std::sync::Arc<str>>,
+) -> HashSet<&'a std::sync::Arc<str>> {
+    let mut seen = HashSet::new();
+    for (index, name) in names.enumerate() {
+        if !seen.insert(name) {
+            collector.add(format!("/{list}/{index}"), "a name used once", name);
+        }
+    }
+    seen
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,6 @@
+//! Commands of the operators' tool.
+
+mod client;
+mod command;
+
+pub use command::{USAGE, run};
--- /dev/null
+++ b/src/http_server/mod.rs
@@ -0,0 +1,83 @@
+//! An HTTP/1.1 and HTTP/2 accept loop that joins every connection it spawned.
+
+use std::{convert::Infallible, future::Future, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::Full;
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use serde::Serialize;
+use tokio::{net::TcpListener, task::JoinSet};
+use tokio_util::sync::CancellationToken;
+
+/// Time that a client gets to send the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after an accept error, which is most often a lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Serves `listener` until `shutdown`, then lets requests in flight finish and joins them.
+pub async fn serve<H, F>(listener: TcpListener, shutdown: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    builder.http2().timer(TokioTimer::new()).keep_alive_interval(Some(HEADER_TIMEOUT));
+    let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => break,
+        };
+        while connections.try_join_next().is_some() {}
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accepting a connection failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = graceful.watch(connection);
+        connections.spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection ended: {error}");
+            }
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
+}
+
+/// Makes a JSON response.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Makes a plain-text response.
+pub fn text(status: StatusCode, message: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{message}\n"))));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, http::HeaderValue::from_static("text/plain; charset=utf-8"));
+    response
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! Overload control for service call graphs.
+//!
+//! A node (`hibiscusd`) runs beside each upstream instance. Callers connect to any node; the
+//! node finds an upstream for the request, and the node beside that upstream guards it. See
+//! `docs/design.md` for how the nodes act together.
+
+pub mod admin;
+pub mod call;
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod findings;
+pub mod http_server;
+pub mod membership;
+pub mod names;
+pub mod node;
+pub mod peers;
+pub mod platform;
+pub mod settings;
+pub mod standin;
+pub mod telemetry;
--- /dev/null
+++ b/src/node/callers.rs
@@ -0,0 +1,39 @@
+//! The listener for callers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header::AUTHORIZATION};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    call::headers,
+    http_server,
+    node::{
+        Shared,
+        entry::{self, Origin},
+    },
+};
+
+const BEARER: &str = "Bearer ";
+
+/// Serves callers until `shutdown`.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
+    http_server::serve(listener, shutdown, move |request| answer(shared.clone(), request)).await;
+}
+
+async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let origin = Origin::Caller { key: presented_key(request.headers()) };
+    entry::answer(&shared, origin, request).await
+}
+
+fn presented_key(map: &HeaderMap) -> Option<Arc<str>> {
+    let bearer = map.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = bearer
+        .and_then(|value| value.strip_prefix(BEARER))
+        .or_else(|| map.get(headers::API_KEY).and_then(|value| value.to_str().ok()));
+    key.map(|key| Arc::from(key.trim()))
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,193 @@
+//! The daemon: listeners, the request path, actors and shutdown.
+
+mod callers;
+mod configuration;
+mod dispatches;
+mod entry;
+mod guard;
+mod members;
+mod peer_service;
+mod shared;
+mod upstream;
+mod upstream_service;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context as _;
+use kameo::actor::{ActorRef, Spawn as _};
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, time::timeout};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+pub use dispatches::{DispatchId, Dispatches};
+pub use shared::{Lifecycle, Shared};
+pub use upstream::{Announcement, LoadReport, UpstreamLink};
+
+use crate::{
+    admin,
+    config::{Document, check_document},
+    findings,
+    platform::{
+        HttpPlatform, KIND_CONFIGURATION, MemoryStore, NAME_CURRENT, ObjectApi as _, Platform,
+    },
+    settings::{PlatformSettings, Settings},
+};
+use configuration::ConfigurationActor;
+use members::{Leave, MembersActor};
+
+/// Time that a leaving node waits for the platform to take its row out of the table.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which entries learn that the node is leaving, before it refuses new work.
+const DRAIN_NOTICE: Duration = Duration::from_millis(500);
+
+/// Listeners that are bound before the node starts, so that an occupied port is found early.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    upstream: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+/// Addresses that the node really listens on.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the upstream beside the node.
+    pub upstream: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+impl Listeners {
+    /// Binds all addresses of the settings and reports every one that cannot be bound.
+    pub async fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        let listen = settings.listen;
+        let (callers, upstream, peers, operators) = tokio::join!(
+            bind("/listen/callers", listen.callers),
+            bind("/listen/upstream", listen.upstream),
+            bind("/listen/peers", listen.peers),
+            bind("/listen/operators", listen.operators),
+        );
+        let mut failures = Vec::new();
+        for result in [&callers, &upstream, &peers, &operators] {
+            if let Err(failure) = result {
+                failures.push(failure.clone());
+            }
+        }
+        match (callers, upstream, peers, operators) {
+            (Ok(callers), Ok(upstream), Ok(peers), Ok(operators)) => {
+                Ok(Self { callers, upstream, peers, operators })
+            }
+            _ => anyhow::bail!(failures.join("\n")),
+        }
+    }
+
+    /// Addresses that were bound; a port of 0 in the settings is replaced.
+    pub fn addresses(&self) -> anyhow::Result<BoundAddresses> {
+        Ok(BoundAddresses {
+            callers: self.callers.local_addr()?,
+            upstream: self.upstream.local_addr()?,
+            peers: self.peers.local_addr()?,
+            operators: self.operators.local_addr()?,
+        })
+    }
+}
+
+async fn bind(place: &str, address: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|error| {
+        format!("{place}: expected an address that can be bound, found {address}: {error}")
+    })
+}
+
+/// Runs a node until `shutdown`, then drains it and joins all its tasks.
+pub async fn run(
+    settings: Settings,
+    listeners: Listeners,
+    shutdown: CancellationToken,
+) -> anyhow::Result<()> {
+    let addresses = listeners.addresses()?;
+    let platform = connect_platform(&settings).await?;
+    let shared = Arc::new(Shared::new(settings, platform, addresses));
+    let tasks = TaskTracker::new();
+    // Requests may still come in while the node drains, so the listeners stop later.
+    let stop_serving = CancellationToken::new();
+
+    tasks.spawn(peer_service::serve(listeners.peers, shared.clone(), stop_serving.clone()));
+    tasks.spawn(admin::serve(listeners.operators, shared.clone(), stop_serving.clone()));
+    tasks.spawn(upstream_service::serve(listeners.upstream, shared.clone(), stop_serving.clone()));
+    let configuration = ConfigurationActor::spawn(shared.clone());
+    let members = MembersActor::spawn(shared.clone());
+    tasks.spawn(callers::serve(listeners.callers, shared.clone(), stop_serving.clone()));
+    log::info!(
+        "instance {} serves callers on {}, its upstream on {}, nodes on {}, operators on {}",
+        shared.settings.instance,
+        addresses.callers,
+        addresses.upstream,
+        addresses.peers,
+        addresses.operators,
+    );
+
+    shutdown.cancelled().await;
+    drain(&shared, &members).await;
+    stop_serving.cancel();
+    tasks.close();
+    if timeout(shared.settings.limits.drain_timeout, tasks.wait()).await.is_err() {
+        log::warn!("{} tasks did not end within the drain timeout", tasks.len());
+    }
+    stop(configuration).await;
+    stop(members).await;
+    log::info!("instance {} has stopped", shared.settings.instance);
+    Ok(())
+}
+
+/// Takes the node out of the table first, so that no new work comes, then waits for the rest.
+async fn drain(shared: &Shared, members: &ActorRef<MembersActor>) {
+    log::info!("instance {} drains", shared.settings.instance);
+    shared.set_lifecycle(Lifecycle::Draining);
+    if timeout(LEAVE_TIMEOUT, members.ask(Leave)).await.is_err() {
+        log::warn!("the platform did not confirm within {LEAVE_TIMEOUT:?} that the row is gone");
+    }
+    tokio::time::sleep(DRAIN_NOTICE).await;
+    if timeout(shared.settings.limits.drain_timeout, shared.dispatches.idle()).await.is_err() {
+        log::warn!("{} requests did not end within the drain timeout", shared.dispatches.len());
+    }
+}
+
+async fn stop<A: kameo::Actor>(actor: ActorRef<A>) {
+    if actor.stop_gracefully().await.is_ok() {
+        actor.wait_for_shutdown().await;
+    }
+}
+
+async fn connect_platform(settings: &Settings) -> anyhow::Result<Platform> {
+    match &settings.platform {
+        PlatformSettings::Http { address, timeout } => {
+            Ok(Platform::Http(Box::new(HttpPlatform::new(*address, *timeout))))
+        }
+        PlatformSettings::Embedded { configuration } => {
+            let store = Arc::new(MemoryStore::default());
+            if let Some(path) = configuration {
+                load_configuration(&store, path, settings).await?;
+            }
+            Ok(Platform::Embedded(store))
+        }
+    }
+}
+
+async fn load_configuration(
+    store: &MemoryStore,
+    path: &str,
+    settings: &Settings,
+) -> anyhow::Result<()> {
+    let mut document: Document = findings::check_file(path.as_ref())?;
+    check_document(path, &document)?;
+    document.hash_secrets(&crate::config::KeyHasher::new(&settings.fleet_secret));
+    document.revision = 1;
+    let value = serde_json::to_value(&document).context("encoding the configuration")?;
+    store.put(KIND_CONFIGURATION, NAME_CURRENT, value, 0).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/node/peer_service.rs
@@ -0,0 +1,155 @@
+//! The listener for other nodes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Method;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tonic::{
+    Request, Response, Status,
+    transport::{Server, server::TcpIncoming},
+};
+
+use crate::{
+    call::{Outcome, Undispatched, answer_digest, headers},
+    clock,
+    node::{Shared, entry::WholeRequest, guard},
+    peers::{
+        TOKEN_HEADER,
+        proto::{
+            self,
+            peer_server::{Peer, PeerServer},
+        },
+    },
+};
+
+/// Room beside the body for context, headers and framing.
+const MESSAGE_OVERHEAD_BYTES: usize = 1 << 20;
+
+/// Serves other nodes until `shutdown`.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
+    let token = shared.signer.peer_token().clone();
+    let limit_bytes = shared.settings.limits.max_body_bytes + MESSAGE_OVERHEAD_BYTES;
+    let service = PeerServer::new(PeerService { shared })
+        .max_decoding_message_size(limit_bytes)
+        .max_encoding_message_size(limit_bytes);
+    let service = tonic::service::interceptor::InterceptedService::new(
+        service,
+        move |request: Request<()>| check_token(request, &token),
+    );
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = Server::builder()
+        .add_service(service)
+        .serve_with_incoming_shutdown(incoming, shutdown.cancelled_owned());
+    if let Err(error) = server.await {
+        log::error!("the listener for nodes failed: {error}");
+    }
+}
+
+fn check_token(request: Request<()>, token: &str) -> Result<Request<()>, Status> {
+    let presented = request.metadata().get(TOKEN_HEADER).map(|value| value.as_bytes());
+    // Comparing hashes takes the same time for every wrong token.
+    let presented = blake3::hash(presented.unwrap_or_default());
+    if presented != blake3::hash(token.as_bytes()) {
+        return Err(Status::unauthenticated("the peer token is wrong or missing"));
+    }
+    Ok(request)
+}
+
+struct PeerService {
+    shared: Arc<Shared>,
+}
+
+type Answered<T> = Result<Response<T>, Status>;
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn forward(
+        &self,
+        request: Request<proto::ForwardRequest>,
+    ) -> Answered<proto::ForwardReply> {
+        let message = request.into_inner();
+        let context = self.shared.signer.verify(&message.context, &message.mac, clock::now());
+        let context = context.map_err(|error| Status::unauthenticated(error.to_string()))?;
+        let method = Method::from_bytes(message.method.as_bytes())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let whole = WholeRequest {
+            method,
+            path: message.path.into(),
+            headers: message.headers,
+            body: message.body,
+        };
+        let request_id = context.request_id;
+        let undispatched = Undispatched::new(context.idempotency_key.is_none());
+        let (outcome, unused) = guard::run(&self.shared, context, whole, undispatched).await;
+        Ok(Response::new(reply(outcome, request_id.as_bytes(), unused)))
+    }
+
+    async fn pull_evidence(
+        &self,
+        _request: Request<proto::EvidenceRequest>,
+    ) -> Answered<proto::EvidenceReply> {
+        Err(Status::unimplemented("evidence"))
+    }
+
+    async fn pull_configuration(
+        &self,
+        _request: Request<proto::ConfigurationRequest>,
+    ) -> Answered<proto::ConfigurationReply> {
+        Err(Status::unimplemented("configuration"))
+    }
+
+    async fn borrow(
+        &self,
+        _request: Request<proto::BorrowRequest>,
+    ) -> Answered<proto::BorrowReply> {
+        Err(Status::unimplemented("borrow"))
+    }
+
+    async fn handover(
+        &self,
+        _request: Request<proto::HandoverRequest>,
+    ) -> Answered<proto::HandoverReply> {
+        Err(Status::unimplemented("handover"))
+    }
+
+    async fn report_crash(
+        &self,
+        _request: Request<proto::CrashReport>,
+    ) -> Answered<proto::CrashReply> {
+        Err(Status::unimplemented("report_crash"))
+    }
+}
+
+fn reply(outcome: Outcome, request_id: &[u8], unused_retries: u32) -> proto::ForwardReply {
+    let mut reply = proto::ForwardReply {
+        request_id: Bytes::copy_from_slice(request_id),
+        unused_retries,
+        ..Default::default()
+    };
+    match outcome {
+        Outcome::Whole(answer) => {
+            reply.set_outcome(proto::Outcome::Whole);
+            reply.status = u32::from(answer.status.as_u16());
+            reply.headers = headers::to_proto(&answer.headers);
+            reply.body = answer.body;
+            let digest = answer_digest(request_id, reply.status, &reply.headers, &reply.body);
+            reply.digest = Bytes::copy_from_slice(digest.as_bytes());
+        }
+        Outcome::NotRun(not_run) => {
+            reply.set_outcome(proto::Outcome::NotRun);
+            reply.reason = not_run.reason.as_str().to_owned();
+            reply.detail = not_run.detail;
+            reply.covers_request = not_run.covers_request;
+            let delay_ms = not_run.retry_after.map_or(0, |delay| delay.as_millis());
+            reply.retry_after_ms = u32::try_from(delay_ms).unwrap_or(u32::MAX);
+        }
+        Outcome::Unknown(unknown) => {
+            reply.set_outcome(proto::Outcome::Unknown);
+            reply.reason = unknown.reason.as_str().to_owned();
+            reply.detail = unknown.detail;
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/src/node/shared.rs
@@ -0,0 +1,97 @@
+//! State that the listeners and actors of a node share.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+
+use crate::{
+    call::ContextSigner,
+    clock,
+    config::{Configuration, KeyHasher},
+    membership::Table,
+    names::Incarnation,
+    node::{BoundAddresses, Dispatches, UpstreamLink},
+    peers::PeerPool,
+    platform::Platform,
+    settings::Settings,
+    telemetry::Metrics,
+};
+
+/// Stage of the node's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// Serves requests.
+    Serving,
+    /// Finishes what it has and takes no new request.
+    Draining,
+}
+
+/// State that the listeners and actors of a node share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Addresses that the node listens on.
+    pub addresses: BoundAddresses,
+    /// This process among those that ran under the instance's name.
+    pub incarnation: Incarnation,
+    /// The object API.
+    pub platform: Platform,
+    /// Hashes presented keys.
+    pub key_hasher: KeyHasher,
+    /// Authenticates contexts.
+    pub signer: ContextSigner,
+    /// Configuration in force at this node.
+    pub configuration: ArcSwap<Configuration>,
+    /// Membership table as this node knows it.
+    pub table: ArcSwap<Table>,
+    /// The upstream beside the node.
+    pub upstream: UpstreamLink,
+    /// Channels to other nodes.
+    pub peers: PeerPool,
+    /// Requests that the upstream is running.
+    pub dispatches: Dispatches,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Notified when the upstream has announced itself, drains or is lost.
+    pub announced: Notify,
+    lifecycle: AtomicU8,
+}
+
+impl Shared {
+    /// Makes the state of a node that has just started.
+    pub fn new(settings: Settings, platform: Platform, addresses: BoundAddresses) -> Self {
+        let signer = ContextSigner::new(&settings.fleet_secret);
+        Self {
+            addresses,
+            // The wall clock makes a later process's incarnation the higher one.
+            incarnation: u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX),
+            platform,
+            key_hasher: KeyHasher::new(&settings.fleet_secret),
+            peers: PeerPool::new(signer.peer_token().clone()),
+            signer,
+            configuration: ArcSwap::default(),
+            table: ArcSwap::default(),
+            upstream: UpstreamLink::new(settings.limits.max_body_bytes),
+            dispatches: Dispatches::default(),
+            metrics: Metrics::default(),
+            announced: Notify::new(),
+            lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
+            settings,
+        }
+    }
+
+    /// Stage of the node's life.
+    pub fn lifecycle(&self) -> Lifecycle {
+        match self.lifecycle.load(Ordering::Acquire) {
+            0 => Lifecycle::Serving,
+            _ => Lifecycle::Draining,
+        }
+    }
+
+    /// Moves the node to another stage.
+    pub fn set_lifecycle(&self, lifecycle: Lifecycle) {
+        self.lifecycle.store(lifecycle as u8, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/src/peers/pool.rs
@@ -0,0 +1,76 @@
+//! Channels to other nodes, one an address, with keep-alive.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tonic::{
+    Request, Status,
+    metadata::MetadataValue,
+    service::{Interceptor, interceptor::InterceptedService},
+    transport::{Channel, Endpoint},
+};
+
+use crate::peers::proto::peer_client::PeerClient as GeneratedClient;
+
+/// Metadata entry with the token of the fleet.
+pub const TOKEN_HEADER: &str = "hibiscus-peer-token";
+
+// Pings and their timeout together find a silent connection within about a second.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(400);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_MESSAGE_BYTES: usize = 80 << 20;
+
+/// Client of one node.
+pub type PeerClient = GeneratedClient<InterceptedService<Channel, AddToken>>;
+
+/// Adds the token of the fleet to each call.
+#[derive(Debug, Clone)]
+pub struct AddToken(Arc<str>);
+
+impl Interceptor for AddToken {
+    fn call(&mut self, mut request: Request<()>) -> Result<Request<()>, Status> {
+        let token = MetadataValue::try_from(&*self.0)
+            .map_err(|_| Status::internal("the peer token is not a header value"))?;
+        request.metadata_mut().insert(TOKEN_HEADER, token);
+        Ok(request)
+    }
+}
+
+/// Channels to other nodes.
+#[derive(Debug)]
+pub struct PeerPool {
+    token: Arc<str>,
+    clients: Mutex<HashMap<SocketAddr, PeerClient>>,
+}
+
+impl PeerPool {
+    /// Makes an empty pool.
+    pub fn new(token: Arc<str>) -> Self {
+        Self { token, clients: Mutex::default() }
+    }
+
+    /// Returns the client for an address; it connects when it is first used.
+    pub fn client(&self, address: SocketAddr) -> PeerClient {
+        let mut clients = self.clients.lock();
+        clients.entry(address).or_insert_with(|| self.connect(address)).clone()
+    }
+
+    /// Forgets the clients of addresses that are no longer in use.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.clients.lock().retain(|address, _| keep(address));
+    }
+
+    fn connect(&self, address: SocketAddr) -> PeerClient {
+        let channel = Endpoint::from_shared(format!("http://{address}"))
+            .expect("an address makes a valid URI")
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .connect_lazy();
+        GeneratedClient::with_interceptor(channel, AddToken(self.token.clone()))
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES)
+    }
+}
--- /dev/null
+++ b/src/platform/memory.rs
@@ -0,0 +1,117 @@
+//! An object store in memory: the embedded store, and the state of the platform stand-in.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use parking_lot::Mutex;
+use serde_json::Value;
+use tokio::{sync::watch, time::timeout};
+
+use crate::platform::{
+    Listing, MAX_VALUE_BYTES, Object, ObjectApi, ObjectVersion, PlatformError, WATCH_TIMEOUT,
+};
+
+type ObjectId = (Arc<str>, Arc<str>);
+
+#[derive(Debug, Default)]
+struct Objects {
+    version: ObjectVersion,
+    // Deleted objects stay as entries without a value, so that a watch can report them.
+    by_id: BTreeMap<ObjectId, Object>,
+}
+
+/// An object store in memory.
+#[derive(Debug)]
+pub struct MemoryStore {
+    objects: Mutex<Objects>,
+    changed: watch::Sender<ObjectVersion>,
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self { objects: Mutex::default(), changed: watch::Sender::new(0) }
+    }
+}
+
+impl MemoryStore {
+    fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Option<Value>,
+        if_version: ObjectVersion,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let mut objects = self.objects.lock();
+        let id = (Arc::from(kind), Arc::from(name));
+        let existing = objects.by_id.get(&id).filter(|object| object.value.is_some());
+        let current = existing.map_or(0, |object| object.version);
+        if current != if_version {
+            return Err(PlatformError::Conflict { current });
+        }
+        objects.version += 1;
+        let version = objects.version;
+        let object = Object { kind: id.0.clone(), name: id.1.clone(), version, value };
+        objects.by_id.insert(id, object);
+        drop(objects);
+        self.changed.send_replace(version);
+        Ok(version)
+    }
+
+    fn changes(&self, kind: &str, after: ObjectVersion, deleted: bool) -> Listing {
+        let objects = self.objects.lock();
+        let found = objects.by_id.values().filter(|object| {
+            *object.kind == *kind && object.version > after && (deleted || object.value.is_some())
+        });
+        Listing { version: objects.version, objects: found.cloned().collect() }
+    }
+}
+
+impl ObjectApi for MemoryStore {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+        let objects = self.objects.lock();
+        let object = objects.by_id.get(&(Arc::from(kind), Arc::from(name)));
+        Ok(object.filter(|object| object.value.is_some()).cloned())
+    }
+
+    async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
+        Ok(self.changes(kind, 0, false))
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Value,
+        if_version: ObjectVersion,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let size_bytes = value.to_string().len();
+        if size_bytes > MAX_VALUE_BYTES {
+            return Err(PlatformError::Refused(format!(
+                "the value has {size_bytes} bytes, more than {MAX_VALUE_BYTES}"
+            )));
+        }
+        self.write(kind, name, Some(value), if_version)
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        if_version: ObjectVersion,
+    ) -> Result<(), PlatformError> {
+        self.write(kind, name, None, if_version).map(drop)
+    }
+
+    async fn watch(&self, kind: &str, after: ObjectVersion) -> Result<Listing, PlatformError> {
+        let mut changed = self.changed.subscribe();
+        let wait = async {
+            loop {
+                changed.borrow_and_update();
+                let listing = self.changes(kind, after, true);
+                if !listing.objects.is_empty() || changed.changed().await.is_err() {
+                    return listing;
+                }
+            }
+        };
+        Ok(timeout(WATCH_TIMEOUT, wait).await.unwrap_or_else(|_| self.changes(kind, after, true)))
+    }
+}
--- /dev/null
+++ b/src/platform/server.rs
@@ -0,0 +1,111 @@
+//! The object API over HTTP, in front of any [`ObjectApi`].
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::client::WriteAnswer;
+use crate::{
+    http_server,
+    platform::{MAX_VALUE_BYTES, ObjectApi, PlatformError},
+};
+
+/// Serves the object API.
+#[derive(Debug)]
+pub struct ObjectService<P> {
+    objects: Arc<P>,
+}
+
+impl<P> Clone for ObjectService<P> {
+    fn clone(&self) -> Self {
+        Self { objects: self.objects.clone() }
+    }
+}
+
+/// Serves `objects` on `listener` until `shutdown`.
+pub async fn serve_objects<P: ObjectApi>(
+    listener: TcpListener,
+    objects: Arc<P>,
+    shutdown: CancellationToken,
+) {
+    let service = ObjectService { objects };
+    http_server::serve(listener, shutdown, move |request| {
+        let service = service.clone();
+        async move { service.answer(request).await }
+    })
+    .await;
+}
+
+impl<P: ObjectApi> ObjectService<P> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let query = parts.uri.query().unwrap_or_default().to_owned();
+        let path = parts.uri.path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let result = match (&parts.method, segments.as_slice()) {
+            (&Method::GET, ["objects", kind, name]) => match self.objects.get(kind, name).await {
+                Ok(None) => return text(StatusCode::NOT_FOUND, "no such object"),
+                Ok(Some(object)) => Ok(json(StatusCode::OK, &object)),
+                Err(error) => Err(error),
+            },
+            (&Method::GET, ["objects", kind]) => {
+                self.objects.list(kind).await.map(|listing| json(StatusCode::OK, &listing))
+            }
+            (&Method::GET, ["watch", kind]) => {
+                let after = number(&query, "after");
+                let listing = self.objects.watch(kind, after).await;
+                listing.map(|listing| json(StatusCode::OK, &listing))
+            }
+            (&Method::PUT, ["objects", kind, name]) => {
+                let Ok(body) = Limited::new(body, MAX_VALUE_BYTES).collect().await else {
+                    return text(StatusCode::PAYLOAD_TOO_LARGE, "the value is too large");
+                };
+                let Ok(value) = serde_json::from_slice(&body.to_bytes()) else {
+                    return text(StatusCode::BAD_REQUEST, "the value is not JSON");
+                };
+                let version = number(&query, "if-version");
+                written(self.objects.put(kind, name, value, version).await)
+            }
+            (&Method::DELETE, ["objects", kind, name]) => {
+                let version = number(&query, "if-version");
+                written(self.objects.delete(kind, name, version).await.map(|()| version))
+            }
+            _ => return text(StatusCode::NOT_FOUND, "no such path"),
+        };
+        result.unwrap_or_else(|error| failure(&error))
+    }
+}
+
+fn written(result: Result<u64, PlatformError>) -> Result<Response<Full<Bytes>>, PlatformError> {
+    result.map(|version| json(StatusCode::OK, &WriteAnswer { version }))
+}
+
+fn failure(error: &PlatformError) -> Response<Full<Bytes>> {
+    match error {
+        PlatformError::Conflict { current } => {
+            json(StatusCode::CONFLICT, &WriteAnswer { version: *current })
+        }
+        PlatformError::Refused(reason) => text(StatusCode::BAD_REQUEST, reason),
+        PlatformError::NoAnswer(reason) => text(StatusCode::SERVICE_UNAVAILABLE, reason),
+    }
+}
+
+fn number(query: &str, name: &str) -> u64 {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(key, _)| *key == name);
+    found.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
+    http_server::json(status, value)
+}
+
+fn text(status: StatusCode, message: &str) -> Response<Full<Bytes>> {
+    http_server::text(status, message)
+}
--- /dev/null
+++ b/src/standin/faults.rs
@@ -0,0 +1,101 @@
+//! A store that can be down or slow and can lose the answer of a write that took effect.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use serde_json::Value;
+
+use crate::platform::{Listing, MemoryStore, Object, ObjectApi, ObjectVersion, PlatformError};
+
+/// Faults that a test switches on and off.
+#[derive(Debug, Default)]
+pub struct Faults {
+    /// No call is answered.
+    pub down: AtomicBool,
+    /// Delay before each answer, in milliseconds.
+    pub delay_ms: AtomicU64,
+    /// Number of writes whose answers will be lost.
+    pub lose_answers: AtomicU64,
+    /// Calls so far, a watch counted as one.
+    pub calls: AtomicU64,
+}
+
+/// A store with faults.
+#[derive(Debug, Default)]
+pub struct FaultyStore {
+    /// The store behind.
+    pub store: MemoryStore,
+    /// The faults.
+    pub faults: Arc<Faults>,
+}
+
+impl FaultyStore {
+    async fn enter(&self) -> Result<(), PlatformError> {
+        self.faults.calls.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(self.faults.delay_ms.load(Ordering::Relaxed)))
+            .await;
+        self.check_up()
+    }
+
+    fn check_up(&self) -> Result<(), PlatformError> {
+        if self.faults.down.load(Ordering::Relaxed) {
+            return Err(PlatformError::NoAnswer("the stand-in is down".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn written<T>(&self, result: Result<T, PlatformError>) -> Result<T, PlatformError> {
+        let take = |left: u64| left.checked_sub(1);
+        let lost =
+            self.faults.lose_answers.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        if result.is_ok() && lost.is_ok() {
+            return Err(PlatformError::NoAnswer("the stand-in lost the answer".to_owned()));
+        }
+        result
+    }
+}
+
+impl ObjectApi for FaultyStore {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+        self.enter().await?;
+        self.store.get(kind, name).await
+    }
+
+    async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
+        self.enter().await?;
+        self.store.list(kind).await
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Value,
+        if_version: ObjectVersion,
+    ) -> Result<ObjectVersion, PlatformError> {
+        self.enter().await?;
+        self.written(self.store.put(kind, name, value, if_version).await)
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        if_version: ObjectVersion,
+    ) -> Result<(), PlatformError> {
+        self.enter().await?;
+        self.written(self.store.delete(kind, name, if_version).await)
+    }
+
+    async fn watch(&self, kind: &str, after: ObjectVersion) -> Result<Listing, PlatformError> {
+        self.enter().await?;
+        let listing = self.store.watch(kind, after).await?;
+        self.check_up()?;
+        Ok(listing)
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for what the project does not own: an upstream and faults of the platform.
+
+mod faults;
+mod fleet;
+mod upstream;
+
+pub use faults::{Faults, FaultyStore};
+pub use fleet::{
+    FLEET_SECRET, Fleet, FleetNode, FleetOptions, HttpReply, NodeOptions, http_call, new_client,
+};
+pub use upstream::{UpstreamOptions, run_upstream};
