--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -27,7 +27,9 @@
         (&Method::GET, "/healthz") => http_server::text(StatusCode::OK, "ok"),
         (&Method::GET, "/metrics") => http_server::text(StatusCode::OK, &shared.metrics.render()),
         (&Method::GET, "/state") => http_server::json(StatusCode::OK, &StateDump::of(&shared)),
-        (&Method::GET, "/v1/nodes") => http_server::json(StatusCode::OK, &**shared.table.load()),
+        (&Method::GET, "/v1/nodes") => {
+            http_server::json(StatusCode::OK, &*shared.view.load().table)
+        }
         (&Method::GET, "/v1/configuration") => configuration::read(&shared).await,
         (&Method::PUT, "/v1/configuration") => configuration::apply(&shared, request).await,
         _ => http_server::text(StatusCode::NOT_FOUND, "no such path"),
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -48,7 +48,7 @@
             zone: shared.settings.zone.clone(),
             draining: shared.lifecycle() == Lifecycle::Draining,
             revision: shared.configuration.load().revision,
-            table: shared.table.load_full(),
+            table: shared.view.load().table.clone(),
             upstream: shared.upstream.serving(),
             upstream_report: shared.upstream.last_report(),
             running: shared.dispatches.len(),
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -246,8 +246,9 @@
 
 /// Chooses a random row that offers the service, its own among them.
 fn choose(shared: &Shared, context: &CallContext) -> Option<Row> {
-    let table = shared.table.load();
-    let candidates: Vec<&Row> = table
+    let view = shared.view.load();
+    let candidates: Vec<&Row> = view
+        .table
         .rows
         .iter()
         .filter(|row| row.state == RowState::Active)
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    membership::{Row, RowState, Table},
+    membership::{Row, RowState, Table, View},
     node::{Lifecycle, Shared},
     platform::{KIND_TABLES, ObjectApi as _, PlatformError},
 };
@@ -142,9 +142,12 @@
 }
 
 fn adopt(shared: &Shared, table: Table) {
-    if table.version > shared.table.load().version {
+    if table.version > shared.view.load().table.version {
         log::info!("table version {} with {} rows", table.version, table.rows.len());
-        shared.table.store(Arc::new(table));
+        shared.view.store(Arc::new(View { table: Arc::new(table), settled: true }));
+        // TODO: replace by evidence; until then a node that has read a table trusts it for good.
+        shared.right.set_row_until(Duration::MAX);
+        shared.right.set_keys_until(Duration::MAX);
     }
 }
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,7 +9,7 @@
     call::ContextSigner,
     clock,
     config::{Configuration, KeyHasher},
-    membership::Table,
+    membership::{Right, View},
     names::Incarnation,
     node::{BoundAddresses, Dispatches, UpstreamLink},
     peers::PeerPool,
@@ -45,7 +45,9 @@
     /// Configuration in force at this node.
     pub configuration: ArcSwap<Configuration>,
     /// Membership table as this node knows it.
-    pub table: ArcSwap<Table>,
+    pub view: ArcSwap<View>,
+    /// Until when the node may use its row and accept keys.
+    pub right: Right,
     /// The upstream beside the node.
     pub upstream: UpstreamLink,
     /// Channels to other nodes.
@@ -72,7 +74,8 @@
             peers: PeerPool::new(signer.peer_token().clone()),
             signer,
             configuration: ArcSwap::default(),
-            table: ArcSwap::default(),
+            view: ArcSwap::default(),
+            right: Right::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
             metrics: Metrics::default(),
