Base the right and settlement on evidence

Cause: a node that had read one table trusted it for good, so a paused or cut-off node could act on an old version.

Change: membership decides from evidence pulls, platform reads and peers' tables, without I/O; the actor performs the actions and publishes view, right and evidence. The request path checks the right at entry and before the dispatch.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -12,8 +12,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    clock,
     config::{Configuration, Document},
-    node::Shared,
+    node::{
+        Shared,
+        members::{ConfigurationWasRead, MembersActor},
+    },
     platform::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _},
 };
 
@@ -30,13 +34,16 @@
 struct DocumentRead(Document);
 
 impl Actor for ConfigurationActor {
-    type Args = Arc<Shared>;
+    type Args = (Arc<Shared>, ActorRef<MembersActor>);
     type Error = kameo::error::Infallible;
 
-    async fn on_start(shared: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+    async fn on_start(
+        (shared, members): Self::Args,
+        actor: ActorRef<Self>,
+    ) -> Result<Self, Self::Error> {
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
-        tasks.spawn(watch(shared.clone(), actor, stop.clone()));
+        tasks.spawn(watch(shared.clone(), actor, members, stop.clone()));
         Ok(Self { shared, stop, tasks })
     }
 
@@ -68,9 +75,15 @@
     }
 }
 
-async fn watch(shared: Arc<Shared>, actor: ActorRef<ConfigurationActor>, stop: CancellationToken) {
+async fn watch(
+    shared: Arc<Shared>,
+    actor: ActorRef<ConfigurationActor>,
+    members: ActorRef<MembersActor>,
+    stop: CancellationToken,
+) {
     let mut after = 0;
     loop {
+        let began = clock::now();
         let listing = tokio::select! {
             listing = shared.platform.watch(KIND_CONFIGURATION, after) => listing,
             () = stop.cancelled() => return,
@@ -88,11 +101,13 @@
         let Some(value) = current.and_then(|object| object.value) else {
             continue;
         };
-        match serde_json::from_value(value) {
+        match serde_json::from_value::<Document>(value) {
             Ok(document) => {
+                let revision = document.revision;
                 if actor.tell(DocumentRead(document)).await.is_err() {
                     return;
                 }
+                let _ = members.tell(ConfigurationWasRead { began, revision }).await;
             }
             Err(error) => log::error!("the configuration is unreadable: {error}"),
         }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -140,6 +140,11 @@
     let Some(key) = key else {
         return Err((Reason::UnknownKey, "the request carries no key".to_owned()));
     };
+    let now = clock::now();
+    if !shared.right.row_is_valid(now) || !shared.right.keys_are_valid(now) {
+        let detail = "the node cannot show that its table and configuration are current";
+        return Err((Reason::NoRight, detail.to_owned()));
+    }
     match configuration.check_key(&shared.key_hasher, key) {
         KeyCheck::Organisation(name) => Ok(Some(name)),
         KeyCheck::Unknown => Err((Reason::UnknownKey, "the key is not in force".to_owned())),
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -30,6 +30,11 @@
         let not_run = undispatched.refuse(Reason::DeadlinePassed, "the deadline has passed");
         return (Outcome::NotRun(not_run), budget);
     }
+    // A node that was paused since the request came in must not act on an earlier check.
+    if context.organisation.is_some() && !shared.right.row_is_valid(clock::now()) {
+        let detail = "the node cannot show that its table is current";
+        return (Outcome::NotRun(undispatched.refuse(Reason::NoRight, detail)), budget);
+    }
     let running = shared.dispatches.begin(context);
     let context = &running.call.context;
     let map = upstream_headers(
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,6 +1,6 @@
-//! The actor that keeps the node's row in the membership table.
+//! The actor that drives the membership decisions: platform calls, pulls and publishing.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use kameo::{
     Actor,
@@ -8,32 +8,74 @@
     error::ActorStopReason,
     message::{Context, Message},
 };
-use tokio::task::JoinSet;
+use prost::Message as _;
+use tokio::{
+    sync::oneshot,
+    task::JoinSet,
+    time::{MissedTickBehavior, interval, timeout},
+};
 use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
 
 use crate::{
-    membership::{Row, RowState, Table, View},
+    clock,
+    membership::{Action, Event, Identity, Membership, Row, RowState, TICK_INTERVAL, Table},
+    names::ServiceName,
     node::{Lifecycle, Shared},
-    platform::{KIND_TABLES, ObjectApi as _, PlatformError},
+    peers::proto::{EvidenceReply, EvidenceRequest},
+    platform::{
+        KIND_CONFIGURATION, KIND_TABLES, NAME_CURRENT, ObjectApi as _, ObjectVersion, PlatformError,
+    },
 };
 
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time that a node gets to answer a pull.
+const PULL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two looks at whether this node is to hold a watch.
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Load of an upstream whose slots are all taken, in the unit of the wire.
+const FULL_LOAD: usize = 128;
+const MAX_LOAD: usize = 254;
+const NOT_SERVING: u8 = 255;
 
-/// Keeps the node's row in the membership table.
+/// Drives the membership decisions.
 pub struct MembersActor {
     shared: Arc<Shared>,
+    membership: Membership,
+    actor: ActorRef<Self>,
+    /// Service of the last announcement; a crashed upstream keeps its row.
+    service: Option<ServiceName>,
+    left: Option<oneshot::Sender<()>>,
     stop: CancellationToken,
     tasks: JoinSet<()>,
 }
 
-/// Takes the node's row out of the table.
-pub struct Leave;
+/// Takes the node's row out of the table and reports when that has happened.
+pub struct Leave(pub oneshot::Sender<()>);
+
+/// Another node asks for evidence.
+pub struct Asked(pub EvidenceRequest);
+
+/// The evidence for another node.
+#[derive(kameo::Reply)]
+pub struct Answer(pub EvidenceReply);
+
+/// The configuration actor has read a revision at the platform.
+pub struct ConfigurationWasRead {
+    /// Time before the call.
+    pub began: clock::Timestamp,
+    /// Revision that the platform returned.
+    pub revision: crate::names::Revision,
+}
+
+/// Time has passed.
+struct Tick;
 
-/// Puts the node's row into the table, or changes it.
-struct Join;
+/// The upstream has announced itself or drains.
+struct Announced;
 
-/// A table that the platform returned.
-struct TableRead(Table);
+/// The answer to an action.
+struct Happened(Event);
 
 impl Actor for MembersActor {
     type Args = Arc<Shared>;
@@ -42,9 +84,18 @@
     async fn on_start(shared: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
         let stop = CancellationToken::new();
         let mut tasks = JoinSet::new();
-        tasks.spawn(watch(shared.clone(), actor.clone(), stop.clone()));
-        tasks.spawn(announcements(shared.clone(), actor.clone(), stop.clone()));
-        Ok(Self { shared, stop, tasks })
+        tasks.spawn(until(stop.clone(), tick(actor.clone())));
+        tasks.spawn(until(stop.clone(), announcements(shared.clone(), actor.clone())));
+        tasks.spawn(until(stop.clone(), watch(shared.clone(), actor.clone())));
+        let identity = Identity {
+            instance: shared.settings.instance.clone(),
+            incarnation: shared.incarnation,
+            zone: shared.settings.zone.clone(),
+            shard: shared.settings.shard.clone(),
+            peer_address: shared.addresses.peers,
+        };
+        let membership = Membership::new(identity, rand::random());
+        Ok(Self { shared, membership, actor, service: None, left: None, stop, tasks })
     }
 
     async fn on_stop(
@@ -58,139 +109,293 @@
     }
 }
 
-impl Message<Join> for MembersActor {
+impl Message<Tick> for MembersActor {
     type Reply = ();
 
-    async fn handle(&mut self, _: Join, _ctx: &mut Context<Self, Self::Reply>) {
-        let row = self.own_row();
-        self.update(|table| match table.row(&row.instance) == Some(&row) {
-            true => None,
-            false => Some(table.rows_with(row.clone())),
-        })
-        .await;
+    async fn handle(&mut self, _: Tick, _ctx: &mut Context<Self, Self::Reply>) {
+        while self.tasks.try_join_next().is_some() {}
+        self.handle_event(Event::Tick);
+        self.shared.evidence.store(Arc::new(self.membership.evidence(clock::now())));
+    }
+}
+
+impl Message<Announced> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Announced, _ctx: &mut Context<Self, Self::Reply>) {
+        if self.shared.lifecycle() == Lifecycle::Serving {
+            let row = self.own_row();
+            self.handle_event(Event::Wanted(Some(row)));
+        }
     }
 }
 
 impl Message<Leave> for MembersActor {
     type Reply = ();
 
-    async fn handle(&mut self, _: Leave, _ctx: &mut Context<Self, Self::Reply>) {
-        let instance = self.shared.settings.instance.clone();
-        self.update(|table| table.row(&instance).map(|_| table.rows_without(&instance))).await;
+    async fn handle(&mut self, Leave(left): Leave, _ctx: &mut Context<Self, Self::Reply>) {
+        self.left = Some(left);
+        self.handle_event(Event::Wanted(None));
+    }
+}
+
+impl Message<Happened> for MembersActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Happened(event): Happened, _ctx: &mut Context<Self, Self::Reply>) {
+        self.handle_event(event);
     }
 }
 
-impl Message<TableRead> for MembersActor {
+impl Message<ConfigurationWasRead> for MembersActor {
     type Reply = ();
 
-    async fn handle(&mut self, TableRead(table): TableRead, _ctx: &mut Context<Self, Self::Reply>) {
-        adopt(&self.shared, table);
+    async fn handle(
+        &mut self,
+        ConfigurationWasRead { began, revision }: ConfigurationWasRead,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) {
+        self.handle_event(Event::ConfigurationSeen { began, revision });
+    }
+}
+
+impl Message<Asked> for MembersActor {
+    type Reply = Answer;
+
+    async fn handle(
+        &mut self,
+        Asked(request): Asked,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) -> Answer {
+        self.state_own();
+        let (reply, actions) = self.membership.answer(clock::now(), &request);
+        self.shared.metrics.count_evidence("answered", request.encoded_len(), reply.encoded_len());
+        self.publish();
+        self.act(actions);
+        Answer(reply)
     }
 }
 
 impl MembersActor {
-    fn own_row(&self) -> Row {
+    fn own_row(&mut self) -> Row {
         let shared = &self.shared;
-        let serving = shared.upstream.serving();
+        if let Some(announcement) = shared.upstream.serving() {
+            self.service = Some(announcement.service.clone());
+        }
+        let state = match shared.upstream.is_draining() {
+            true => RowState::Leaving,
+            false => RowState::Active,
+        };
         Row {
             instance: shared.settings.instance.clone(),
             incarnation: shared.incarnation,
             zone: shared.settings.zone.clone(),
-            service: serving.map(|announcement| announcement.service.clone()),
+            service: self.service.clone(),
             peer_address: shared.addresses.peers,
             weight: shared.settings.weight,
-            state: RowState::Active,
+            state,
+        }
+    }
+
+    fn state_own(&mut self) {
+        let revision = self.shared.configuration.load().revision;
+        self.membership.set_own(revision, own_load(&self.shared));
+    }
+
+    fn handle_event(&mut self, event: Event) {
+        self.state_own();
+        let actions = self.membership.handle(clock::now(), event);
+        self.publish();
+        self.act(actions);
+    }
+
+    /// Publishes the view before the right: a request that checks the right first never uses an
+    /// older table under a right that belongs to a newer one.
+    fn publish(&mut self) {
+        let shared = &self.shared;
+        let published = shared.view.load();
+        let view = self.membership.view();
+        if published.table.version != view.table.version || published.settled != view.settled {
+            log::info!(
+                "table version {} with {} rows{}",
+                view.table.version,
+                view.table.rows.len(),
+                if view.settled { ", settled" } else { "" },
+            );
+            let addresses: std::collections::HashSet<SocketAddr> =
+                view.table.rows.iter().map(|row| row.peer_address).collect();
+            shared.view.store(Arc::new(view));
+            shared.peers.retain(|address| addresses.contains(address));
+        }
+        shared.right.set_row_until(self.membership.row_until());
+        shared.right.set_keys_until(self.membership.keys_until());
+        if self.membership.wish_is_met()
+            && let Some(left) = self.left.take()
+        {
+            let _ = left.send(());
         }
     }
 
-    /// Reads the table, changes it and writes it back until that succeeds.
-    async fn update(&self, change: impl Fn(&Table) -> Option<Vec<Row>>) {
-        loop {
-            match self.try_update(&change).await {
-                Ok(()) => return,
-                Err(PlatformError::Conflict { .. }) => {}
-                Err(error) => {
-                    log::warn!("writing the membership table failed: {error}");
-                    tokio::time::sleep(RETRY_DELAY).await;
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (shared, actor) = (self.shared.clone(), self.actor.clone());
+            let stop = self.stop.clone();
+            let work = async move {
+                if let Some(event) = perform(&shared, action).await {
+                    let _ = actor.tell(Happened(event)).await;
                 }
+            };
+            self.tasks.spawn(until(stop, work));
+        }
+    }
+}
+
+/// Runs a task, sends to the actor included, until it ends or the actor stops.
+async fn until(stop: CancellationToken, work: impl Future<Output = ()>) {
+    stop.run_until_cancelled(work).await.unwrap_or(());
+}
+
+fn own_load(shared: &Shared) -> u8 {
+    let Some(announced) = shared.upstream.serving() else { return NOT_SERVING };
+    let slots = usize::try_from(announced.slots).unwrap_or(usize::MAX).max(1);
+    let load = (shared.dispatches.len().saturating_mul(FULL_LOAD) / slots).min(MAX_LOAD);
+    u8::try_from(load).unwrap_or(NOT_SERVING)
+}
+
+async fn perform(shared: &Shared, action: Action) -> Option<Event> {
+    let began = clock::now();
+    match action {
+        Action::Ask { address, request } => ask(shared, address, request, began).await,
+        Action::ReadTable => Some(match read_table(shared).await {
+            Ok(found) => Event::TableRead { began, found },
+            Err(error) => {
+                log::warn!("reading the membership table failed: {error}");
+                Event::TableFailed
             }
+        }),
+        Action::WriteTable { table, if_version } => {
+            let change_id = table.change_id;
+            Some(match write_table(shared, &table, if_version).await {
+                Ok(()) => Event::Written { began, table },
+                Err(error) => write_failure(&error, change_id),
+            })
         }
+        Action::ReadConfiguration => Some(match read_revision(shared).await {
+            Ok(revision) => Event::ConfigurationRead { began, revision },
+            Err(error) => {
+                log::warn!("reading the configuration's revision failed: {error}");
+                Event::ConfigurationFailed
+            }
+        }),
     }
+}
 
-    async fn try_update(
-        &self,
-        change: impl Fn(&Table) -> Option<Vec<Row>>,
-    ) -> Result<(), PlatformError> {
-        let platform = &self.shared.platform;
-        let shard = &self.shared.settings.shard;
-        let object = platform.get(KIND_TABLES, shard).await?;
-        let version = object.as_ref().map_or(0, |object| object.version);
-        let value = object.and_then(|object| object.value);
-        let table = value.map_or(Ok(Table::default()), serde_json::from_value);
-        let table = table.map_err(|error| PlatformError::Refused(error.to_string()))?;
-        let Some(rows) = change(&table) else {
-            adopt(&self.shared, table);
-            return Ok(());
-        };
-        let next = table.next(rows);
-        let value = serde_json::to_value(&next)
-            .map_err(|error| PlatformError::Refused(error.to_string()))?;
-        platform.put(KIND_TABLES, shard, value, version).await?;
-        adopt(&self.shared, next);
-        Ok(())
+async fn ask(
+    shared: &Shared,
+    address: SocketAddr,
+    request: EvidenceRequest,
+    sent_at: clock::Timestamp,
+) -> Option<Event> {
+    let request_bytes = request.encoded_len();
+    let mut client = shared.peers.client(address);
+    match timeout(PULL_TIMEOUT, client.pull_evidence(request)).await {
+        Ok(Ok(reply)) => {
+            let reply = reply.into_inner();
+            shared.metrics.count_evidence("asked", reply.encoded_len(), request_bytes);
+            Some(Event::Answered { sent_at, reply })
+        }
+        Ok(Err(status)) => {
+            log::debug!("{address} gave no evidence: {}", status.message());
+            None
+        }
+        Err(_) => {
+            log::debug!("{address} gave no evidence within {PULL_TIMEOUT:?}");
+            None
+        }
     }
 }
 
-fn adopt(shared: &Shared, table: Table) {
-    if table.version > shared.view.load().table.version {
-        log::info!("table version {} with {} rows", table.version, table.rows.len());
-        shared.view.store(Arc::new(View { table: Arc::new(table), settled: true }));
-        // TODO: replace by evidence; until then a node that has read a table trusts it for good.
-        shared.right.set_row_until(Duration::MAX);
-        shared.right.set_keys_until(Duration::MAX);
+async fn read_table(shared: &Shared) -> Result<Option<(ObjectVersion, Table)>, PlatformError> {
+    let object = shared.platform.get(KIND_TABLES, &shared.settings.shard).await?;
+    let Some(object) = object else { return Ok(None) };
+    let Some(value) = object.value else { return Ok(None) };
+    let table = serde_json::from_value(value)
+        .map_err(|error| PlatformError::Refused(format!("the table is unreadable: {error}")))?;
+    Ok(Some((object.version, table)))
+}
+
+async fn write_table(
+    shared: &Shared,
+    table: &Table,
+    if_version: ObjectVersion,
+) -> Result<(), PlatformError> {
+    let value = serde_json::to_value(table)
+        .map_err(|error| PlatformError::Refused(format!("the table has no JSON form: {error}")))?;
+    shared.platform.put(KIND_TABLES, &shared.settings.shard, value, if_version).await.map(drop)
+}
+
+fn write_failure(error: &PlatformError, change_id: Uuid) -> Event {
+    match error {
+        PlatformError::Conflict { .. } => Event::WriteConflict,
+        PlatformError::NoAnswer(reason) => {
+            log::warn!("writing the membership table has no answer: {reason}");
+            Event::WriteLost { change_id }
+        }
+        PlatformError::Refused(reason) => {
+            log::error!("the platform refused the membership table: {reason}");
+            Event::TableFailed
+        }
     }
 }
 
-async fn announcements(
-    shared: Arc<Shared>,
-    actor: ActorRef<MembersActor>,
-    stop: CancellationToken,
-) {
-    while shared.lifecycle() == Lifecycle::Serving {
-        if actor.tell(Join).await.is_err() {
+async fn read_revision(shared: &Shared) -> Result<crate::names::Revision, PlatformError> {
+    let object = shared.platform.get(KIND_CONFIGURATION, NAME_CURRENT).await?;
+    let value = object.and_then(|object| object.value);
+    let revision = value.as_ref().and_then(|value| value.get("revision")?.as_u64());
+    Ok(revision.unwrap_or(0))
+}
+
+async fn tick(actor: ActorRef<MembersActor>) {
+    let mut interval = interval(TICK_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if actor.tell(Tick).await.is_err() {
             return;
         }
-        tokio::select! {
-            () = shared.announced.notified() => {}
-            () = stop.cancelled() => return,
-        }
     }
 }
 
-async fn watch(shared: Arc<Shared>, actor: ActorRef<MembersActor>, stop: CancellationToken) {
+async fn announcements(shared: Arc<Shared>, actor: ActorRef<MembersActor>) {
+    while actor.tell(Announced).await.is_ok() {
+        shared.announced.notified().await;
+    }
+}
+
+/// Holds a watch on the table while this node is one of the readers of its zone.
+async fn watch(shared: Arc<Shared>, actor: ActorRef<MembersActor>) {
     let mut after = 0;
     loop {
-        let listing = tokio::select! {
-            listing = shared.platform.watch(KIND_TABLES, after) => listing,
-            () = stop.cancelled() => return,
-        };
-        let listing = match listing {
+        if !shared.evidence.load().is_reader {
+            tokio::time::sleep(READER_CHECK_INTERVAL).await;
+            continue;
+        }
+        let began = clock::now();
+        let listing = match shared.platform.watch(KIND_TABLES, after).await {
             Ok(listing) => listing,
             Err(error) => {
                 log::warn!("watching the membership table failed: {error}");
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(WATCH_RETRY_DELAY).await;
                 continue;
             }
         };
         after = listing.version;
         let shard = &shared.settings.shard;
         let own = listing.objects.into_iter().find(|object| object.name == *shard);
-        let Some(value) = own.and_then(|object| object.value) else {
-            continue;
-        };
+        let Some(value) = own.and_then(|object| object.value) else { continue };
         match serde_json::from_value(value) {
             Ok(table) => {
-                if actor.tell(TableRead(table)).await.is_err() {
+                if actor.tell(Happened(Event::TableSeen { began, table })).await.is_err() {
                     return;
                 }
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,7 +16,7 @@
 use anyhow::Context as _;
 use kameo::actor::{ActorRef, Spawn as _};
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{net::TcpListener, sync::oneshot, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
@@ -116,11 +116,16 @@
     // Requests may still come in while the node drains, so the listeners stop later.
     let stop_serving = CancellationToken::new();
 
-    tasks.spawn(peer_service::serve(listeners.peers, shared.clone(), stop_serving.clone()));
+    let members = MembersActor::spawn(shared.clone());
+    tasks.spawn(peer_service::serve(
+        listeners.peers,
+        shared.clone(),
+        members.clone(),
+        stop_serving.clone(),
+    ));
     tasks.spawn(admin::serve(listeners.operators, shared.clone(), stop_serving.clone()));
     tasks.spawn(upstream_service::serve(listeners.upstream, shared.clone(), stop_serving.clone()));
-    let configuration = ConfigurationActor::spawn(shared.clone());
-    let members = MembersActor::spawn(shared.clone());
+    let configuration = ConfigurationActor::spawn((shared.clone(), members.clone()));
     tasks.spawn(callers::serve(listeners.callers, shared.clone(), stop_serving.clone()));
     log::info!(
         "instance {} serves callers on {}, its upstream on {}, nodes on {}, operators on {}",
@@ -148,7 +153,9 @@
 async fn drain(shared: &Shared, members: &ActorRef<MembersActor>) {
     log::info!("instance {} drains", shared.settings.instance);
     shared.set_lifecycle(Lifecycle::Draining);
-    if timeout(LEAVE_TIMEOUT, members.ask(Leave)).await.is_err() {
+    let (left, has_left) = oneshot::channel();
+    let _ = members.tell(Leave(left)).await;
+    if !matches!(timeout(LEAVE_TIMEOUT, has_left).await, Ok(Ok(()))) {
         log::warn!("the platform did not confirm within {LEAVE_TIMEOUT:?} that the row is gone");
     }
     tokio::time::sleep(DRAIN_NOTICE).await;
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::Method;
+use kameo::actor::ActorRef;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tonic::{
@@ -14,7 +15,12 @@
 use crate::{
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
-    node::{Shared, entry::WholeRequest, guard},
+    node::{
+        Shared,
+        entry::WholeRequest,
+        guard,
+        members::{Answer, Asked, MembersActor},
+    },
     peers::{
         TOKEN_HEADER,
         proto::{
@@ -28,10 +34,15 @@
 const MESSAGE_OVERHEAD_BYTES: usize = 1 << 20;
 
 /// Serves other nodes until `shutdown`.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    members: ActorRef<MembersActor>,
+    shutdown: CancellationToken,
+) {
     let token = shared.signer.peer_token().clone();
     let limit_bytes = shared.settings.limits.max_body_bytes + MESSAGE_OVERHEAD_BYTES;
-    let service = PeerServer::new(PeerService { shared })
+    let service = PeerServer::new(PeerService { shared, members })
         .max_decoding_message_size(limit_bytes)
         .max_encoding_message_size(limit_bytes);
     let service = tonic::service::interceptor::InterceptedService::new(
@@ -59,6 +70,7 @@
 
 struct PeerService {
     shared: Arc<Shared>,
+    members: ActorRef<MembersActor>,
 }
 
 type Answered<T> = Result<Response<T>, Status>;
@@ -88,9 +100,12 @@
 
     async fn pull_evidence(
         &self,
-        _request: Request<proto::EvidenceRequest>,
+        request: Request<proto::EvidenceRequest>,
     ) -> Answered<proto::EvidenceReply> {
-        Err(Status::unimplemented("evidence"))
+        let reply = self.members.ask(Asked(request.into_inner())).await;
+        reply
+            .map(|Answer(reply)| Response::new(reply))
+            .map_err(|error| Status::unavailable(error.to_string()))
     }
 
     async fn pull_configuration(
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,7 +9,7 @@
     call::ContextSigner,
     clock,
     config::{Configuration, KeyHasher},
-    membership::{Right, View},
+    membership::{Evidence, Right, View},
     names::Incarnation,
     node::{BoundAddresses, Dispatches, UpstreamLink},
     peers::PeerPool,
@@ -48,6 +48,8 @@
     pub view: ArcSwap<View>,
     /// Until when the node may use its row and accept keys.
     pub right: Right,
+    /// What the node knows of the rows: ages, revisions and loads.
+    pub evidence: ArcSwap<Evidence>,
     /// The upstream beside the node.
     pub upstream: UpstreamLink,
     /// Channels to other nodes.
@@ -64,6 +66,10 @@
 impl Shared {
     /// Makes the state of a node that has just started.
     pub fn new(settings: Settings, platform: Platform, addresses: BoundAddresses) -> Self {
+        let mut metrics = Metrics::default();
+        if let Platform::Http(client) = &platform {
+            metrics.register_platform_calls(client.calls().clone());
+        }
         let signer = ContextSigner::new(&settings.fleet_secret);
         Self {
             addresses,
@@ -76,9 +82,10 @@
             configuration: ArcSwap::default(),
             view: ArcSwap::default(),
             right: Right::default(),
+            evidence: ArcSwap::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
-            metrics: Metrics::default(),
+            metrics,
             announced: Notify::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
             settings,
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -121,6 +121,11 @@
         self.announced.load_full()
     }
 
+    /// The upstream has asked for no new work and has not announced itself since.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
     /// The last load report.
     pub fn last_report(&self) -> Option<LoadReport> {
         self.report.load().as_deref().copied()
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -107,6 +107,15 @@
     pub instance: ::prost::alloc::string::String,
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
+    /// The row that the asker wants in the table, where the table has another or none.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub wanted_row: ::prost::bytes::Bytes,
+    /// The asker wants its row out of the table.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Where the asker can be asked, when the asked node may not have its table.
+    #[prost(string, tag = "8")]
+    pub peer_address: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EvidenceReply {
@@ -126,7 +135,7 @@
     /// The table version is known to be settled.
     #[prost(bool, tag = "7")]
     pub settled: bool,
-    /// One byte a row of `table_version`, in row order: age in 20 ms, 255 = unknown.
+    /// One byte a row of `table_version`, in row order: age in 20 ms, rounded up, 255 = unknown.
     #[prost(bytes = "bytes", tag = "8")]
     pub ages: ::prost::bytes::Bytes,
     /// One byte a row: load in 1/128, 255 = not serving.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -9,6 +9,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use prometheus_client::metrics::counter::Counter;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use tokio::time::timeout;
@@ -32,6 +33,7 @@
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     timeout: Duration,
+    calls: Counter,
 }
 
 impl HttpPlatform {
@@ -44,7 +46,12 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .build(connector);
-        Self { client, address, timeout }
+        Self { client, address, timeout, calls: Counter::default() }
+    }
+
+    /// Counts the calls made, a watch as one.
+    pub fn calls(&self) -> &Counter {
+        &self.calls
     }
 
     async fn call(
@@ -54,6 +61,7 @@
         body: Option<Value>,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
+        self.calls.inc();
         let bytes = body.map_or_else(Bytes::new, |value| Bytes::from(value.to_string()));
         let request = Request::builder()
             .method(method)
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -15,11 +15,25 @@
     reason: &'static str,
 }
 
+/// Labels of an evidence pull: `asked` or `answered` by this node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PullLabels {
+    part: &'static str,
+}
+
+/// Labels of message bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BytesLabels {
+    direction: &'static str,
+}
+
 /// Metrics of the process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
+    evidence_pulls: Family<PullLabels, Counter>,
+    evidence_bytes: Family<BytesLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -31,7 +45,19 @@
             "Requests answered to callers and to the upstream, by outcome and reason",
             requests.clone(),
         );
-        Self { registry, requests }
+        let evidence_pulls = Family::default();
+        registry.register(
+            "evidence_pulls",
+            "Evidence pulls that were answered, by this node's part in them",
+            evidence_pulls.clone(),
+        );
+        let evidence_bytes = Family::default();
+        registry.register(
+            "evidence_message_bytes",
+            "Bytes of evidence messages, without framing",
+            evidence_bytes.clone(),
+        );
+        Self { registry, requests, evidence_pulls, evidence_bytes }
     }
 }
 
@@ -46,6 +72,24 @@
         self.requests.get_or_create(&OutcomeLabels { outcome, reason }).inc();
     }
 
+    /// Counts an evidence pull that this node `asked` or `answered`.
+    pub fn count_evidence(&self, part: &'static str, received_bytes: usize, sent_bytes: usize) {
+        self.evidence_pulls.get_or_create(&PullLabels { part }).inc();
+        for (direction, bytes) in [("received", received_bytes), ("sent", sent_bytes)] {
+            let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+            self.evidence_bytes.get_or_create(&BytesLabels { direction }).inc_by(bytes);
+        }
+    }
+
+    /// Adds the counter of platform calls.
+    pub fn register_platform_calls(&mut self, calls: Counter) {
+        self.registry.register(
+            "platform_calls",
+            "Calls made to the platform, a watch counted as one",
+            calls,
+        );
+    }
+
     /// Renders all metrics.
     pub fn render(&self) -> String {
         let mut text = String::new();
