--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod findings;
 pub mod http_server;
+pub mod load;
 pub mod membership;
 pub mod names;
 pub mod node;
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -61,6 +61,8 @@
     pub daemon: Child,
     /// The upstream beside it.
     pub upstream: Option<Child>,
+    /// Address that the upstream listens on.
+    pub upstream_address: Option<SocketAddr>,
     options: NodeOptions,
 }
 
@@ -134,10 +136,7 @@
         let index = self.nodes.len();
         let instance = format!("i{index:02}");
         let (daemon, addresses) = self.start_daemon(&instance, &options)?;
-        let mut node = FleetNode { instance, addresses, daemon, upstream: None, options };
-        if !node.options.service.is_empty() {
-            node.upstream = Some(self.start_upstream(&node)?);
-        }
+        let node = self.with_upstream(instance, addresses, daemon, options)?;
         self.nodes.push(node);
         Ok(index)
     }
@@ -150,11 +149,7 @@
             (node.instance.clone(), node.options.clone())
         };
         let (daemon, addresses) = self.start_daemon(&instance, &options)?;
-        let mut node = FleetNode { instance, addresses, daemon, upstream: None, options };
-        if !node.options.service.is_empty() {
-            node.upstream = Some(self.start_upstream(&node)?);
-        }
-        self.nodes[index] = node;
+        self.nodes[index] = self.with_upstream(instance, addresses, daemon, options)?;
         Ok(())
     }
 
@@ -173,8 +168,9 @@
         if let Some(upstream) = &mut self.nodes[index].upstream {
             end(upstream)?;
         }
-        let upstream = self.start_upstream(&self.nodes[index])?;
+        let (upstream, address) = self.start_upstream(&self.nodes[index])?;
         self.nodes[index].upstream = Some(upstream);
+        self.nodes[index].upstream_address = Some(address);
         Ok(())
     }
 
@@ -258,7 +254,30 @@
         Ok((daemon, addresses))
     }
 
-    fn start_upstream(&self, node: &FleetNode) -> anyhow::Result<Child> {
+    fn with_upstream(
+        &self,
+        instance: String,
+        addresses: BoundAddresses,
+        daemon: Child,
+        options: NodeOptions,
+    ) -> anyhow::Result<FleetNode> {
+        let mut node = FleetNode {
+            instance,
+            addresses,
+            daemon,
+            upstream: None,
+            upstream_address: None,
+            options,
+        };
+        if !node.options.service.is_empty() {
+            let (upstream, address) = self.start_upstream(&node)?;
+            node.upstream = Some(upstream);
+            node.upstream_address = Some(address);
+        }
+        Ok(node)
+    }
+
+    fn start_upstream(&self, node: &FleetNode) -> anyhow::Result<(Child, SocketAddr)> {
         let options = &node.options;
         let node_address = node.addresses.upstream.to_string();
         let slots = options.slots.max(1).to_string();
@@ -274,8 +293,8 @@
             &arguments,
             &self.options.folder.join(format!("{}-upstream.log", node.instance)),
         )?;
-        first_line(&mut upstream)?;
-        Ok(upstream)
+        let address = first_line(&mut upstream)?.trim().parse()?;
+        Ok((upstream, address))
     }
 }
 
@@ -288,8 +307,11 @@
     }
 }
 
+/// An HTTP client that several tasks share.
+pub type HttpClient = Arc<Client<HttpConnector, Full<Bytes>>>;
+
 /// Makes an HTTP client.
-pub fn new_client() -> Arc<Client<HttpConnector, Full<Bytes>>> {
+pub fn new_client() -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     Arc::new(Client::builder(TokioExecutor::new()).build(connector))
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,6 +6,7 @@
 
 pub use faults::{Faults, FaultyStore};
 pub use fleet::{
-    FLEET_SECRET, Fleet, FleetNode, FleetOptions, HttpReply, NodeOptions, http_call, new_client,
+    FLEET_SECRET, Fleet, FleetNode, FleetOptions, HttpClient, HttpReply, NodeOptions, http_call,
+    new_client,
 };
 pub use upstream::{UpstreamOptions, run_upstream};
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -103,7 +103,9 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return http_server::text(StatusCode::SERVICE_UNAVAILABLE, "closing");
         };
-        tokio::time::sleep(self.options.service_time).await;
+        if !self.options.service_time.is_zero() {
+            tokio::time::sleep(self.options.service_time).await;
+        }
         let mut answer = json!({
             "service": self.options.service,
             "path": parts.uri.path(),
