--- a/src/membership/rendezvous.rs
+++ b/src/membership/rendezvous.rs
@@ -23,6 +23,6 @@
 /// `rows` in the order in which they stand for a key, the owner first.
 pub fn ranked<'a>(rows: impl IntoIterator<Item = &'a Row>, key: &[u8]) -> Vec<&'a Row> {
     let mut ranked: Vec<&Row> = rows.into_iter().collect();
-    ranked.sort_by_key(|row| std::cmp::Reverse(score(row, key)));
+    ranked.sort_by_cached_key(|row| std::cmp::Reverse(score(row, key)));
     ranked
 }
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -252,6 +252,11 @@
         View { table: self.table.clone(), settled: self.settled }
     }
 
+    /// Newest configuration revision seen, here or at any row.
+    pub fn newest_revision(&self) -> Revision {
+        self.newest_revision
+    }
+
     /// Version of the table that the node has adopted.
     pub fn version(&self) -> TableVersion {
         self.table.version
@@ -272,6 +277,11 @@
         self.keys_until
     }
 
+    /// The process is out of the table and no older version that had its row is in use.
+    pub fn has_left(&self) -> bool {
+        self.settled && self.wish_is_met() && !self.book.has_own_row()
+    }
+
     /// The table says of this process what it should.
     pub fn wish_is_met(&self) -> bool {
         self.own_wish.as_ref().is_none_or(|wish| wish.is_met(&self.own.0, &self.table))
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -229,7 +229,7 @@
         }
         shared.right.set_row_until(self.membership.row_until());
         shared.right.set_keys_until(self.membership.keys_until());
-        if self.membership.wish_is_met()
+        if self.membership.has_left()
             && let Some(left) = self.left.take()
         {
             let _ = left.send(());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,8 +35,9 @@
 use configuration::ConfigurationActor;
 use members::{Leave, MembersActor};
 
-/// Time that a leaving node waits for the platform to take its row out of the table.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time that a leaving node waits until its row is out of a settled table. With a silent row the
+/// settlement alone takes 4.5 s.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time in which entries learn that the node is leaving, before it refuses new work.
 const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 
