Add scenarios and single decisions of membership

Cause: the table's behaviour under named faults had no script and no figures, and an eviction of rows that died together took two updates.

Change: scenario files run against the harness of the random histories; an eviction waits up to 1.5 s for rows about to count as dead; tests of single decisions.

--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -30,6 +30,9 @@
 const BATCH_DELAY: Duration = Duration::from_millis(200);
 /// Time for which each live row lets the one before it in rank write an update.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+/// Time before [`DEAD_AFTER`] from which a silent row delays an eviction, so that rows that died
+/// together, but were last heard of at different times, go in one update.
+const EVICTION_GATHER: Duration = Duration::from_millis(1500);
 /// Longest time that a process waits for others to write its own row.
 const OWN_WISH_DELAY: Duration = Duration::from_millis(1000);
 /// Time for which a wish is kept without being repeated; it comes with every pull.
@@ -703,6 +706,9 @@
             None => now + self.change_delay(now),
         };
         self.change_due = Some(due);
+        if now < due + EVICTION_GATHER && self.gathers_evictions(now) {
+            return;
+        }
         if now < due || self.table_calls.busy || !self.calls_may_start(now) {
             return;
         }
@@ -712,6 +718,15 @@
         actions.push(Action::ReadTable);
     }
 
+    /// A row is dead and another is about to count as dead.
+    fn gathers_evictions(&self, now: Timestamp) -> bool {
+        let Some(since) = self.evidence_since else { return false };
+        let silence = |known: &Known| now.saturating_sub(known.heard().max(since));
+        let others = || self.book.rows(List::Current).filter(|known| !known.is_own).map(silence);
+        others().any(|silence| silence > DEAD_AFTER)
+            && others().any(|it| it > DEAD_AFTER - EVICTION_GATHER && it <= DEAD_AFTER)
+    }
+
     /// Spacing holds for reads that renew a right; only failures delay a change.
     fn calls_may_start(&self, now: Timestamp) -> bool {
         self.table_calls.failures == 0 || now >= self.table_calls.next_at
--- /dev/null
+++ b/tests/membership_decisions.rs
@@ -0,0 +1,153 @@
+//! Single decisions of one node about its right and about settlement.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hibiscusdoor::{
+    membership::{CLOCK_MARGIN, Event, Identity, Membership, RIGHT_TERM, Row, RowState, Table},
+    peers::proto::EvidenceReply,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(1);
+
+fn row(number: u16) -> Row {
+    Row {
+        instance: format!("i{number}").into(),
+        incarnation: 1,
+        zone: "zone".into(),
+        service: Some("drops".into()),
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 20_000 + number)),
+        weight: 1,
+        state: RowState::Active,
+    }
+}
+
+/// Node `i0`, which has adopted a table of `current` rows after one of `previous` rows.
+fn node(previous: u16, current: u16, at: Duration) -> Membership {
+    let identity = Identity {
+        instance: "i0".into(),
+        incarnation: 1,
+        zone: "zone".into(),
+        shard: "main".into(),
+        peer_address: row(0).peer_address,
+    };
+    let mut membership = Membership::new(identity, 1);
+    let table = Table {
+        version: 2,
+        rows: (0..current).map(row).collect(),
+        previous_rows: (0..previous).map(row).collect(),
+        ..Table::default()
+    };
+    // A table that came from a peer proves nothing about the platform.
+    let reply = EvidenceReply {
+        shard: "main".to_owned(),
+        instance: "other".to_owned(),
+        incarnation: 1,
+        table_version: 2,
+        table: serde_json::to_vec(&table).expect("a table has a JSON form").into(),
+        ..EvidenceReply::default()
+    };
+    membership.handle(at, Event::Answered { sent_at: Duration::ZERO, reply });
+    assert_eq!(membership.version(), 2);
+    membership
+}
+
+/// Row `number` says that it holds a version; the ages of the others are given in 20 ms.
+fn answer(number: u16, version: u64, ages: &[u8]) -> EvidenceReply {
+    EvidenceReply {
+        shard: "main".to_owned(),
+        instance: format!("i{number}"),
+        incarnation: 1,
+        table_version: version,
+        ages: ages.to_vec().into(),
+        loads: vec![0; ages.len()].into(),
+        ..EvidenceReply::default()
+    }
+}
+
+/// Guards against evidence whose age is counted from its arrival: a process that was paused
+/// would take old answers for fresh ones.
+#[test]
+fn late_answer_gives_no_fresh_right() {
+    let start = 100 * SECOND;
+    let mut membership = node(3, 3, start);
+    let arrival = start + 10 * SECOND;
+    let event = Event::Answered { sent_at: start, reply: answer(1, 2, &[]) };
+    membership.handle(arrival, event);
+    assert_eq!(membership.row_until(), start + RIGHT_TERM);
+}
+
+/// Guards against relayed evidence that loses the age it had at the relay.
+#[test]
+fn ages_add_up_over_a_relay() {
+    let start = 100 * SECOND;
+    let mut membership = node(5, 5, start);
+    let ages = [255, 0, 50, 255, 255];
+    let event = Event::Answered { sent_at: start, reply: answer(1, 2, &ages) };
+    membership.handle(start + SECOND, event);
+    assert_eq!(membership.row_until(), start - SECOND + RIGHT_TERM);
+}
+
+/// Guards against a right that rests on half of the rows.
+#[test]
+fn half_of_the_rows_gives_no_right() {
+    let start = 100 * SECOND;
+    let mut membership = node(4, 4, start);
+    membership.handle(start, Event::Answered { sent_at: start, reply: answer(1, 2, &[]) });
+    assert_eq!(membership.row_until(), Duration::ZERO);
+    membership.handle(start, Event::Answered { sent_at: start, reply: answer(2, 2, &[]) });
+    assert_eq!(membership.row_until(), start + RIGHT_TERM);
+}
+
+/// Guards against a settlement while a right under the older version may still be valid: one
+/// that waits a shorter term than rights last, or that does not wait at all.
+#[test]
+fn majority_settles_after_the_whole_term_and_the_margin() {
+    let start = 100 * SECOND;
+    let mut membership = node(3, 2, start);
+    let known_at = start + SECOND;
+    membership.handle(known_at, Event::Answered { sent_at: start, reply: answer(1, 2, &[]) });
+    let settles_at = known_at + RIGHT_TERM + CLOCK_MARGIN;
+    membership.handle(settles_at - STEP, Event::Tick);
+    assert!(!membership.is_settled(), "settled before every older right has ended");
+    membership.handle(settles_at, Event::Tick);
+    assert!(membership.is_settled());
+}
+
+/// Guards against a settlement that rests on rows of the new version: they say nothing about the
+/// rights under the older one.
+#[test]
+fn rows_that_joined_do_not_settle_a_version() {
+    let start = 100 * SECOND;
+    let mut membership = node(3, 5, start);
+    for joined in [3, 4] {
+        let reply = answer(joined, 2, &[]);
+        membership.handle(start, Event::Answered { sent_at: start, reply });
+    }
+    membership.handle(start + 60 * SECOND, Event::Tick);
+    assert!(!membership.is_settled());
+}
+
+/// Guards against a wait where every row of the older version has adopted the newer one.
+#[test]
+fn version_settles_at_once_when_all_have_adopted_it() {
+    let start = 100 * SECOND;
+    let mut membership = node(3, 3, start);
+    for number in [1, 2] {
+        assert!(!membership.is_settled());
+        let reply = answer(number, 2, &[]);
+        membership.handle(start, Event::Answered { sent_at: start, reply });
+    }
+    assert!(membership.is_settled());
+}
+
+/// Guards against a right under a version that rows are known to have left.
+#[test]
+fn rows_that_hold_a_newer_version_support_no_right() {
+    let start = 100 * SECOND;
+    let mut membership = node(3, 3, start);
+    let mut reply = answer(1, 3, &[]);
+    reply.table = Default::default();
+    membership.handle(start, Event::Answered { sent_at: start, reply });
+    assert_eq!(membership.row_until(), Duration::ZERO);
+}
--- a/tests/membership_world/mod.rs
+++ b/tests/membership_world/mod.rs
@@ -25,6 +25,8 @@
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
 /// Keys whose owners are checked, for each service.
 const SAMPLED_KEYS: u128 = 4;
+/// Longest time from the loss of a node to the end of its right.
+const LOSS_SHOWS_WITHIN: Duration = Duration::from_secs(6);
 const WHOLE: f64 = 1.0 - 1e-9;
 
 /// A change from outside.
@@ -135,18 +137,29 @@
     Fault(Fault),
 }
 
+/// A time in which a part of the rate was in use by no node that could act.
+#[derive(Debug, Clone, Copy)]
+pub struct Gap {
+    /// When the last node before it was lost, by death, pause or cut.
+    pub lost_at: Duration,
+    pub from: Duration,
+    pub to: Option<Duration>,
+}
+
 /// Figures of a run.
 #[derive(Debug, Default, Clone)]
 pub struct Figures {
-    pub platform_calls: u64,
-    pub platform_writes: u64,
+    /// When calls were made to the platform, a watch not counted.
+    pub platform_calls: Vec<Duration>,
+    /// When the platform accepted writes.
+    pub platform_writes: Vec<Duration>,
     pub peer_bytes: u64,
     pub peer_messages: u64,
-    /// For each loss of a share: when, and how long until the whole was in use again.
-    pub gaps: Vec<(Duration, Option<Duration>)>,
+    /// Times in which a part of the rate was in use by no node that could act.
+    pub gaps: Vec<Gap>,
     pub max_sum: f64,
-    /// Time in which at least one running process with a row had no right.
-    pub without_right: Duration,
+    /// Times, with their ends, in which a running process with a share had no right.
+    pub without_right: Vec<(Duration, Duration)>,
 }
 
 /// Many nodes on a virtual clock.
@@ -167,7 +180,8 @@
     /// When a majority of the rows was first seen to hold each revision.
     majority_holds: BTreeMap<Revision, Duration>,
     table_changed_at: Duration,
-    last_event_at: Duration,
+    lost_at: Option<Duration>,
+    counts_gaps: bool,
 }
 
 impl World {
@@ -191,7 +205,8 @@
             next_incarnation: 1,
             majority_holds: BTreeMap::new(),
             table_changed_at: Duration::ZERO,
-            last_event_at: Duration::ZERO,
+            lost_at: None,
+            counts_gaps: false,
         }
     }
 
@@ -246,6 +261,36 @@
         self.platform.object.as_ref().map_or(0, |(_, table)| table.version)
     }
 
+    /// Running processes without a row in the platform's table.
+    pub fn observers(&self) -> usize {
+        let rows = self.platform.object.as_ref().map_or(&[][..], |(_, table)| &table.rows);
+        let processes = self.nodes.iter().filter_map(|node| Some((node, node.process.as_ref()?)));
+        let without_row = processes.filter(|(node, process)| {
+            !rows
+                .iter()
+                .any(|row| row.instance == node.instance && row.incarnation == process.incarnation)
+        });
+        without_row.count()
+    }
+
+    /// Running processes that may accept keys and know the newest revision.
+    pub fn accepting(&self) -> usize {
+        let accepts = |index: &usize| {
+            let process = self.nodes[*index].process.as_ref();
+            process.is_some_and(|process| {
+                process.revision == self.platform.revision
+                    && self.local(*index) < process.membership.keys_until()
+            })
+        };
+        (0..self.nodes.len()).filter(accepts).count()
+    }
+
+    /// Rows of the platform's table that take no new work.
+    pub fn leaving_rows(&self) -> usize {
+        let rows = self.platform.object.as_ref().map_or(&[][..], |(_, table)| &table.rows);
+        rows.iter().filter(|row| row.state == RowState::Leaving).count()
+    }
+
     /// Processes with a row in the adopted table whose right is valid.
     pub fn nodes_with_right(&self) -> usize {
         (0..self.nodes.len()).filter(|index| self.has_right(*index)).count()
@@ -265,7 +310,7 @@
             let Some(Reverse((at, id))) = self.queue.pop() else { break };
             let Some(entry) = self.entries.remove(&id) else { continue };
             if self.running_without_right() {
-                self.figures.without_right += at.saturating_sub(self.now);
+                self.figures.without_right.push((self.now, at));
             }
             self.now = at;
             self.step(entry).map_err(|error| format!("at {at:?}: {error}"))?;
@@ -319,7 +364,14 @@
 
     fn step(&mut self, entry: Entry) -> Result<(), String> {
         match entry {
-            Entry::Fault(fault) => self.apply(fault),
+            Entry::Fault(fault) => {
+                if matches!(fault, Fault::Kill(_) | Fault::Pause(_) | Fault::Cut(_)) {
+                    self.lost_at = Some(self.now);
+                    self.counts_gaps = true;
+                }
+                self.apply(fault)?;
+                self.check_sums()
+            }
             Entry::Node { node, incarnation, item } => {
                 let target = &mut self.nodes[node];
                 let current = target.process.as_ref().map(|process| process.incarnation);
@@ -409,14 +461,9 @@
     }
 
     fn end(&mut self, index: usize) {
-        let had_share = self.has_right(index)
-            && self.nodes[index].process.as_ref().is_some_and(|process| process.share > 0.0);
         self.nodes[index].process = None;
         self.nodes[index].held.clear();
         self.nodes[index].paused = false;
-        if had_share {
-            self.figures.gaps.push((self.now, None));
-        }
     }
 
     fn want(&mut self, index: usize) -> Result<(), String> {
@@ -571,7 +618,7 @@
                     self.push_item(self.now + delay, target, to_incarnation, item);
                 }
                 action => {
-                    self.figures.platform_calls += 1;
+                    self.figures.platform_calls.push(self.now);
                     let delay = self.platform_delay();
                     let entry = Entry::Platform {
                         node: index,
@@ -639,7 +686,7 @@
             return Event::WriteConflict;
         }
         self.platform.object = Some((current + 1, table.clone()));
-        self.figures.platform_writes += 1;
+        self.figures.platform_writes.push(self.now);
         self.table_changed_at = self.now;
         for index in 0..self.nodes.len() {
             let event = Event::TableSeen { began: self.local(index), table: table.clone() };
@@ -688,11 +735,7 @@
         if sum > 1.0 + 1e-9 {
             return Err(format!("the shares in use are {sum} of the whole: {}", self.describe()));
         }
-        if sum >= WHOLE {
-            for (at, until) in &mut self.figures.gaps {
-                until.get_or_insert(self.now - *at);
-            }
-        }
+        self.note_gap();
         let mut owners = vec![0; self.keys.len()];
         for index in 0..self.nodes.len() {
             if let Some(process) = &self.nodes[index].process
@@ -710,6 +753,26 @@
         }
     }
 
+    fn note_gap(&mut self) {
+        if !self.counts_gaps {
+            return;
+        }
+        let acting = (0..self.nodes.len())
+            .filter(|index| !self.nodes[*index].paused && self.has_right(*index));
+        let sum: f64 =
+            acting.filter_map(|index| self.nodes[index].process.as_ref()).map(|it| it.share).sum();
+        let open = self.figures.gaps.last_mut().filter(|gap| gap.to.is_none());
+        match (open, sum >= WHOLE) {
+            (Some(gap), true) => gap.to = Some(self.now),
+            (None, false) => {
+                let lost_at = self.lost_at.take().filter(|at| self.now < *at + LOSS_SHOWS_WITHIN);
+                let lost_at = lost_at.unwrap_or(self.now);
+                self.figures.gaps.push(Gap { lost_at, from: self.now, to: None });
+            }
+            _ => {}
+        }
+    }
+
     /// A revision that a majority has adopted ends the older ones within the term; the tolerance
     /// covers the drift of clocks.
     fn check_revisions(&mut self) -> Result<(), String> {
