--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::{
+    clock,
     membership::Table,
     names::{Incarnation, InstanceName, Revision, ZoneName},
     node::{Announcement, Lifecycle, LoadReport, Shared},
@@ -30,6 +31,14 @@
     pub revision: Revision,
     /// Membership table as this node knows it.
     pub table: Arc<Table>,
+    /// No older version can be in use.
+    pub settled: bool,
+    /// The node may use its row.
+    pub row_right: bool,
+    /// The node may accept keys.
+    pub keys_right: bool,
+    /// Instances whose rows are believed dead.
+    pub dead: Vec<InstanceName>,
     /// The upstream beside the node.
     pub upstream: Option<Arc<Announcement>>,
     /// Last load report of the upstream.
@@ -41,6 +50,8 @@
 impl StateDump {
     /// Reads the state of a node.
     pub fn of(shared: &Shared) -> Self {
+        let (now, view, evidence) = (clock::now(), shared.view.load(), shared.evidence.load());
+        let dead = evidence.rows.iter().filter(|row| !row.alive);
         Self {
             format: STATE_FORMAT,
             instance: shared.settings.instance.clone(),
@@ -48,7 +59,11 @@
             zone: shared.settings.zone.clone(),
             draining: shared.lifecycle() == Lifecycle::Draining,
             revision: shared.configuration.load().revision,
-            table: shared.view.load().table.clone(),
+            table: view.table.clone(),
+            settled: view.settled,
+            row_right: shared.right.row_is_valid(now),
+            keys_right: shared.right.keys_are_valid(now),
+            dead: dead.map(|row| row.instance.clone()).collect(),
             upstream: shared.upstream.serving(),
             upstream_report: shared.upstream.last_report(),
             running: shared.dispatches.len(),
--- a/src/bin/hibiscus-standin.rs
+++ b/src/bin/hibiscus-standin.rs
@@ -1,11 +1,10 @@
 //! Stand-ins for tests: a platform and an upstream. Never shipped.
 
-use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
 
 use hibiscusdoor::{
-    platform,
     settings::RawLog,
-    standin::{FaultyStore, UpstreamOptions, run_upstream},
+    standin::{UpstreamOptions, run_platform, run_upstream},
     telemetry,
 };
 use tokio::{
@@ -50,8 +49,7 @@
         Some("platform") => {
             let listener = TcpListener::bind(listen).await?;
             println!("{}", listener.local_addr()?);
-            let store = Arc::new(FaultyStore::default());
-            platform::serve_objects(listener, store, shutdown).await;
+            run_platform(listener, shutdown).await;
             Ok(())
         }
         Some("upstream") => {
@@ -63,7 +61,7 @@
                 service_time: Duration::from_millis(
                     arguments.opt_value_from_str("--service-time-ms")?.unwrap_or(5),
                 ),
-                calls: arguments.opt_value_from_str::<_, String>("--calls")?.map(Arc::from),
+                calls: arguments.opt_value_from_str::<_, String>("--calls")?.map(Into::into),
             };
             run_upstream(options, shutdown).await
         }
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -34,7 +34,7 @@
     objects: Arc<P>,
     shutdown: CancellationToken,
 ) {
-    let service = ObjectService { objects };
+    let service = ObjectService::new(objects);
     http_server::serve(listener, shutdown, move |request| {
         let service = service.clone();
         async move { service.answer(request).await }
@@ -43,7 +43,13 @@
 }
 
 impl<P: ObjectApi> ObjectService<P> {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Makes a service in front of `objects`.
+    pub fn new(objects: Arc<P>) -> Self {
+        Self { objects }
+    }
+
+    /// Answers one request.
+    pub async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let query = parts.uri.query().unwrap_or_default().to_owned();
         let path = parts.uri.path().to_owned();
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::platform::{Listing, MemoryStore, Object, ObjectApi, ObjectVersion, PlatformError};
@@ -23,6 +25,29 @@
     pub lose_answers: AtomicU64,
     /// Calls so far, a watch counted as one.
     pub calls: AtomicU64,
+    /// Writes so far.
+    pub writes: AtomicU64,
+}
+
+/// Faults as they are stated over HTTP.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct FaultSettings {
+    /// No call is answered.
+    pub down: bool,
+    /// Delay before each answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Number of writes whose answers will be lost.
+    pub lose_answers: u64,
+}
+
+impl Faults {
+    /// Takes the stated faults in place of those in force.
+    pub fn set(&self, settings: FaultSettings) {
+        self.down.store(settings.down, Ordering::Relaxed);
+        self.delay_ms.store(settings.delay_ms, Ordering::Relaxed);
+        self.lose_answers.store(settings.lose_answers, Ordering::Relaxed);
+    }
 }
 
 /// A store with faults.
@@ -50,6 +75,7 @@
     }
 
     fn written<T>(&self, result: Result<T, PlatformError>) -> Result<T, PlatformError> {
+        self.faults.writes.fetch_add(1, Ordering::Relaxed);
         let take = |left: u64| left.checked_sub(1);
         let lost =
             self.faults.lose_answers.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -19,7 +19,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::node::BoundAddresses;
+use crate::{node::BoundAddresses, standin::FaultSettings};
 
 const ANY_PORT: &str = "127.0.0.1:0";
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -131,6 +131,24 @@
         Ok(Self { options, platform, platform_process: process, nodes: Vec::new() })
     }
 
+    /// Sets the faults of the platform stand-in; returns its counters.
+    pub async fn set_faults(&self, faults: &FaultSettings) -> anyhow::Result<Value> {
+        let body = serde_json::to_string(faults)?;
+        self.call_faults(Method::PUT, body).await
+    }
+
+    /// Counters of the platform stand-in: `calls` and `writes`.
+    pub async fn platform_counters(&self) -> anyhow::Result<Value> {
+        self.call_faults(Method::GET, String::new()).await
+    }
+
+    async fn call_faults(&self, method: Method, body: String) -> anyhow::Result<Value> {
+        let url = format!("http://{}/faults", self.platform);
+        let reply = http_call(&new_client(), method, &url, &[], body).await?;
+        anyhow::ensure!(reply.status == StatusCode::OK, "/faults: {:?}", reply.body);
+        Ok(reply.json())
+    }
+
     /// Starts a node and the upstream beside it; returns its index.
     pub fn add_node(&mut self, options: NodeOptions) -> anyhow::Result<usize> {
         let index = self.nodes.len();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,11 +2,13 @@
 
 mod faults;
 mod fleet;
+mod platform;
 mod upstream;
 
-pub use faults::{Faults, FaultyStore};
+pub use faults::{FaultSettings, Faults, FaultyStore};
 pub use fleet::{
     FLEET_SECRET, Fleet, FleetNode, FleetOptions, HttpClient, HttpReply, NodeOptions, http_call,
     new_client,
 };
+pub use platform::run_platform;
 pub use upstream::{UpstreamOptions, run_upstream};
