Charge requests at entry against shares, buckets and loans

Cause: no request was charged, so an organisation got whatever its callers sent.

Change: a decision module rate with one account per organisation: share, bucket, loans and planning of asks. A request of a caller is charged after validation, at the entry node alone. Loans go over Borrow; the lender deducts before it answers, the borrower counts its term from before it asked. Loans can be renewed and given back. A request that finds the bucket empty may wait up to 50 ms for tokens of other nodes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod peers;
 pub mod platform;
+pub mod rate;
 pub mod scenario;
 pub mod settings;
 pub mod standin;
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -18,7 +18,12 @@
     http_server,
     membership::{Row, RowState},
     names::OrganisationName,
-    node::{Lifecycle, Shared, dispatches::RunningCall, guard},
+    node::{
+        Lifecycle, Shared,
+        dispatches::RunningCall,
+        guard,
+        rates::{self, ChargeRefusal, HeldCharge},
+    },
     peers::proto,
 };
 
@@ -117,7 +122,16 @@
         Ok(context) => context,
         Err(detail) => return Outcome::NotRun(undispatched.refuse(Reason::BadRequest, detail)),
     };
-    let outcome = attempt(shared, context, whole, undispatched).await;
+    let charge = match (&origin, &context.organisation) {
+        (Origin::Caller { .. }, Some(organisation)) => {
+            match rates::charge(shared, organisation, context.deadline).await {
+                Ok(charge) => Some(charge),
+                Err(refusal) => return Outcome::NotRun(not_charged(undispatched, refusal)),
+            }
+        }
+        _ => None,
+    };
+    let outcome = attempt(shared, context, whole, undispatched, charge).await;
     if let Origin::Upstream { call } = &origin {
         // The thin path spends no retries yet.
         call.return_retries(0);
@@ -149,6 +163,17 @@
     }
 }
 
+fn not_charged(undispatched: Undispatched, refusal: ChargeRefusal) -> NotRun {
+    match refusal {
+        ChargeRefusal::NoRight { retry_after } => undispatched
+            .refuse(Reason::NoRight, "the node cannot show that its share of the rate is current")
+            .retry_after(retry_after),
+        ChargeRefusal::OverRate { retry_after } => undispatched
+            .refuse(Reason::OverRate, "the organisation is over its rate and burst")
+            .retry_after(retry_after),
+    }
+}
+
 fn complete_context(
     configuration: &Configuration,
     origin: &Origin,
@@ -233,11 +258,16 @@
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
+    charge: Option<HeldCharge>,
 ) -> Outcome {
     let Some(row) = choose(shared, &context) else {
+        if let Some(charge) = charge {
+            charge.give_back();
+        }
         let detail = format!("no upstream offers the service {}", context.service);
         return Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail));
     };
+    drop(charge);
     if row.instance == shared.settings.instance {
         return guard::run(shared, context, request, undispatched).await.0;
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,8 +5,10 @@
 mod dispatches;
 mod entry;
 mod guard;
+mod loans;
 mod members;
 mod peer_service;
+mod rates;
 mod shared;
 mod upstream;
 mod upstream_service;
@@ -20,6 +22,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
+pub use loans::LoanCounters;
+pub use rates::{AccountCell, Rates};
 pub use shared::{Lifecycle, Shared};
 pub use upstream::{Announcement, LoadReport, UpstreamLink};
 
@@ -33,6 +37,7 @@
     settings::{PlatformSettings, Settings},
 };
 use configuration::ConfigurationActor;
+use loans::LoansActor;
 use members::{Leave, MembersActor};
 
 /// Time that a leaving node waits for the platform to take its row out of the table.
@@ -121,6 +126,7 @@
     tasks.spawn(upstream_service::serve(listeners.upstream, shared.clone(), stop_serving.clone()));
     let configuration = ConfigurationActor::spawn(shared.clone());
     let members = MembersActor::spawn(shared.clone());
+    let loans = LoansActor::spawn(shared.clone());
     tasks.spawn(callers::serve(listeners.callers, shared.clone(), stop_serving.clone()));
     log::info!(
         "instance {} serves callers on {}, its upstream on {}, nodes on {}, operators on {}",
@@ -138,6 +144,7 @@
     if timeout(shared.settings.limits.drain_timeout, tasks.wait()).await.is_err() {
         log::warn!("{} tasks did not end within the drain timeout", tasks.len());
     }
+    stop(loans).await;
     stop(configuration).await;
     stop(members).await;
     log::info!("instance {} has stopped", shared.settings.instance);
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -14,7 +14,7 @@
 use crate::{
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
-    node::{Shared, entry::WholeRequest, guard},
+    node::{Shared, entry::WholeRequest, guard, loans},
     peers::{
         TOKEN_HEADER,
         proto::{
@@ -100,11 +100,8 @@
         Err(Status::unimplemented("configuration"))
     }
 
-    async fn borrow(
-        &self,
-        _request: Request<proto::BorrowRequest>,
-    ) -> Answered<proto::BorrowReply> {
-        Err(Status::unimplemented("borrow"))
+    async fn borrow(&self, request: Request<proto::BorrowRequest>) -> Answered<proto::BorrowReply> {
+        Ok(Response::new(loans::lend(&self.shared, request.into_inner())))
     }
 
     async fn handover(
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -11,7 +11,7 @@
     config::{Configuration, KeyHasher},
     membership::{Right, View},
     names::Incarnation,
-    node::{BoundAddresses, Dispatches, UpstreamLink},
+    node::{BoundAddresses, Dispatches, LoanCounters, Rates, UpstreamLink},
     peers::PeerPool,
     platform::Platform,
     settings::Settings,
@@ -54,6 +54,10 @@
     pub peers: PeerPool,
     /// Requests that the upstream is running.
     pub dispatches: Dispatches,
+    /// Accounts of the organisations' rates.
+    pub rates: Rates,
+    /// Messages about loans.
+    pub loan_counters: LoanCounters,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Notified when the upstream has announced itself, drains or is lost.
@@ -78,6 +82,8 @@
             right: Right::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
+            rates: Rates::default(),
+            loan_counters: LoanCounters::default(),
             metrics: Metrics::default(),
             announced: Notify::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -199,8 +199,26 @@
     pub rate_per_s: f64,
     #[prost(uint64, tag = "7")]
     pub term_ms: u64,
+    /// Rises with every ask of one borrower for one organisation, and names the loan.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+    #[prost(double, tag = "9")]
+    pub burst: f64,
+    /// Loans that should last for the term from now.
+    #[prost(uint64, repeated, tag = "10")]
+    pub renew: ::prost::alloc::vec::Vec<u64>,
+    /// Loans that the borrower has given up.
+    #[prost(message, repeated, tag = "11")]
+    pub returned: ::prost::alloc::vec::Vec<ReturnedLoan>,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ReturnedLoan {
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    #[prost(double, tag = "2")]
+    pub tokens: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BorrowReply {
     #[prost(double, tag = "1")]
     pub tokens: f64,
@@ -209,9 +227,18 @@
     /// Burst capacity that moves with the loan.
     #[prost(double, tag = "3")]
     pub burst: f64,
-    /// Zero where nothing is lent.
+    /// Zero where nothing is lent. Counted from before the ask was sent.
     #[prost(uint64, tag = "4")]
     pub term_ms: u64,
+    #[prost(uint64, repeated, tag = "5")]
+    pub renewed: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint64, tag = "6")]
+    pub renewed_term_ms: u64,
+    /// What the lender could lend beyond this.
+    #[prost(double, tag = "7")]
+    pub spare_tokens: f64,
+    #[prost(double, tag = "8")]
+    pub spare_rate_per_s: f64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HandoverRequest {
--- /dev/null
+++ b/src/rate/planning.rs
@@ -0,0 +1,270 @@
+//! What a node asks its peers for, and what it gives back.
+
+use std::time::Duration;
+
+use rand::{RngExt as _, seq::SliceRandom as _};
+
+use crate::{
+    clock::Timestamp,
+    rate::{
+        Account, Ask, Loan, LoanId, OutgoingAsk, Peer, Returned,
+        account::{Hint, Pending},
+    },
+};
+
+/// Term that is asked for; a jump of demand to a node whose share is lent waits for it at worst.
+const TERM: Duration = Duration::from_secs(3);
+/// Time before its end at which a loan is renewed; two lost messages leave time for a third.
+const RENEW_BEFORE: Duration = Duration::from_secs(1);
+/// Time after which an ask counts as lost.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Peers asked at once while no request waits.
+const PARALLEL: usize = 4;
+/// Peers asked at once while requests wait for a token.
+const PARALLEL_WAITING: usize = 16;
+/// Pause after a peer had nothing, doubled each time.
+const MIN_BACKOFF: Duration = Duration::from_millis(10);
+const MAX_BACKOFF: Duration = Duration::from_millis(1000);
+/// Age at which a hint says nothing any more.
+const HINT_AGE: Duration = Duration::from_secs(2);
+/// Part of the needed rate that may be missing before a peer is asked.
+const RATE_SLACK: f64 = 0.05;
+/// Part of the needed stock of tokens below which a peer is asked.
+const LOW_STOCK: f64 = 0.5;
+/// Loans are kept until the demand needs less than this part of what is held.
+const SURPLUS: f64 = 0.7;
+/// Longest wait of a request for a token.
+const MAX_WAIT: Duration = Duration::from_millis(50);
+/// Requests of one organisation that may wait at one node.
+const MAX_WAITING: u32 = 256;
+
+impl Account {
+    /// Longest wait of a request for a token.
+    pub const MAX_WAIT: Duration = MAX_WAIT;
+
+    /// Decides what to ask of which peers now; at most `budget` asks.
+    pub fn plan(
+        &mut self,
+        peers: &[Peer],
+        now: Timestamp,
+        right_until: Timestamp,
+        budget: usize,
+        random: &mut impl rand::Rng,
+    ) -> Vec<OutgoingAsk> {
+        self.advance(now, right_until);
+        self.pending.retain(|pending| now < pending.sent + ASK_TIMEOUT);
+        let mut asks = Vec::new();
+        if now >= right_until || peers.is_empty() {
+            return asks;
+        }
+        self.give_up_surplus(now, budget, &mut asks);
+        self.renew_loans(now, budget, &mut asks);
+        self.ask_for_more(peers, now, budget, random, &mut asks);
+        asks
+    }
+
+    /// Tells whether a token may come within [`Self::MAX_WAIT`].
+    pub(super) fn may_wait(&self, now: Timestamp, retry_after: Duration) -> bool {
+        if self.waiting >= MAX_WAITING || f64::from(self.waiting) >= self.whole.burst {
+            return false;
+        }
+        retry_after <= MAX_WAIT || !self.pending.is_empty() || now >= self.dry_until
+    }
+
+    /// Learns from an answer which peers have something to spare.
+    pub(super) fn learn(&mut self, lender: &Peer, loan: &Loan, asked: bool, now: Timestamp) {
+        if !asked {
+            return;
+        }
+        if loan.term.is_zero() {
+            self.mark_dry(lender, now);
+            return;
+        }
+        self.dry_backoff = Duration::ZERO;
+        self.dry_until = now;
+        let hint = Hint {
+            spare_tokens: loan.spare_tokens,
+            spare_rate_per_s: loan.spare_rate_per_s,
+            learnt: now,
+            dry_until: now,
+            backoff: Duration::ZERO,
+        };
+        self.hints.insert(lender.clone(), hint);
+    }
+
+    /// Leaves a peer alone for a while after it had nothing.
+    pub(super) fn mark_dry(&mut self, lender: &Peer, now: Timestamp) {
+        let known = self.hints.get(lender).map_or(Duration::ZERO, |hint| hint.backoff);
+        let backoff = (known * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
+        let hint = Hint {
+            spare_tokens: 0.0,
+            spare_rate_per_s: 0.0,
+            learnt: now,
+            dry_until: now + backoff,
+            backoff,
+        };
+        self.hints.insert(lender.clone(), hint);
+    }
+
+    /// Starts an ask. The clock keeps the sequence rising when an organisation is removed and
+    /// added again.
+    fn next_ask(&mut self, now: Timestamp) -> Ask {
+        let micros = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
+        self.next_sequence = micros.max(self.next_sequence + 1);
+        Ask { sequence: self.next_sequence, term: TERM, ..Ask::default() }
+    }
+
+    /// Gives loans back that the demand no longer needs.
+    fn give_up_surplus(&mut self, now: Timestamp, budget: usize, asks: &mut Vec<OutgoingAsk>) {
+        let contested = now < self.contested_until;
+        let demand_per_s = match contested {
+            true => self.demand.recent_per_s(now),
+            false => self.demand.predicted_per_s(now),
+        };
+        let needed = self.needed(demand_per_s);
+        let surplus = if contested { 1.0 } else { SURPLUS };
+        let mut index = 0;
+        while index < self.borrowed.len() && asks.len() < budget {
+            let usable = self.usable();
+            let amount = self.borrowed[index].amount;
+            let rate_left = usable.rate_per_s - amount.rate_per_s;
+            let burst_left = usable.burst - amount.burst;
+            let needless = rate_left * surplus >= needed.rate_per_s
+                && burst_left * surplus >= needed.burst
+                && self.waiting == 0;
+            if !needless {
+                index += 1;
+                continue;
+            }
+            // Tokens go back in proportion, and at least those that no longer fit here.
+            let part = if usable.burst > 0.0 { amount.burst / usable.burst } else { 0.0 };
+            let tokens = (self.tokens * part).max(self.tokens - burst_left).min(amount.burst);
+            self.tokens -= tokens;
+            let loan = self.borrowed.remove(index);
+            let returned = Returned { id: loan.id, tokens };
+            match asks.iter_mut().find(|ask| ask.lender == loan.peer) {
+                Some(known) => known.ask.returned.push(returned),
+                None => {
+                    let ask = Ask { returned: vec![returned], ..self.next_ask(now) };
+                    asks.push(OutgoingAsk { lender: loan.peer, ask });
+                }
+            }
+        }
+    }
+
+    fn renew_loans(&mut self, now: Timestamp, budget: usize, asks: &mut Vec<OutgoingAsk>) {
+        let due: Vec<(Peer, LoanId)> = self
+            .borrowed
+            .iter()
+            .filter(|loan| loan.until < now + RENEW_BEFORE)
+            .map(|loan| (loan.peer.clone(), loan.id))
+            .collect();
+        for (lender, _) in &due {
+            let busy = asks.iter().any(|ask| ask.lender == *lender) || self.is_pending(lender);
+            if busy || asks.len() >= budget {
+                continue;
+            }
+            let renew = due.iter().filter(|(peer, _)| peer == lender).map(|(_, id)| *id).collect();
+            let ask = Ask { renew, ..self.next_ask(now) };
+            self.send(lender.clone(), ask, now, asks);
+        }
+    }
+
+    fn ask_for_more(
+        &mut self,
+        peers: &[Peer],
+        now: Timestamp,
+        budget: usize,
+        random: &mut impl rand::Rng,
+        asks: &mut Vec<OutgoingAsk>,
+    ) {
+        let needed = self.needed(self.demand.predicted_per_s(now));
+        let usable = self.usable();
+        let waiting = f64::from(self.waiting);
+        let coming_rate: f64 = self.pending.iter().map(|pending| pending.rate_per_s).sum();
+        let coming_tokens: f64 = self.pending.iter().map(|pending| pending.tokens).sum();
+        let mut rate_per_s = needed.rate_per_s - usable.rate_per_s - coming_rate;
+        let mut tokens = needed.burst + waiting - self.tokens - coming_tokens;
+        let short_of_rate = rate_per_s > needed.rate_per_s * RATE_SLACK;
+        let short_of_tokens = self.tokens + coming_tokens < needed.burst * LOW_STOCK;
+        let urgent = waiting > 0.0 && coming_tokens < waiting;
+        let pausing = now < self.dry_until;
+        if pausing || !(short_of_rate || short_of_tokens || urgent) {
+            return;
+        }
+        let parallel = if waiting > 0.0 { PARALLEL_WAITING } else { PARALLEL };
+        let mut free = parallel.saturating_sub(self.pending.len());
+        let candidates = self.candidates(peers, now, random);
+        if candidates.is_empty() && self.pending.is_empty() {
+            self.dry_backoff = (self.dry_backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF / 2);
+            self.dry_until = now + self.dry_backoff;
+        }
+        for lender in candidates {
+            if free == 0 || asks.len() >= budget {
+                return;
+            }
+            if rate_per_s <= 0.0 && tokens <= 0.0 {
+                return;
+            }
+            let base = self.base();
+            let (hint_rate, hint_tokens) = self.hinted(&lender, now);
+            let ask_rate = rate_per_s.max(0.0).min(hint_rate.max(base.rate_per_s));
+            let ask_tokens = tokens.max(0.0).min(hint_tokens.max(base.burst).max(1.0));
+            let ask = Ask {
+                rate_per_s: ask_rate,
+                tokens: ask_tokens,
+                burst: ask_tokens.max((needed.burst - usable.burst).clamp(0.0, base.burst)),
+                ..self.next_ask(now)
+            };
+            rate_per_s -= ask_rate;
+            tokens -= ask_tokens;
+            free -= 1;
+            self.send(lender, ask, now, asks);
+        }
+    }
+
+    fn send(&mut self, lender: Peer, ask: Ask, now: Timestamp, asks: &mut Vec<OutgoingAsk>) {
+        self.pending.push(Pending {
+            sequence: ask.sequence,
+            lender: lender.clone(),
+            sent: now,
+            rate_per_s: ask.rate_per_s,
+            tokens: ask.tokens,
+        });
+        asks.push(OutgoingAsk { lender, ask });
+    }
+
+    fn is_pending(&self, lender: &Peer) -> bool {
+        self.pending.iter().any(|pending| pending.lender == *lender)
+    }
+
+    /// Peers that may have something, those with the most by their hints first.
+    fn candidates(&self, peers: &[Peer], now: Timestamp, random: &mut impl rand::Rng) -> Vec<Peer> {
+        let mut candidates: Vec<&Peer> = peers
+            .iter()
+            .filter(|peer| !self.is_pending(peer))
+            .filter(|peer| self.hints.get(*peer).is_none_or(|hint| hint.dry_until <= now))
+            .collect();
+        candidates.shuffle(random);
+        // Sorting is stable, so peers with equal hints stay in random order.
+        candidates.sort_by(|a, b| {
+            let (a, b) = (self.hinted(a, now).1, self.hinted(b, now).1);
+            b.total_cmp(&a)
+        });
+        candidates.into_iter().cloned().collect()
+    }
+
+    /// Rate and tokens that a peer is thought to have to spare; its share where nothing is known.
+    fn hinted(&self, peer: &Peer, now: Timestamp) -> (f64, f64) {
+        let fresh = self.hints.get(peer).filter(|hint| now < hint.learnt + HINT_AGE);
+        let base = self.base();
+        fresh.map_or((base.rate_per_s, base.burst), |hint| {
+            (hint.spare_rate_per_s, hint.spare_tokens)
+        })
+    }
+}
+
+/// A delay within a quarter of `delay` around it, so that refused callers do not return at once.
+pub fn jittered(delay: Duration, random: &mut impl rand::Rng) -> Duration {
+    delay.mul_f64(random.random_range(0.75..1.25))
+}
