Add admission, routing and retries to the request path

Cause: a node started every request at once, chose targets at random and never tried again, so overload was neither shed by importance nor kept away from deep services.

Change: decision modules admission (adaptive concurrency limit, queue by importance with max-min fairness, deadlines, displacement), routing (expected wait, zones, outliers, refusal at the first hop) and retry (conserved budget, bound of 10 %, Retry-After), wired into guard and entry through the gate. Replies carry load, pressures and whether a call below was refused.

Measured: property tests for strict importance, max-min fairness and the conserved budget pass (64, 64 and 500 cases, fixed seed); all other tests pass.

--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -238,6 +238,11 @@
     pub fn status(&self) -> StatusCode {
         self.reason.refusal_status()
     }
+
+    /// The request as it was before the attempt that was refused.
+    pub fn try_again(&self) -> Undispatched {
+        Undispatched { covers_request: self.covers_request }
+    }
 }
 
 /// An outcome that is not known.
@@ -250,6 +255,14 @@
 }
 
 impl Unknown {
+    /// An idempotent request as it goes into another attempt.
+    ///
+    /// A refusal of that attempt does not say that the request has not run; whoever tries again
+    /// must report this outcome in its place.
+    pub fn try_again(&self) -> Undispatched {
+        Undispatched { covers_request: false }
+    }
+
     /// Status towards the caller.
     pub fn status(&self) -> StatusCode {
         match self.reason {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/design.md` for how the nodes act together.
 
 pub mod admin;
+pub mod admission;
 pub mod call;
 pub mod clock;
 pub mod config;
@@ -16,6 +17,8 @@
 pub mod node;
 pub mod peers;
 pub mod platform;
+pub mod retry;
+pub mod routing;
 pub mod scenario;
 pub mod settings;
 pub mod standin;
--- a/src/node/dispatches.rs
+++ b/src/node/dispatches.rs
@@ -12,7 +12,12 @@
 use tokio::sync::Notify;
 use uuid::Uuid;
 
-use crate::call::CallContext;
+use crate::{
+    admission::OwnTime,
+    call::CallContext,
+    clock::{self, Timestamp},
+    routing::Pressure,
+};
 
 /// Id in the opaque context header; random, so that it cannot be guessed.
 pub type DispatchId = Uuid;
@@ -23,6 +28,25 @@
     /// Context of the request.
     pub context: CallContext,
     retries_left: AtomicU32,
+    below: Mutex<Below>,
+}
+
+/// What the calls that a request made have shown.
+#[derive(Debug)]
+struct Below {
+    own_time: OwnTime,
+    pressures: Vec<Pressure>,
+    refused: bool,
+}
+
+/// An outgoing call of a running request; it ends when this is dropped.
+#[derive(Debug)]
+pub struct OutgoingCall<'a>(&'a RunningCall);
+
+impl Drop for OutgoingCall<'_> {
+    fn drop(&mut self) {
+        self.0.below.lock().own_time.call_ended(clock::now());
+    }
 }
 
 impl RunningCall {
@@ -45,6 +69,43 @@
     pub fn retries_left(&self) -> u32 {
         self.retries_left.load(Ordering::Acquire)
     }
+
+    /// The upstream calls another service for this request.
+    pub fn begin_outgoing(&self) -> OutgoingCall<'_> {
+        self.below.lock().own_time.call_began(clock::now());
+        OutgoingCall(self)
+    }
+
+    /// A reply of a service below carried pressures.
+    pub fn learn(&self, pressures: &[Pressure]) {
+        let mut below = self.below.lock();
+        for pressure in pressures {
+            match below.pressures.iter_mut().find(|known| known.service == pressure.service) {
+                Some(known) => known.shed_below = pressure.shed_below,
+                None => below.pressures.push(pressure.clone()),
+            }
+        }
+    }
+
+    /// Pressures of the services below.
+    pub fn pressures(&self) -> Vec<Pressure> {
+        self.below.lock().pressures.clone()
+    }
+
+    /// A call that the request made was refused for overload.
+    pub fn refused_below(&self) {
+        self.below.lock().refused = true;
+    }
+
+    /// Tells whether a call that the request made was refused for overload.
+    pub fn was_refused_below(&self) -> bool {
+        self.below.lock().refused
+    }
+
+    /// Time of the upstream itself until now.
+    pub fn own_time(&self, now: Timestamp) -> std::time::Duration {
+        self.below.lock().own_time.total(now)
+    }
 }
 
 /// Requests that the upstream is running.
@@ -69,7 +130,9 @@
     pub fn begin(&self, context: CallContext) -> DispatchGuard<'_> {
         let id = Uuid::new_v4();
         let retries_left = AtomicU32::new(context.retry_budget);
-        let call = Arc::new(RunningCall { context, retries_left });
+        let below =
+            Below { own_time: OwnTime::start(clock::now()), pressures: Vec::new(), refused: false };
+        let call = Arc::new(RunningCall { context, retries_left, below: Mutex::new(below) });
         self.running.lock().insert(id, call.clone());
         DispatchGuard { dispatches: self, id, call }
     }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -13,17 +13,21 @@
         Answer, CallContext, Forwarding, NotRun, Outcome, Reason, RefusalBody, Undispatched,
         Unknown, answer_digest, headers,
     },
-    clock,
-    config::{Configuration, KeyCheck, Route},
+    clock::{self, Timestamp},
+    config::{Configuration, Importance, KeyCheck, Route},
     http_server,
     membership::{Row, RowState},
-    names::OrganisationName,
-    node::{Lifecycle, Shared, dispatches::RunningCall, guard},
+    names::{InstanceName, OrganisationName},
+    node::{
+        Lifecycle, Shared,
+        dispatches::RunningCall,
+        guard::{self, Guarded},
+    },
     peers::proto,
+    retry::{AttemptEnd, HopBudget, ROOT_RETRY_BUDGET, may_retry},
+    routing::{AttemptResult, Candidate, Pressure, Verdict},
 };
 
-/// Retries that a root request and all calls below it may spend together.
-const ROOT_RETRY_BUDGET: u32 = 3;
 /// Deepest chain that is served; a call below it is taken for a loop.
 const MAX_DEPTH: u32 = 16;
 /// Time that a request's body may take to come in.
@@ -117,12 +121,132 @@
         Ok(context) => context,
         Err(detail) => return Outcome::NotRun(undispatched.refuse(Reason::BadRequest, detail)),
     };
-    let outcome = attempt(shared, context, whole, undispatched).await;
-    if let Origin::Upstream { call } = &origin {
-        // The thin path spends no retries yet.
-        call.return_retries(0);
+    match &origin {
+        Origin::Caller { .. } => {
+            run_root(shared, &route.prefix, context, whole, undispatched).await
+        }
+        Origin::Upstream { call } => run_below(shared, call, context, whole, undispatched).await,
+    }
+}
+
+/// Runs the request of a caller.
+async fn run_root(
+    shared: &Shared,
+    route: &str,
+    context: CallContext,
+    request: WholeRequest,
+    undispatched: Undispatched,
+) -> Outcome {
+    let route: Arc<str> = Arc::from(route);
+    let (importance, organisation) = (context.importance, context.organisation.clone());
+    let verdict = shared.first_hop.lock().check(clock::now(), &route, importance, &organisation);
+    if verdict == Verdict::Refuse {
+        let mut retries = shared.retries.lock();
+        retries.ended(clock::now(), true);
+        let delay = retries.retry_after();
+        let detail = "a service of the call chain sheds this class";
+        return Outcome::NotRun(undispatched.refuse(Reason::Overload, detail).retry_after(delay));
+    }
+    let mut budget = HopBudget::new(ROOT_RETRY_BUDGET);
+    let guarded = run_attempts(shared, context, request, undispatched, &mut budget).await;
+    let now = clock::now();
+    let refused = is_refused(&guarded);
+    let mut first_hop = shared.first_hop.lock();
+    first_hop.learn(now, &route, &guarded.pressures);
+    first_hop.ended(now, &route, importance, &organisation, refused);
+    drop(first_hop);
+    shared.retries.lock().ended(now, refused);
+    guarded.outcome
+}
+
+/// Runs a call that the upstream makes for a request.
+async fn run_below(
+    shared: &Shared,
+    parent: &RunningCall,
+    context: CallContext,
+    request: WholeRequest,
+    undispatched: Undispatched,
+) -> Outcome {
+    let _outgoing = parent.begin_outgoing();
+    // Half of what is left goes to this call, so that calls made at the same time have some too.
+    let taken = parent.take_retries(parent.retries_left().div_ceil(2));
+    let mut budget = HopBudget::new(taken);
+    let guarded = run_attempts(shared, context, request, undispatched, &mut budget).await;
+    parent.return_retries(budget.left());
+    parent.learn(&guarded.pressures);
+    if is_refused(&guarded) {
+        parent.refused_below();
+    }
+    guarded.outcome
+}
+
+/// Tells whether overload kept the request from a useful answer.
+fn is_refused(guarded: &Guarded) -> bool {
+    match &guarded.outcome {
+        Outcome::Whole(answer) => guarded.refused_below && answer.status.is_server_error(),
+        Outcome::NotRun(not_run) => {
+            matches!(not_run.reason, Reason::Overload | Reason::DeadlinePassed)
+        }
+        Outcome::Unknown(unknown) => unknown.reason == Reason::DeadlinePassed,
+    }
+}
+
+/// Makes attempts until one is final or the budget is spent.
+async fn run_attempts(
+    shared: &Shared,
+    mut context: CallContext,
+    request: WholeRequest,
+    mut undispatched: Undispatched,
+    budget: &mut HopBudget,
+) -> Guarded {
+    shared.retries.lock().request();
+    let mut tried: Vec<InstanceName> = Vec::new();
+    // A refusal after an attempt that may have run must not be reported as "not run".
+    let mut may_have_run: Option<Unknown> = None;
+    loop {
+        context.retry_budget = budget.send_down();
+        let (target, mut guarded) =
+            attempt(shared, context.clone(), request.clone(), undispatched, &tried).await;
+        budget.come_back(guarded.unused_retries);
+        let (end, again) = match &guarded.outcome {
+            Outcome::Whole(_) => return guarded,
+            Outcome::NotRun(not_run) => (AttemptEnd::NotRun(not_run.reason), not_run.try_again()),
+            Outcome::Unknown(unknown) => {
+                may_have_run = Some(unknown.clone());
+                (AttemptEnd::Unknown(unknown.reason), unknown.try_again())
+            }
+        };
+        tried.extend(target);
+        if !may_try_again(shared, &context, end, &tried, budget) {
+            if let (Outcome::NotRun(_), Some(unknown)) = (&guarded.outcome, may_have_run) {
+                guarded.outcome = Outcome::Unknown(unknown);
+            }
+            return guarded;
+        }
+        undispatched = again;
     }
-    outcome
+}
+
+fn may_try_again(
+    shared: &Shared,
+    context: &CallContext,
+    end: AttemptEnd,
+    tried: &[InstanceName],
+    budget: &mut HopBudget,
+) -> bool {
+    let now = clock::now();
+    if now >= context.deadline {
+        return false;
+    }
+    let rows = rows_of(shared, context);
+    let candidates = candidates(shared, &rows);
+    let untried = candidates.iter().any(|candidate| !tried.contains(candidate.instance));
+    let room = shared.targets.lock().has_room(now, &candidates, tried);
+    untried
+        && may_retry(end, context.idempotent, room)
+        && budget.left() > 0
+        && shared.retries.lock().take_retry()
+        && budget.spend()
 }
 
 fn admit_caller(
@@ -228,37 +352,91 @@
     *hasher.finalize().as_bytes()
 }
 
+/// Makes one attempt; returns the target that was chosen.
 async fn attempt(
     shared: &Shared,
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
-) -> Outcome {
-    let Some(row) = choose(shared, &context) else {
+    tried: &[InstanceName],
+) -> (Option<InstanceName>, Guarded) {
+    let rows = rows_of(shared, &context);
+    let chosen = shared.targets.lock().choose(clock::now(), &candidates(shared, &rows), tried);
+    let Some(row) = chosen.map(|index| &rows[index]) else {
         let detail = format!("no upstream offers the service {}", context.service);
-        return Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail));
+        let outcome = Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail));
+        return (None, not_forwarded(outcome, context.retry_budget));
     };
-    if row.instance == shared.settings.instance {
-        return guard::run(shared, context, request, undispatched).await.0;
-    }
-    forward(shared, &row, context, request, undispatched).await
+    let mut target_use = TargetUse::begin(shared, &row.instance);
+    let guarded = match row.instance == shared.settings.instance {
+        true => guard::run(shared, context, request, undispatched).await,
+        false => forward(shared, row, context, request, undispatched).await,
+    };
+    target_use.ended(&guarded);
+    (Some(row.instance.clone()), guarded)
 }
 
-/// Chooses a random row that offers the service, its own among them.
-fn choose(shared: &Shared, context: &CallContext) -> Option<Row> {
+/// The active rows that offer the service, the node's own among them.
+fn rows_of(shared: &Shared, context: &CallContext) -> Vec<Row> {
     let view = shared.view.load();
-    let candidates: Vec<&Row> = view
-        .table
-        .rows
-        .iter()
-        .filter(|row| row.state == RowState::Active)
-        .filter(|row| row.service.as_ref() == Some(&context.service))
-        .collect();
-    if candidates.is_empty() {
-        return None;
+    let active = view.table.rows.iter().filter(|row| row.state == RowState::Active);
+    active.filter(|row| row.service.as_ref() == Some(&context.service)).cloned().collect()
+}
+
+fn candidates<'a>(shared: &Shared, rows: &'a [Row]) -> Vec<Candidate<'a>> {
+    let candidate = |row: &'a Row| Candidate {
+        instance: &row.instance,
+        same_zone: row.zone == shared.settings.zone,
+    };
+    rows.iter().map(candidate).collect()
+}
+
+/// Counts an attempt at a target, also when the caller goes away in its course.
+struct TargetUse<'a> {
+    shared: &'a Shared,
+    instance: &'a InstanceName,
+    begun_at: Timestamp,
+    result: AttemptResult,
+    load: Option<u32>,
+}
+
+impl<'a> TargetUse<'a> {
+    fn begin(shared: &'a Shared, instance: &'a InstanceName) -> Self {
+        let begun_at = clock::now();
+        shared.targets.lock().started(begun_at, instance);
+        Self { shared, instance, begun_at, result: AttemptResult::Abandoned, load: None }
+    }
+
+    fn ended(&mut self, guarded: &Guarded) {
+        self.result = match &guarded.outcome {
+            // An upstream that passes on a refusal from below is not at fault.
+            Outcome::Whole(answer) if answer.status.is_server_error() => {
+                match guarded.refused_below {
+                    true => AttemptResult::Refused,
+                    false => AttemptResult::Failed,
+                }
+            }
+            Outcome::Whole(_) => AttemptResult::Answered,
+            Outcome::NotRun(not_run) => match not_run.reason {
+                Reason::PeerFailed | Reason::NoUpstream => AttemptResult::Failed,
+                _ => AttemptResult::Refused,
+            },
+            Outcome::Unknown(unknown) => match unknown.reason {
+                Reason::DeadlinePassed => AttemptResult::Abandoned,
+                _ => AttemptResult::Failed,
+            },
+        };
+        // A reply without pressures did not come from the node.
+        self.load = (!guarded.pressures.is_empty()).then_some(guarded.load);
+    }
+}
+
+impl Drop for TargetUse<'_> {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let latency = now.saturating_sub(self.begun_at);
+        self.shared.targets.lock().finished(now, self.instance, self.result, latency, self.load);
     }
-    let index = rand::random_range(0..candidates.len());
-    Some(candidates[index].clone())
 }
 
 async fn forward(
@@ -267,12 +445,13 @@
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
-) -> Outcome {
+) -> Guarded {
     let now = clock::now();
     let remaining = context.deadline.saturating_sub(now);
     if remaining.is_zero() {
         let detail = "the deadline has passed";
-        return Outcome::NotRun(undispatched.refuse(Reason::DeadlinePassed, detail));
+        let not_run = undispatched.refuse(Reason::DeadlinePassed, detail);
+        return not_forwarded(Outcome::NotRun(not_run), context.retry_budget);
     }
     let (context_bytes, mac) = shared.signer.sign(&context, now);
     let message = proto::ForwardRequest {
@@ -290,13 +469,46 @@
         Ok(Err(status)) => {
             let detail =
                 format!("the node of {} did not answer: {}", row.instance, status.message());
-            return forwarding.unknown(Reason::PeerFailed, detail);
+            if is_connect_error(&status) {
+                let not_run = forwarding.not_sent().refuse(Reason::PeerFailed, detail);
+                return not_forwarded(Outcome::NotRun(not_run), context.retry_budget);
+            }
+            // The reply is lost, and with it what was left of the retries that went down.
+            return not_forwarded(forwarding.unknown(Reason::PeerFailed, detail), 0);
         }
         Err(_) => {
-            return forwarding.unknown(Reason::DeadlinePassed, "no answer before the deadline");
+            let detail = "no answer before the deadline";
+            return not_forwarded(forwarding.unknown(Reason::DeadlinePassed, detail), 0);
         }
     };
-    read_reply(forwarding, &context, reply)
+    let pressures = reply.pressures.iter().map(|pressure| Pressure {
+        service: pressure.service.as_str().into(),
+        shed_below: Importance(pressure.shed_below),
+    });
+    Guarded {
+        unused_retries: reply.unused_retries,
+        load: reply.load,
+        pressures: pressures.collect(),
+        refused_below: reply.refused_below,
+        outcome: read_reply(forwarding, &context, reply),
+    }
+}
+
+/// An attempt that brought no reply of another node.
+fn not_forwarded(outcome: Outcome, unused_retries: u32) -> Guarded {
+    Guarded { outcome, unused_retries, load: 0, pressures: Vec::new(), refused_below: false }
+}
+
+/// Tells whether no connection could be made, so that nothing was sent.
+fn is_connect_error(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
 }
 
 fn read_reply(
--- /dev/null
+++ b/src/node/gate.rs
@@ -0,0 +1,194 @@
+//! The gate before the upstream: carries out what [`Admission`] decides.
+
+use std::{
+    collections::HashMap,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::{
+    admission::{Action, Admission, Arrival, Completion, Refusal, Ticket},
+    call::CallContext,
+    clock,
+    config::Importance,
+};
+
+/// Load of a node whose upstream has not announced itself.
+const NOT_SERVING: u32 = 255;
+
+type Answer = Result<(), Refusal>;
+
+#[derive(Debug, Default)]
+struct State {
+    admission: Option<Admission>,
+    waiting: HashMap<Ticket, oneshot::Sender<Answer>>,
+}
+
+/// The gate before the upstream.
+#[derive(Debug, Default)]
+pub struct Gate {
+    state: Mutex<State>,
+    last_ticket: AtomicU64,
+}
+
+/// A started request; it is taken for aborted when this is dropped without an answer.
+#[derive(Debug)]
+pub struct Slot<'a> {
+    gate: &'a Gate,
+    completion: Completion,
+}
+
+impl Slot<'_> {
+    /// The upstream answered.
+    pub fn answered(mut self, own_time: Duration) {
+        self.completion = Completion::Answered { own_time };
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.gate.finish(self.completion);
+    }
+}
+
+/// Takes a request out of the queue when its caller goes away.
+struct Waiter<'a> {
+    gate: &'a Gate,
+    ticket: Ticket,
+    answer: oneshot::Receiver<Answer>,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gate.state.lock();
+        if state.waiting.remove(&self.ticket).is_some() {
+            if let Some(admission) = &mut state.admission {
+                admission.cancel(self.ticket);
+            }
+            return;
+        }
+        drop(state);
+        // Started at the same moment: the slot must come back.
+        if matches!(self.answer.try_recv(), Ok(Ok(()))) {
+            self.gate.finish(Completion::Aborted);
+        }
+    }
+}
+
+impl Gate {
+    /// The upstream announced itself.
+    pub fn announced(&self, slots: u32) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        match &mut state.admission {
+            Some(admission) => admission.announced(now, slots),
+            None => state.admission = Some(Admission::new(now, slots)),
+        }
+    }
+
+    /// Waits until the request may start, or is refused.
+    pub async fn enter(&self, context: &CallContext) -> Result<Slot<'_>, Refusal> {
+        let ticket = Ticket(self.last_ticket.fetch_add(1, Ordering::Relaxed));
+        let arrival = Arrival {
+            ticket,
+            importance: context.importance,
+            organisation: context.organisation.clone(),
+            begun: context.depth > 0,
+            deadline: context.deadline,
+        };
+        let (mut waiter, until) = match self.arrive(arrival) {
+            Ok(()) => return Ok(self.slot()),
+            Err(Wait::Refused(refusal)) => return Err(refusal),
+            Err(Wait::Until(waiter, until)) => (waiter, until),
+        };
+        let limit = until.saturating_sub(clock::now());
+        let answer = match tokio::time::timeout(limit, &mut waiter.answer).await {
+            Ok(answer) => answer.unwrap_or(Err(Refusal::Overload)),
+            Err(_) => self.give_up(ticket, &mut waiter),
+        };
+        answer.map(|()| self.slot())
+    }
+
+    /// Requests that run or wait, in 1/128 of the concurrency limit.
+    pub fn load(&self) -> u32 {
+        let state = self.state.lock();
+        let now = clock::now();
+        state.admission.as_ref().map_or(NOT_SERVING, |admission| u32::from(admission.load(now)))
+    }
+
+    /// Importance below which requests are refused at present.
+    pub fn shed_below(&self) -> Importance {
+        let state = self.state.lock();
+        let now = clock::now();
+        state.admission.as_ref().map_or(Importance(0), |admission| admission.shed_below(now))
+    }
+
+    fn arrive(&self, arrival: Arrival) -> Result<(), Wait<'_>> {
+        let own = arrival.ticket;
+        let mut state = self.state.lock();
+        let Some(admission) = &mut state.admission else {
+            return Err(Wait::Refused(Refusal::Overload));
+        };
+        let actions = admission.arrive(clock::now(), arrival);
+        let mut result = Ok(());
+        for action in actions {
+            match action {
+                Action::Start(ticket) if ticket == own => {}
+                Action::Refuse(ticket, refusal) if ticket == own => {
+                    result = Err(Wait::Refused(refusal));
+                }
+                Action::Wait(ticket, until) => {
+                    let (sender, answer) = oneshot::channel();
+                    state.waiting.insert(ticket, sender);
+                    result = Err(Wait::Until(Waiter { gate: self, ticket, answer }, until));
+                }
+                other => state.carry_out(other),
+            }
+        }
+        result
+    }
+
+    fn give_up(&self, ticket: Ticket, waiter: &mut Waiter<'_>) -> Answer {
+        let mut state = self.state.lock();
+        if state.waiting.remove(&ticket).is_none() {
+            drop(state);
+            return waiter.answer.try_recv().unwrap_or(Err(Refusal::Overload));
+        }
+        let refusal = state.admission.as_mut().and_then(|it| it.give_up(clock::now(), ticket));
+        Err(refusal.unwrap_or(Refusal::Overload))
+    }
+
+    fn finish(&self, completion: Completion) {
+        let mut state = self.state.lock();
+        let Some(admission) = &mut state.admission else { return };
+        for action in admission.finish(clock::now(), completion) {
+            state.carry_out(action);
+        }
+    }
+
+    fn slot(&self) -> Slot<'_> {
+        Slot { gate: self, completion: Completion::Aborted }
+    }
+}
+
+enum Wait<'a> {
+    Refused(Refusal),
+    Until(Waiter<'a>, clock::Timestamp),
+}
+
+impl State {
+    /// Tells a waiting request; its receiver lives until the request leaves `waiting`.
+    fn carry_out(&mut self, action: Action) {
+        let (ticket, answer) = match action {
+            Action::Start(ticket) => (ticket, Ok(())),
+            Action::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            Action::Wait(..) => return,
+        };
+        if let Some(sender) = self.waiting.remove(&ticket) {
+            let _ = sender.send(answer);
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod dispatches;
 mod entry;
+mod gate;
 mod guard;
 mod members;
 mod peer_service;
@@ -20,6 +21,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
+pub use gate::Gate;
 pub use shared::{Lifecycle, Shared};
 pub use upstream::{Announcement, LoadReport, UpstreamLink};
 
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -14,7 +14,11 @@
 use crate::{
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
-    node::{Shared, entry::WholeRequest, guard},
+    node::{
+        Shared,
+        entry::WholeRequest,
+        guard::{self, Guarded},
+    },
     peers::{
         TOKEN_HEADER,
         proto::{
@@ -82,8 +86,8 @@
         };
         let request_id = context.request_id;
         let undispatched = Undispatched::new(context.idempotency_key.is_none());
-        let (outcome, unused) = guard::run(&self.shared, context, whole, undispatched).await;
-        Ok(Response::new(reply(outcome, request_id.as_bytes(), unused)))
+        let guarded = guard::run(&self.shared, context, whole, undispatched).await;
+        Ok(Response::new(reply(guarded, request_id.as_bytes())))
     }
 
     async fn pull_evidence(
@@ -122,13 +126,20 @@
     }
 }
 
-fn reply(outcome: Outcome, request_id: &[u8], unused_retries: u32) -> proto::ForwardReply {
+fn reply(guarded: Guarded, request_id: &[u8]) -> proto::ForwardReply {
+    let pressures = guarded.pressures.into_iter().map(|pressure| proto::Pressure {
+        service: pressure.service.to_string(),
+        shed_below: pressure.shed_below.0,
+    });
     let mut reply = proto::ForwardReply {
         request_id: Bytes::copy_from_slice(request_id),
-        unused_retries,
+        unused_retries: guarded.unused_retries,
+        load: guarded.load,
+        pressures: pressures.collect(),
+        refused_below: guarded.refused_below,
         ..Default::default()
     };
-    match outcome {
+    match guarded.outcome {
         Outcome::Whole(answer) => {
             reply.set_outcome(proto::Outcome::Whole);
             reply.status = u32::from(answer.status.as_u16());
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use arc_swap::ArcSwap;
+use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::{
@@ -11,9 +12,11 @@
     config::{Configuration, KeyHasher},
     membership::{Right, View},
     names::Incarnation,
-    node::{BoundAddresses, Dispatches, UpstreamLink},
+    node::{BoundAddresses, Dispatches, Gate, UpstreamLink},
     peers::PeerPool,
     platform::Platform,
+    retry::RetryControl,
+    routing::{FirstHop, Targets},
     settings::Settings,
     telemetry::Metrics,
 };
@@ -54,6 +57,14 @@
     pub peers: PeerPool,
     /// Requests that the upstream is running.
     pub dispatches: Dispatches,
+    /// The gate before the upstream.
+    pub gate: Gate,
+    /// What this node has seen of the targets that it sends requests to.
+    pub targets: Mutex<Targets>,
+    /// What this node has learnt of the chains behind its routes.
+    pub first_hop: Mutex<FirstHop>,
+    /// Bound on this node's retries.
+    pub retries: Mutex<RetryControl>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Notified when the upstream has announced itself, drains or is lost.
@@ -78,6 +89,10 @@
             right: Right::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
+            gate: Gate::default(),
+            targets: Mutex::new(Targets::new(rand::random())),
+            first_hop: Mutex::new(FirstHop::new(rand::random())),
+            retries: Mutex::new(RetryControl::new(rand::random())),
             metrics: Metrics::default(),
             announced: Notify::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -94,6 +94,9 @@
     /// The key's owner has looked at its record, so the refusal covers earlier sendings.
     #[prost(bool, tag = "13")]
     pub covers_request: bool,
+    /// A call that the request made was refused for overload.
+    #[prost(bool, tag = "14")]
+    pub refused_below: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvidenceRequest {
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,223 @@
+//! Decisions at the node beside an upstream.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use hibiscusdoor::{
+    admission::{Action, Admission, Arrival, Completion, Refusal, Ticket},
+    config::Importance,
+    names::OrganisationName,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestCaseResult},
+};
+
+const SEED: u64 = 20_261_204;
+/// After the ramp of a new upstream.
+const WARM: Duration = Duration::from_secs(10);
+const SLOTS: u32 = 8;
+const OWN_TIME: Duration = Duration::from_millis(10);
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(SEED), cases: 64, ..ProptestConfig::default() }
+}
+
+fn arrival(ticket: u64, importance: u32, organisation: &str, begun: bool) -> Arrival {
+    Arrival {
+        ticket: Ticket(ticket),
+        importance: Importance(importance),
+        organisation: Some(Arc::from(organisation)),
+        begun,
+        deadline: Duration::from_secs(1000),
+    }
+}
+
+/// Requests that wait, by ticket, with importance and whether they have begun.
+type Model = BTreeMap<Ticket, (u32, bool)>;
+
+fn check_order(model: &mut Model, action: Action) -> TestCaseResult {
+    match action {
+        Action::Start(ticket) => {
+            let started = model.remove(&ticket).expect("a request that waits");
+            let better = model.values().find(|waiting| **waiting > started);
+            prop_assert_eq!(better, None, "{:?} was started before it", started);
+        }
+        Action::Refuse(ticket, Refusal::Overload) => {
+            let refused = model.remove(&ticket).expect("a request that waits");
+            let worse = model.values().find(|waiting| **waiting < refused);
+            prop_assert_eq!(worse, None, "{:?} was refused and this one kept", refused);
+        }
+        Action::Refuse(ticket, Refusal::DeadlinePassed) => {
+            model.remove(&ticket);
+        }
+        Action::Wait(..) => {}
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a more important request that waits or is shed while a less important
+    /// one is started or kept, and against new roots that go before work already begun.
+    #[test]
+    fn importance_is_strict(
+        steps in prop::collection::vec((0u32..4, 0usize..3, any::<bool>(), any::<bool>()), 1..400)
+    ) {
+        let mut admission = Admission::new(Duration::ZERO, SLOTS);
+        let mut model = Model::new();
+        for (step, (importance, organisation, begun, finishes)) in steps.into_iter().enumerate() {
+            let now = WARM + Duration::from_millis(step as u64);
+            if finishes && admission.in_flight() > 0 {
+                let completion = Completion::Answered { own_time: OWN_TIME };
+                for action in admission.finish(now, completion) {
+                    check_order(&mut model, action)?;
+                }
+            }
+            let arrival = arrival(step as u64, importance, ["a", "b", "c"][organisation], begun);
+            model.insert(arrival.ticket, (importance, begun));
+            for action in admission.arrive(now, arrival) {
+                check_order(&mut model, action)?;
+            }
+            prop_assert_eq!(admission.waiting(), model.len());
+        }
+    }
+
+    /// Guards against an organisation that takes the part of others by sending more.
+    #[test]
+    fn organisations_share_max_min_fairly(
+        demands in prop::collection::vec(0u32..30, 2..9)
+    ) {
+        const ROUNDS: u32 = 150;
+        let names: Vec<OrganisationName> =
+            (0..demands.len()).map(|index| Arc::from(format!("organisation-{index}"))).collect();
+        let mut served = vec![0u32; demands.len()];
+        let mut owners = Vec::new();
+        let mut admission = Admission::new(Duration::ZERO, SLOTS);
+        for round in 0..ROUNDS {
+            let now = WARM + Duration::from_millis(u64::from(round) * 10);
+            let completion = Completion::Answered { own_time: OWN_TIME };
+            let running = admission.in_flight();
+            let mut actions = Vec::new();
+            for _ in 0..running {
+                actions.extend(admission.finish(now, completion));
+            }
+            // Requests of all organisations are interleaved as on a network.
+            for turn in 0..30 {
+                for (index, demand) in demands.iter().enumerate() {
+                    if turn < *demand {
+                        let ticket = owners.len() as u64;
+                        owners.push(index);
+                        actions.extend(admission.arrive(now, arrival(ticket, 1, &names[index], false)));
+                    }
+                }
+            }
+            for action in actions {
+                if let Action::Start(ticket) = action {
+                    served[owners[usize::try_from(ticket.0).expect("a ticket")]] += 1;
+                }
+            }
+        }
+        let fair = max_min(&demands, f64::from(SLOTS));
+        for (index, share) in fair.iter().enumerate() {
+            // Starts at the first round and the last turns are whole numbers.
+            let least = 0.95 * share * f64::from(ROUNDS) - 4.0;
+            prop_assert!(f64::from(served[index]) >= least, "{:?} of {:?}", served, demands);
+        }
+    }
+}
+
+fn max_min(demands: &[u32], capacity: f64) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..demands.len()).collect();
+    order.sort_by_key(|index| demands[*index]);
+    let mut shares = vec![0.0; demands.len()];
+    let mut left = capacity;
+    for (position, index) in order.iter().enumerate() {
+        let share = left / (demands.len() - position) as f64;
+        shares[*index] = share.min(f64::from(demands[*index]));
+        left -= shares[*index];
+    }
+    shares
+}
+
+/// Guards against slots spent on an answer that nobody can use any more.
+#[test]
+fn request_that_cannot_meet_its_deadline_is_refused_before_it_starts() {
+    let mut admission = Admission::new(Duration::ZERO, 1);
+    let now = WARM;
+    for ticket in 0..10 {
+        admission.arrive(now, arrival(ticket, 1, "a", false));
+    }
+    let late = Duration::from_millis(40);
+    let mut hurried = arrival(10, 9, "a", false);
+    hurried.deadline = now + late;
+    admission.arrive(now, hurried);
+    let actions = admission.finish(now + late, Completion::Answered { own_time: OWN_TIME });
+    assert_eq!(actions[0], Action::Refuse(Ticket(10), Refusal::DeadlinePassed));
+    assert!(matches!(actions[1], Action::Start(_)));
+}
+
+/// Guards against a queue of requests whose callers have gone.
+#[test]
+fn cancelled_request_leaves_the_queue() {
+    let mut admission = Admission::new(Duration::ZERO, 1);
+    let started: Vec<u64> = (0..20)
+        .filter(|ticket| {
+            let actions = admission.arrive(WARM, arrival(*ticket, 1, "a", false));
+            actions.contains(&Action::Start(Ticket(*ticket)))
+        })
+        .collect();
+    for ticket in (0..20).filter(|ticket| !started.contains(ticket)) {
+        assert!(admission.cancel(Ticket(ticket)));
+    }
+    assert_eq!(admission.waiting(), 0);
+    assert!(admission.finish(WARM, Completion::Aborted).is_empty());
+}
+
+/// Guards against a limit that follows a false announcement: the stand-in has 40 slots.
+#[test]
+fn limit_finds_the_slots_that_the_upstream_really_has() {
+    for announced in [10, 40, 160] {
+        let limit = settle_limit(announced, 40);
+        assert!((34..=56).contains(&limit), "announced {announced}: the limit is {limit}");
+    }
+}
+
+/// Runs an upstream that is always kept at its limit for 60 s and returns the mean limit of the
+/// second half.
+fn settle_limit(announced: u32, slots: u32) -> u32 {
+    let mut admission = Admission::new(Duration::ZERO, announced);
+    let service_ns = 20_000_000u64;
+    let mut ticket = 0;
+    // Time at which each running request began; the upstream serves them in order.
+    let mut running: std::collections::VecDeque<Duration> = Default::default();
+    let (mut sum, mut count) = (0u64, 0u64);
+    let step = Duration::from_nanos(service_ns / u64::from(slots));
+    let mut now = Duration::ZERO;
+    while now < Duration::from_secs(60) {
+        now += step;
+        let mut started = 0;
+        // A completion each step while all slots are busy, fewer below.
+        let oldest = running.front().copied();
+        if let Some(begun_at) = oldest
+            && now >= begun_at + Duration::from_nanos(service_ns)
+        {
+            running.pop_front();
+            let completion = Completion::Answered { own_time: now - begun_at };
+            started += admission.finish(now, completion).len();
+        }
+        while admission.waiting() < 4 {
+            ticket += 1;
+            let mut arrival = arrival(ticket, 1, "a", false);
+            arrival.deadline = now + Duration::from_secs(1000);
+            let actions = admission.arrive(now, arrival);
+            started += actions.iter().filter(|it| matches!(it, Action::Start(_))).count();
+        }
+        running.extend(std::iter::repeat_n(now, started));
+        if now > Duration::from_secs(30) {
+            sum += u64::from(admission.limit(now));
+            count += 1;
+        }
+    }
+    u32::try_from(sum / count).expect("a small limit")
+}
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,139 @@
+//! Retries: conserved budgets, the bound on a node's retries, Retry-After.
+
+use std::time::Duration;
+
+use hibiscusdoor::{
+    call::{CallContext, Reason},
+    config::Importance,
+    node::Dispatches,
+    retry::{AttemptEnd, HopBudget, ROOT_RETRY_BUDGET, RetryControl, may_retry},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+mod support;
+
+const SEED: u64 = 20_261_204;
+const MAX_DEPTH: u32 = 6;
+
+fn context(retry_budget: u32) -> CallContext {
+    CallContext {
+        request_id: Uuid::nil(),
+        root_id: Uuid::nil(),
+        organisation: None,
+        class: "class".into(),
+        importance: Importance(1),
+        service: "service".into(),
+        deadline: Duration::from_secs(1),
+        depth: 0,
+        retry_budget,
+        idempotent: true,
+        idempotency_key: None,
+        request_digest: [0; 32],
+    }
+}
+
+/// One hop: attempts whose upstreams make calls; replies may be lost. Returns the retries spent
+/// in it and below, and what is left of the budget.
+fn hop(random: &mut ChaCha8Rng, budget: u32, depth: u32) -> (u32, u32) {
+    let mut budget = HopBudget::new(budget);
+    let mut spent = 0;
+    loop {
+        let down = budget.send_down();
+        let dispatches = Dispatches::default();
+        let running = dispatches.begin(context(down));
+        let children = if depth < MAX_DEPTH { random.random_range(0..3) } else { 0 };
+        // Children run at the same time: all take their parts before one returns any.
+        let parts: Vec<u32> = (0..children)
+            .map(|_| running.call.take_retries(running.call.retries_left().div_ceil(2)))
+            .collect();
+        for part in parts {
+            let (below, left) = hop(random, part, depth + 1);
+            spent += below;
+            running.call.return_retries(left);
+        }
+        let lost = random.random_range(0..4) == 0;
+        budget.come_back(if lost { 0 } else { running.call.retries_left() });
+        let fails = lost || random.random_range(0..2) == 0;
+        if !fails || !budget.spend() {
+            return (spent, budget.left());
+        }
+        spent += 1;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        cases: 500,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against retries that multiply over hops and siblings.
+    #[test]
+    fn budget_is_conserved_over_hops_and_siblings(seed in any::<u64>()) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (spent, left) = hop(&mut random, ROOT_RETRY_BUDGET, 0);
+        prop_assert!(spent + left <= ROOT_RETRY_BUDGET, "spent {spent}, left {left}");
+    }
+
+    /// Guards against a node that makes more retries than a tenth of its requests.
+    #[test]
+    fn retries_stay_below_a_tenth_of_requests(steps in prop::collection::vec(any::<bool>(), 0..2000)) {
+        let mut control = RetryControl::new(SEED);
+        for is_request in steps {
+            if is_request {
+                control.request();
+            } else {
+                control.take_retry();
+            }
+            let (requests, retries) = control.counts();
+            prop_assert!(retries * 10 <= requests);
+        }
+    }
+
+    /// Guards against callers that come back all at once.
+    #[test]
+    fn retry_after_is_spread(seed in any::<u64>()) {
+        let mut control = RetryControl::new(seed);
+        let delays: Vec<Duration> = (0..100).map(|_| control.retry_after()).collect();
+        let (least, most) = (delays.iter().min(), delays.iter().max());
+        prop_assert!(most.expect("a delay").as_secs_f64() > 2.0 * least.expect("a delay").as_secs_f64());
+    }
+}
+
+/// Guards against a reply that creates budget.
+#[test]
+fn reply_cannot_return_more_than_went_down() {
+    let mut budget = HopBudget::new(3);
+    let down = budget.send_down();
+    budget.come_back(down + 10);
+    assert_eq!(budget.left(), 3);
+}
+
+fn check_may_retry(end: AttemptEnd, idempotent: bool, room_elsewhere: bool, expected: bool) {
+    assert_eq!(may_retry(end, idempotent, room_elsewhere), expected);
+}
+
+cases! {
+    check_may_retry:
+    refusal_of_a_leaving_node_is_tried_elsewhere(
+        AttemptEnd::NotRun(Reason::Leaving), false, false, true
+    ),
+    overload_is_final_without_room_elsewhere(
+        AttemptEnd::NotRun(Reason::Overload), true, false, false
+    ),
+    overload_is_tried_where_there_is_room(
+        AttemptEnd::NotRun(Reason::Overload), false, true, true
+    ),
+    refused_key_is_final(AttemptEnd::NotRun(Reason::UnknownKey), true, true, false),
+    unknown_outcome_of_idempotent_request_is_tried_again(
+        AttemptEnd::Unknown(Reason::PeerFailed), true, false, true
+    ),
+    unknown_outcome_of_other_request_is_final(
+        AttemptEnd::Unknown(Reason::PeerFailed), false, true, false
+    ),
+    passed_deadline_is_final(AttemptEnd::Unknown(Reason::DeadlinePassed), true, true, false),
+}
