--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod dispatches;
 mod entry;
+mod gate;
 mod guard;
 mod loans;
 mod members;
@@ -22,6 +23,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
+pub use gate::Gate;
 pub use loans::LoanCounters;
 pub use rates::{AccountCell, Rates};
 pub use shared::{Lifecycle, Shared};
