--- a/src/rate/account.rs
+++ b/src/rate/account.rs
@@ -7,7 +7,10 @@
 use crate::{
     clock::Timestamp,
     names::{Incarnation, InstanceName},
-    rate::{Ask, Demand, Loan, LoanId, loan::terms},
+    rate::{
+        Ask, Demand, Loan, LoanId,
+        loan::{CLOCK_DRIFT, terms},
+    },
 };
 
 /// Sums of loans differ from whole tokens by rounding errors of this order.
@@ -471,7 +474,8 @@
 
     fn accrue_until(&mut self, until: Timestamp) {
         let elapsed = until.saturating_sub(self.updated);
-        self.tokens += elapsed.as_secs_f64() * self.usable().rate_per_s;
+        // Slower by the drift, so that a fast clock does not admit more than the rate.
+        self.tokens += elapsed.as_secs_f64() * self.usable().rate_per_s * (1.0 - CLOCK_DRIFT);
         self.updated = self.updated.max(until);
         self.clip();
     }
--- a/src/rate/loan.rs
+++ b/src/rate/loan.rs
@@ -9,8 +9,8 @@
 /// Name of a loan: the borrower's number of the ask that it answers.
 pub type LoanId = u64;
 
-/// Largest fault of a node's clock rate: 0.1 %, ten times what a quartz clock shows.
-const CLOCK_DRIFT: f64 = 0.001;
+/// Largest fault of a node's clock rate: 500 ppm, the most by which NTP slews a clock.
+pub(super) const CLOCK_DRIFT: f64 = 0.000_5;
 /// Covers rounding to whole milliseconds on both sides.
 const TERM_ALLOWANCE: Duration = Duration::from_millis(5);
 /// A shorter loan is not worth its message.
@@ -85,7 +85,7 @@
 ///
 /// The lender counts from the arrival of the ask, the borrower from before it was sent, and the
 /// lender's interval is longer by twice the clock drift and the allowance. So the borrower's
-/// term ends first as long as neither clock is off by more than 0.1 %.
+/// term ends first as long as neither clock is off by more than 500 ppm.
 pub(super) fn terms(
     now: Timestamp,
     wanted: Duration,
