Report all findings at once and never show a secret in one

Cause: rules beyond the schema were checked only once the schema held, a finding repeated the value it was about, secrets among them, and the fields were documented in code comments only.

Names consist of letters, digits, hyphens and underscores, so that they fit URLs and metric labels.

--- a/src/admin/configuration.rs
+++ b/src/admin/configuration.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 
 use crate::{
-    config::{Document, check_document},
+    config::Document,
     findings, http_server,
     names::Revision,
     node::Shared,
@@ -49,9 +49,7 @@
         return http_server::text(StatusCode::PAYLOAD_TOO_LARGE, "the document is too large");
     };
     let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
-    let checked = findings::check::<Document>("request body", &text)
-        .and_then(|document| check_document("request body", &document).map(|()| document));
-    let mut document = match checked {
+    let mut document = match findings::check_input::<Document>("request body", &text) {
         Ok(document) => document,
         Err(findings) => return http_server::json(StatusCode::BAD_REQUEST, &findings),
     };
--- a/src/bin/hibiscusd.rs
+++ b/src/bin/hibiscusd.rs
@@ -47,6 +47,9 @@
         Err(findings) => return usage_error(&findings),
     };
     if arguments.check {
+        if let Err(findings) = node::check_configuration_file(&settings) {
+            return usage_error(&findings);
+        }
         println!("{}: no findings", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -4,11 +4,12 @@
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use uuid::Uuid;
 
 use crate::{
     config::KeyHasher,
-    findings::{Collector, Findings},
+    findings::{Collector, Findings, Input},
     names::{ClassName, KeyId, OrganisationName, Revision, ServiceName},
 };
 
@@ -17,6 +18,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Document {
     /// Rises by one with every accepted change; set by the administration API.
+    #[schemars(extend("x-unit" = "changes"))]
     pub revision: Revision,
     /// Id of the change that made this revision, so that a writer can tell whether it won.
     pub change_id: Option<Uuid>,
@@ -48,13 +50,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// Name, unique.
-    #[schemars(length(min = 1, max = 63))]
+    #[schemars(length(min = 1, max = 63), regex(pattern = "^[A-Za-z0-9][A-Za-z0-9_-]*$"))]
     pub name: OrganisationName,
     /// Requests a second over the whole fleet.
     #[schemars(range(min = 0.001, max = 10_000_000.0))]
     pub rate_per_s: f64,
     /// Requests that may come at once over the whole fleet.
-    #[schemars(range(min = 1.0, max = 10_000_000.0))]
+    #[schemars(range(min = 1.0, max = 10_000_000.0), extend("x-unit" = "requests"))]
     pub burst: f64,
 }
 
@@ -63,13 +65,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Public id, the part of the key before the dot.
-    #[schemars(length(min = 1, max = 63))]
+    #[schemars(length(min = 1, max = 63), regex(pattern = "^[A-Za-z0-9][A-Za-z0-9_-]*$"))]
     pub id: KeyId,
     /// Organisation that requests with this key run for.
     pub organisation: OrganisationName,
     /// Keyed hash of the key, in hexadecimal.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    #[schemars(length(min = 64, max = 64))]
+    #[schemars(length(min = 64, max = 64), extend("x-unit" = "hexadecimal digits"))]
     pub hash: Option<String>,
     /// Secret part of the key in a file that is applied; replaced by `hash` before it is kept.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -82,7 +84,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Name, unique.
-    #[schemars(length(min = 1, max = 63))]
+    #[schemars(length(min = 1, max = 63), regex(pattern = "^[A-Za-z0-9][A-Za-z0-9_-]*$"))]
     pub name: ClassName,
     /// What the class must reach.
     pub target: Target,
@@ -93,7 +95,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Target {
     /// Fraction of the requests that must get through.
-    #[schemars(range(min = 0.0, max = 1.0))]
+    #[schemars(range(min = 0.0, max = 1.0), extend("x-unit" = "fraction"))]
     pub must_get_through: f64,
     /// Latest useful answer after the request came in, in milliseconds.
     #[schemars(range(min = 1, max = 600_000))]
@@ -105,7 +107,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name, unique.
-    #[schemars(length(min = 1, max = 63))]
+    #[schemars(length(min = 1, max = 63), regex(pattern = "^[A-Za-z0-9][A-Za-z0-9_-]*$"))]
     pub name: ServiceName,
 }
 
@@ -114,7 +116,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Path prefix, matched at segment boundaries.
-    #[schemars(regex(pattern = "^/"))]
+    #[schemars(regex(pattern = "^/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*$"))]
     pub prefix: String,
     /// Service that answers.
     pub service: ServiceName,
@@ -141,50 +143,62 @@
     Never,
 }
 
-/// Checks what the schema cannot express: names are unique and references exist.
-pub fn check_document(file: &str, document: &Document) -> Result<(), Findings> {
-    let mut collector = Collector::new(file);
-    let organisations =
-        unique(&mut collector, "organisations", document.organisations.iter().map(|it| &it.name));
-    let classes = unique(&mut collector, "classes", document.classes.iter().map(|it| &it.name));
-    let services = unique(&mut collector, "services", document.services.iter().map(|it| &it.name));
-    unique(&mut collector, "keys", document.keys.iter().map(|it| &it.id));
-    for (index, key) in document.keys.iter().enumerate() {
-        let place = format!("/keys/{index}");
-        if !organisations.contains(&key.organisation) {
-            collector.add(
-                format!("{place}/organisation"),
-                "the name of an organisation",
-                &key.organisation,
-            );
-        }
-        if key.id.contains('.') {
-            collector.add(format!("{place}/id"), "an id without a dot", &key.id);
-        }
-        check_key_material(&mut collector, &place, key);
-    }
-    let mut prefixes = HashSet::new();
-    for (index, route) in document.routes.iter().enumerate() {
-        let place = format!("/routes/{index}");
-        if !prefixes.insert(route.prefix.trim_end_matches('/')) {
-            collector.add(format!("{place}/prefix"), "a prefix used once", &route.prefix);
-        }
-        if !services.contains(&route.service) {
-            collector.add(format!("{place}/service"), "the name of a service", &route.service);
+impl Input for Document {
+    fn check_rules(value: &Value, collector: &mut Collector) {
+        let organisations = unique(value, collector, "organisations", "name");
+        let classes = unique(value, collector, "classes", "name");
+        let services = unique(value, collector, "services", "name");
+        unique(value, collector, "keys", "id");
+        for (index, key) in items(value, "keys").enumerate() {
+            let place = format!("/keys/{index}");
+            let organisation = key.get("organisation").and_then(Value::as_str);
+            if organisation.is_some_and(|name| !organisations.contains(name)) {
+                // The text is not repeated: it may be a secret in the wrong field.
+                let found = "a name that no organisation has";
+                collector.add(
+                    format!("{place}/organisation"),
+                    "the name of an organisation",
+                    found,
+                );
+            }
+            check_key_material(collector, &place, key);
         }
-        if !classes.contains(&route.class) {
-            collector.add(format!("{place}/class"), "the name of a class", &route.class);
+        let mut prefixes = HashSet::new();
+        for (index, route) in items(value, "routes").enumerate() {
+            let place = format!("/routes/{index}");
+            let text = |field: &str| route.get(field).and_then(Value::as_str);
+            if let Some(prefix) = text("prefix")
+                && !prefixes.insert(prefix.trim_end_matches('/'))
+            {
+                collector.add(format!("{place}/prefix"), "a prefix used once", prefix);
+            }
+            if let Some(service) = text("service").filter(|name| !services.contains(name)) {
+                collector.add(format!("{place}/service"), "the name of a service", service);
+            }
+            if let Some(class) = text("class").filter(|name| !classes.contains(name)) {
+                collector.add(format!("{place}/class"), "the name of a class", class);
+            }
         }
     }
+}
+
+/// Checks what the schema cannot express: names are unique and references exist.
+pub fn check_document(file: &str, document: &Document) -> Result<(), Findings> {
+    let mut collector = Collector::new(file);
+    let value = serde_json::to_value(document).unwrap_or_default();
+    Document::check_rules(&value, &mut collector);
     collector.finish(())
 }
 
-fn check_key_material(collector: &mut Collector, place: &str, key: &Key) {
-    match (&key.hash, &key.secret) {
+fn check_key_material(collector: &mut Collector, place: &str, key: &Value) {
+    let text = |field: &str| key.get(field).and_then(Value::as_str);
+    match (text("hash"), text("secret")) {
         (Some(_), Some(_)) => {
             collector.add(place, "either \"hash\" or \"secret\"", "both");
         }
-        (None, None) => collector.add(place, "either \"hash\" or \"secret\"", "none"),
+        (None, None) if key.get("hash").is_none() && key.get("secret").is_none() => {
+            collector.add(place, "either \"hash\" or \"secret\"", "none");
+        }
         (Some(hash), None) if blake3::Hash::from_hex(hash).is_err() => {
             collector.add(format!("{place}/hash"), "64 hexadecimal digits", "other text");
         }
@@ -192,15 +206,25 @@
     }
 }
 
+fn items<'a>(value: &'a Value, list: &str) -> impl Iterator<Item = &'a Value> {
+    value.get(list).and_then(Value::as_array).into_iter().flatten()
+}
+
 fn unique<'a>(
+    value: &'a Value,
     collector: &mut Collector,
     list: &str,
-    names: impl Iterator<Item = &'a std::sync::Arc<str>>,
-) -> HashSet<&'a std::sync::Arc<str>> {
+    field: &str,
+) -> HashSet<&'a str> {
     let mut seen = HashSet::new();
-    for (index, name) in names.enumerate() {
+    for (index, item) in items(value, list).enumerate() {
+        let Some(name) = item.get(field).and_then(Value::as_str) else { continue };
         if !seen.insert(name) {
-            collector.add(format!("/{list}/{index}"), "a name used once", name);
+            collector.add(
+                format!("/{list}/{index}/{field}"),
+                "a name used once",
+                "a name used before",
+            );
         }
     }
     seen
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -8,9 +8,10 @@
 
 use crate::{
     admin::{ApplyResult, ConflictBody},
-    config::{Document, check_document},
+    config::Document,
     control::client::AdminClient,
     findings,
+    settings::RawSettings,
 };
 
 /// Help text.
@@ -33,6 +34,25 @@
 Exit codes: 0 done, 1 failed, 2 wrong usage or input.
 ";
 
+const SETTINGS_PAGE: &str = "\
+The settings file of `hibiscusd`, in JSON; sample/settings.json is an example. A node reads it once,
+at the start. `hibiscusd --settings FILE --check` checks a file, and the configuration file that it
+names, without starting a node.
+
+This page is made by `hibiscusctl reference settings > docs/settings.md`; a test compares it with
+the program.";
+
+const CONFIGURATION_PAGE: &str = "\
+The operators' configuration, in JSON; sample/configuration.json is an example. It is one document
+at the platform that `hibiscusctl` changes, as a whole with `apply FILE` or one resource at a time.
+`hibiscusctl check FILE` checks a file. The file's `revision` is the one that the edit starts from.
+
+The importance of a class comes from its target: the larger `must_get_through` first, then the
+shorter `answer_within_ms`.
+
+This page is made by `hibiscusctl reference configuration > docs/configuration.md`; a test compares
+it with the program.";
+
 const DEFAULT_NODE: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7003);
 
@@ -42,7 +62,9 @@
     let client = AdminClient::new(node);
     let command = arguments.subcommand()?.context("no command was given; see --help")?;
     let file: Option<PathBuf> = match command.as_str() {
-        "apply" | "check" => Some(arguments.free_from_str().context("a file must be named")?),
+        "apply" | "check" | "reference" => {
+            Some(arguments.free_from_str().context("a file must be named")?)
+        }
         _ => None,
     };
     let rest = arguments.finish();
@@ -57,6 +79,7 @@
             check(&file)?;
             Ok(format!("{}: no findings", file.display()))
         }
+        ("reference", Some(name)) => reference(&name),
         ("apply", Some(file)) => apply(&client, &file).await,
         (command, _) => bail!("unknown command {command}; see --help"),
     }
@@ -71,10 +94,19 @@
     Ok(serde_json::to_string_pretty(&value)?)
 }
 
+/// Prints the page that describes the fields of a file.
+fn reference(name: &std::path::Path) -> anyhow::Result<String> {
+    match name.to_str() {
+        Some("settings") => Ok(findings::reference::<RawSettings>("Settings", SETTINGS_PAGE)),
+        Some("configuration") => {
+            Ok(findings::reference::<Document>("Configuration", CONFIGURATION_PAGE))
+        }
+        _ => bail!("expected settings or configuration, found {}", name.display()),
+    }
+}
+
 fn check(file: &std::path::Path) -> anyhow::Result<Document> {
-    let document = findings::check_file::<Document>(file)?;
-    check_document(&file.display().to_string(), &document)?;
-    Ok(document)
+    Ok(findings::check_file::<Document>(file)?)
 }
 
 async fn apply(client: &AdminClient, file: &std::path::Path) -> anyhow::Result<String> {
--- a/src/findings/mod.rs
+++ b/src/findings/mod.rs
@@ -1,14 +1,26 @@
 //! Findings about a settings or configuration file, collected and reported together.
 
-use std::{fmt, path::Path, sync::Arc};
+mod reference;
 
-use jsonschema::error::ValidationErrorKind;
+use std::{fmt, net::SocketAddr, path::Path, sync::Arc};
+
+use jsonschema::{
+    ValidationError,
+    error::{TypeKind, ValidationErrorKind},
+};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
+pub use reference::reference;
+
 /// Longest part of a found value that is repeated in a finding.
 const MAX_FOUND_CHARS: usize = 80;
+/// Schema format of an IP address with a port.
+pub const SOCKET_ADDRESS_FORMAT: &str = "ip-address-and-port";
+/// Values below these places are never repeated: an operator may have put a secret into any
+/// field of a key.
+const PRIVATE_PLACES: [&str; 3] = ["/fleet_secret", "/keys", "/secret"];
 
 /// One fault in an input file.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,98 +88,207 @@
         });
     }
 
+    /// Returns what was found.
+    pub fn into_findings(self) -> Findings {
+        Findings { findings: self.findings }
+    }
+
     /// Returns `value` when nothing was found, and all findings otherwise.
     pub fn finish<T>(self, value: T) -> Result<T, Findings> {
         if self.findings.is_empty() {
             return Ok(value);
         }
-        Err(Findings { findings: self.findings })
+        Err(self.into_findings())
     }
 }
 
-/// Reads `path` and checks its text as [`check`] does.
-pub fn check_file<T: JsonSchema + DeserializeOwned>(path: &Path) -> Result<T, Findings> {
+/// An input with rules that its schema cannot express.
+pub trait Input: JsonSchema + DeserializeOwned {
+    /// Adds a finding for every broken rule.
+    ///
+    /// It is given the untyped value, so that a rule is also checked where other parts of the
+    /// input do not fit the schema.
+    fn check_rules(value: &Value, collector: &mut Collector);
+}
+
+/// Reads `path` and checks its text as [`check_input`] does.
+pub fn check_file<T: Input>(path: &Path) -> Result<T, Findings> {
     let file = path.display().to_string();
     match std::fs::read_to_string(path) {
-        Ok(text) => check(file, &text),
+        Ok(text) => check_input(file, &text),
         Err(error) => {
             let mut collector = Collector::new(file);
             collector.add("/", "a readable file", error);
-            Err(Findings { findings: collector.findings })
+            Err(collector.into_findings())
         }
     }
 }
 
+/// Parses `text` as JSON, checks it against the schema and the rules of `T`, and reports every
+/// fault.
+pub fn check_input<T: Input>(file: impl Into<Arc<str>>, text: &str) -> Result<T, Findings> {
+    check_with(file, text, T::check_rules)
+}
+
 /// Parses `text` as JSON and checks it against the schema of `T`, reporting every fault.
 pub fn check<T: JsonSchema + DeserializeOwned>(
     file: impl Into<Arc<str>>,
     text: &str,
+) -> Result<T, Findings> {
+    check_with(file, text, |_, _| {})
+}
+
+fn check_with<T: JsonSchema + DeserializeOwned>(
+    file: impl Into<Arc<str>>,
+    text: &str,
+    check_rules: impl Fn(&Value, &mut Collector),
 ) -> Result<T, Findings> {
     let mut collector = Collector::new(file);
     let document: Value = match serde_json::from_str(text) {
         Ok(document) => document,
         Err(error) => {
             let place = format!("line {}, column {}", error.line(), error.column());
-            collector.add(place, "JSON", error);
-            return Err(Findings { findings: collector.findings });
+            collector.add(place, "JSON", syntax_fault(&error));
+            return Err(collector.into_findings());
         }
     };
     check_against_schema::<T>(&document, &mut collector);
+    check_rules(&document, &mut collector);
     if !collector.findings.is_empty() {
-        return Err(Findings { findings: collector.findings });
+        return Err(collector.into_findings());
     }
     match serde_json::from_value(document) {
         Ok(value) => Ok(value),
         Err(error) => {
-            collector.add("/", "a value of the documented form", error);
-            Err(Findings { findings: collector.findings })
+            // The library's message repeats the value, which may be a secret.
+            log::debug!("a value fits its schema and cannot be read: {:?}", error.classify());
+            collector.add("/", "a value of the documented form", "a value of another form");
+            Err(collector.into_findings())
         }
     }
 }
 
+/// The library's message without the place, which is reported by itself.
+fn syntax_fault(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let fault = text.split(" at line ").next().unwrap_or_default();
+    format!("other text ({fault})")
+}
+
 fn check_against_schema<T: JsonSchema>(document: &Value, collector: &mut Collector) {
     let schema = schemars::schema_for!(T).to_value();
-    let validator = match jsonschema::validator_for(&schema) {
+    let validator = jsonschema::options()
+        .should_validate_formats(true)
+        .with_format(SOCKET_ADDRESS_FORMAT, |text: &str| text.parse::<SocketAddr>().is_ok())
+        .build(&schema);
+    let validator = match validator {
         Ok(validator) => validator,
-        Err(error) => return collector.add("/", "a valid schema in the program", error),
+        Err(_) => return collector.add("/", "a valid schema in the program", "another schema"),
     };
     for error in validator.iter_errors(document) {
-        let at = error.instance_path().to_string();
-        let place = if at.is_empty() { "/".to_owned() } else { at };
-        match error.kind() {
-            ValidationErrorKind::AdditionalProperties { unexpected } => {
-                let parent = place.trim_end_matches('/').to_owned();
-                for name in unexpected {
-                    collector.add(format!("{parent}/{name}"), "a known field", "an unknown field");
-                }
-            }
-            ValidationErrorKind::Required { property } => {
-                let name = property.as_str().unwrap_or_default();
-                collector.add(place, format!("the field \"{name}\""), "none");
+        add_schema_error(&error, collector);
+    }
+}
+
+fn add_schema_error(error: &ValidationError<'_>, collector: &mut Collector) {
+    let at = error.instance_path().to_string();
+    let place = if at.is_empty() { "/".to_owned() } else { at };
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => {
+            let parent = place.trim_end_matches('/').to_owned();
+            for name in unexpected {
+                collector.add(format!("{parent}/{name}"), "a known field", "an unknown field");
             }
-            kind => collector.add(place, expected(kind, &error), error.instance()),
         }
+        ValidationErrorKind::Required { property } => {
+            let name = property.as_str().unwrap_or_default();
+            collector.add(place, format!("the field \"{name}\""), "none");
+        }
+        ValidationErrorKind::OneOfNotValid { context } | ValidationErrorKind::AnyOf { context } => {
+            add_variant_errors(error, &place, context, collector);
+        }
+        kind => collector.add(&place, expected(kind), found(&place, error.instance())),
     }
 }
 
-fn expected(kind: &ValidationErrorKind, error: &jsonschema::ValidationError<'_>) -> String {
+/// Reports the faults of the variant that the value means, or the variants there are.
+fn add_variant_errors(
+    error: &ValidationError<'_>,
+    place: &str,
+    variants: &[Vec<ValidationError<'static>>],
+    collector: &mut Collector,
+) {
+    let is_tag =
+        |error: &ValidationError<'_>| matches!(error.kind(), ValidationErrorKind::Constant { .. });
+    let meant = variants.iter().find(|errors| !errors.iter().any(is_tag));
+    // An optional value allows null beside its type; "null" is never the variant that is meant.
+    if let Some(errors) = meant.filter(|_| error.instance().is_object()) {
+        errors.iter().for_each(|error| add_schema_error(error, collector));
+        return;
+    }
+    let tags = variants.iter().flatten().filter_map(|error| match error.kind() {
+        ValidationErrorKind::Constant { expected_value } => {
+            Some((error.instance_path().to_string(), expected_value.to_string()))
+        }
+        _ => None,
+    });
+    let (places, values): (Vec<String>, Vec<String>) = tags.unzip();
+    if values.is_empty() {
+        collector.add(place, "a value of the documented form", found(place, error.instance()));
+        return;
+    }
+    let tag_place = places[0].clone();
+    let value = match tag_place.strip_prefix(place.trim_end_matches('/')) {
+        Some(below) => error.instance().pointer(below),
+        None => None,
+    };
+    let found = value.map_or_else(|| "none".to_owned(), |value| found(&tag_place, value));
+    collector.add(tag_place, format!("one of {}", values.join(", ")), found);
+}
+
+/// Describes a value without repeating what may be private.
+fn found(place: &str, value: &Value) -> String {
+    let is_private =
+        PRIVATE_PLACES.iter().any(|part| place.starts_with(part) || place.ends_with(part));
+    match value {
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(items) => format!("a list of {} items", items.len()),
+        Value::String(text) if is_private => format!("text of {} characters", text.chars().count()),
+        Value::Number(_) if is_private => "a number".to_owned(),
+        other => other.to_string(),
+    }
+}
+
+fn expected(kind: &ValidationErrorKind) -> String {
     match kind {
         ValidationErrorKind::Minimum { limit } => format!("a number of at least {limit}"),
         ValidationErrorKind::Maximum { limit } => format!("a number of at most {limit}"),
         ValidationErrorKind::ExclusiveMinimum { limit } => format!("a number above {limit}"),
+        ValidationErrorKind::ExclusiveMaximum { limit } => format!("a number below {limit}"),
         ValidationErrorKind::MinLength { limit } => format!("text of at least {limit} characters"),
         ValidationErrorKind::MaxLength { limit } => format!("text of at most {limit} characters"),
         ValidationErrorKind::MinItems { limit } => format!("at least {limit} items"),
+        ValidationErrorKind::MaxItems { limit } => format!("at most {limit} items"),
         ValidationErrorKind::Pattern { pattern } => format!("text matching {pattern}"),
         ValidationErrorKind::Enum { options } => format!("one of {options}"),
+        ValidationErrorKind::Constant { expected_value } => format!("the value {expected_value}"),
+        ValidationErrorKind::Format { format } if format == SOCKET_ADDRESS_FORMAT => {
+            "an IP address and a port, as in 127.0.0.1:7000".to_owned()
+        }
         ValidationErrorKind::Format { format } => format!("a value of the format {format}"),
-        ValidationErrorKind::Type { .. } => {
-            // The library's message is "<value> is not of type <expected>".
-            let text = error.to_string();
-            let types = text.rsplit("of type").next().unwrap_or_default();
-            format!("a value of type {}", types.trim_start_matches('s').trim())
+        ValidationErrorKind::Type { kind } => format!("a value of type {}", type_names(kind)),
+        // The library's message repeats the value, which may be a secret.
+        other => format!("a value that fulfils \"{}\" of the schema", other.keyword()),
+    }
+}
+
+fn type_names(kind: &TypeKind) -> String {
+    match kind {
+        TypeKind::Single(one) => one.to_string(),
+        TypeKind::Multiple(many) => {
+            let names: Vec<String> = many.iter().map(|one| one.to_string()).collect();
+            names.join(" or ")
         }
-        _ => error.to_string(),
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,7 @@
 mod upstream;
 mod upstream_service;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use anyhow::Context as _;
 use kameo::actor::{ActorRef, Spawn as _};
@@ -25,8 +25,8 @@
 
 use crate::{
     admin,
-    config::{Document, check_document},
-    findings,
+    config::Document,
+    findings::{self, Collector, Findings},
     platform::{
         HttpPlatform, KIND_CONFIGURATION, MemoryStore, NAME_CURRENT, ObjectApi as _, Platform,
     },
@@ -72,17 +72,17 @@
             bind("/listen/peers", listen.peers),
             bind("/listen/operators", listen.operators),
         );
-        let mut failures = Vec::new();
+        let mut collector = Collector::new(settings.file.clone());
         for result in [&callers, &upstream, &peers, &operators] {
-            if let Err(failure) = result {
-                failures.push(failure.clone());
+            if let Err((place, found)) = result {
+                collector.add(*place, "an address that can be bound", found);
             }
         }
         match (callers, upstream, peers, operators) {
             (Ok(callers), Ok(upstream), Ok(peers), Ok(operators)) => {
                 Ok(Self { callers, upstream, peers, operators })
             }
-            _ => anyhow::bail!(failures.join("\n")),
+            _ => Err(collector.into_findings().into()),
         }
     }
 
@@ -97,10 +97,11 @@
     }
 }
 
-async fn bind(place: &str, address: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).await.map_err(|error| {
-        format!("{place}: expected an address that can be bound, found {address}: {error}")
-    })
+async fn bind(
+    place: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, (&'static str, String)> {
+    TcpListener::bind(address).await.map_err(|error| (place, format!("{address}: {error}")))
 }
 
 /// Runs a node until `shutdown`, then drains it and joins all its tasks.
@@ -178,13 +179,22 @@
     }
 }
 
+/// Checks the configuration file that the settings of an embedded store name.
+pub fn check_configuration_file(settings: &Settings) -> Result<(), Findings> {
+    match &settings.platform {
+        PlatformSettings::Embedded { configuration: Some(path) } => {
+            findings::check_file::<Document>(Path::new(&**path)).map(drop)
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn load_configuration(
     store: &MemoryStore,
     path: &str,
     settings: &Settings,
 ) -> anyhow::Result<()> {
     let mut document: Document = findings::check_file(path.as_ref())?;
-    check_document(path, &document)?;
     document.hash_secrets(&crate::config::KeyHasher::new(&settings.fleet_secret));
     document.revision = 1;
     let value = serde_json::to_value(&document).context("encoding the configuration")?;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,17 +1,13 @@
 //! Settings of the daemon: read from JSON, checked, then made into typed [`Settings`].
 
-use std::{
-    net::{IpAddr, SocketAddr},
-    path::Path,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::{
-    findings::{self, Collector, Findings},
+    findings::{self, Collector, Findings, Input},
     names::{InstanceName, ZoneName},
 };
 
@@ -19,7 +15,6 @@
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 30_000;
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 const DEFAULT_SHARD: &str = "main";
-const MIN_SECRET_CHARS: usize = 32;
 
 /// Settings as they stand in the file.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
@@ -44,7 +39,7 @@
     pub shard: String,
     /// Weight of the instance when rates are divided.
     #[serde(default = "default_weight")]
-    #[schemars(range(min = 1, max = 1000))]
+    #[schemars(range(min = 1, max = 1000), extend("x-unit" = "relative to other instances"))]
     pub weight: u32,
     /// Limits on requests.
     #[serde(default)]
@@ -59,12 +54,16 @@
 #[serde(deny_unknown_fields)]
 pub struct RawListen {
     /// For callers.
+    #[schemars(extend("format" = "ip-address-and-port"))]
     pub callers: String,
     /// For the upstream beside the node; must be a loopback address.
+    #[schemars(extend("format" = "ip-address-and-port"))]
     pub upstream: String,
     /// For other nodes.
+    #[schemars(extend("format" = "ip-address-and-port"))]
     pub peers: String,
     /// For operators.
+    #[schemars(extend("format" = "ip-address-and-port"))]
     pub operators: String,
 }
 
@@ -80,6 +79,7 @@
     /// The platform's service.
     Http {
         /// IP address and port.
+        #[schemars(extend("format" = "ip-address-and-port"))]
         address: String,
         /// Time allowed for one call, in milliseconds.
         #[serde(default = "default_platform_timeout_ms")]
@@ -168,6 +168,8 @@
 /// Checked settings.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// File that the settings were read from.
+    pub file: Arc<str>,
     /// Name of the instance.
     pub instance: InstanceName,
     /// Availability zone.
@@ -251,6 +253,17 @@
     }
 }
 
+impl Input for RawSettings {
+    fn check_rules(value: &Value, collector: &mut Collector) {
+        let listen = ["callers", "upstream", "peers", "operators"].map(|name| {
+            let place = format!("/listen/{name}");
+            let text = value.pointer(&place).and_then(Value::as_str);
+            (place, text.and_then(|text| text.parse::<SocketAddr>().ok()))
+        });
+        check_listen(collector, &listen);
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn from_file(path: &Path) -> Result<Self, Findings> {
@@ -258,19 +271,16 @@
         Self::from_raw(path.display().to_string(), raw)
     }
 
-    /// Checks what the schema cannot express.
+    /// Makes the typed settings.
     pub fn from_raw(file: impl Into<Arc<str>>, raw: RawSettings) -> Result<Self, Findings> {
-        let mut collector = Collector::new(file);
+        let file = file.into();
+        let mut collector = Collector::new(file.clone());
         let listen = Listen {
             callers: address(&mut collector, "/listen/callers", &raw.listen.callers),
             upstream: address(&mut collector, "/listen/upstream", &raw.listen.upstream),
             peers: address(&mut collector, "/listen/peers", &raw.listen.peers),
             operators: address(&mut collector, "/listen/operators", &raw.listen.operators),
         };
-        check_listen(&mut collector, &listen);
-        if raw.fleet_secret.chars().count() < MIN_SECRET_CHARS {
-            collector.add("/fleet_secret", "at least 32 characters", "a shorter secret");
-        }
         let platform = match raw.platform {
             RawPlatform::Embedded { configuration } => {
                 PlatformSettings::Embedded { configuration: configuration.map(Arc::from) }
@@ -281,6 +291,7 @@
             },
         };
         collector.finish(Self {
+            file,
             instance: raw.instance.into(),
             zone: raw.zone.into(),
             listen,
@@ -308,28 +319,19 @@
     }
 }
 
-fn check_listen(collector: &mut Collector, listen: &Listen) {
-    if !is_loopback(listen.upstream.ip()) {
-        collector.add("/listen/upstream", "a loopback address", listen.upstream);
-    }
-    if listen.peers.ip().is_unspecified() {
-        // Other nodes learn this address from the membership table.
-        collector.add("/listen/peers", "an address that other nodes can reach", listen.peers);
-    }
-    let named = [
-        ("/listen/callers", listen.callers),
-        ("/listen/upstream", listen.upstream),
-        ("/listen/peers", listen.peers),
-        ("/listen/operators", listen.operators),
-    ];
-    for (index, (place, address)) in named.iter().enumerate() {
-        let taken = named[..index].iter().any(|(_, other)| other == address);
+fn check_listen(collector: &mut Collector, listen: &[(String, Option<SocketAddr>)]) {
+    for (index, (place, address)) in listen.iter().enumerate() {
+        let Some(address) = address else { continue };
+        if place == "/listen/upstream" && !address.ip().is_loopback() {
+            collector.add(place, "a loopback address", address);
+        }
+        if place == "/listen/peers" && address.ip().is_unspecified() {
+            // Other nodes learn this address from the membership table.
+            collector.add(place, "an address that other nodes can reach", address);
+        }
+        let taken = listen[..index].iter().any(|(_, other)| other.as_ref() == Some(address));
         if taken && address.port() != 0 {
-            collector.add(*place, "an address of its own", format!("{address}, used twice"));
+            collector.add(place, "an address of its own", format!("{address}, used twice"));
         }
     }
 }
-
-fn is_loopback(ip: IpAddr) -> bool {
-    ip.is_loopback()
-}
