Keep keys and bodies out of logs at every level

Cause: a log level applied to the HTTP libraries too, which may write headers at their lowest levels, and nothing checked what the programs show.

Change: the level of the settings applies to this project's modules; other modules stay at warn and cannot be named in log.modules.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use crate::{
     findings::{self, Collector, Findings, Input},
     names::{InstanceName, ZoneName},
+    telemetry::OWN_MODULES,
 };
 
 const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
@@ -117,11 +118,12 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct RawLog {
-    /// Lowest level that is written.
+    /// Lowest level of this program that is written.
     pub level: LogLevel,
     /// Form of the lines.
     pub format: LogFormat,
-    /// Levels of single modules, by module path.
+    /// Levels of single modules of this program, by module path, as in
+    /// `hibiscusdoor::node::members`; libraries always log at `warn`.
     pub modules: std::collections::BTreeMap<String, LogLevel>,
 }
 
@@ -261,6 +263,19 @@
             (place, text.and_then(|text| text.parse::<SocketAddr>().ok()))
         });
         check_listen(collector, &listen);
+        check_log_modules(value, collector);
+    }
+}
+
+fn check_log_modules(value: &Value, collector: &mut Collector) {
+    let modules = value.pointer("/log/modules").and_then(Value::as_object);
+    for name in modules.into_iter().flatten().map(|(name, _)| name) {
+        let top = name.split("::").next().unwrap_or_default();
+        if !OWN_MODULES.contains(&top) {
+            // Libraries may write headers, and so keys, at the lower levels.
+            let expected = format!("a module below one of {}", OWN_MODULES.join(", "));
+            collector.add(format!("/log/modules/{name}"), expected, "another module");
+        }
     }
 }
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -73,6 +73,8 @@
     platform_process: Child,
     /// The nodes.
     pub nodes: Vec<FleetNode>,
+    /// Fields that take the place of those in the settings of nodes started later.
+    pub settings: Value,
 }
 
 /// A whole HTTP answer.
@@ -126,7 +128,13 @@
             &options.folder.join("platform.log"),
         )?;
         let platform = first_line(&mut process)?.trim().parse()?;
-        Ok(Self { options, platform, platform_process: process, nodes: Vec::new() })
+        Ok(Self {
+            options,
+            platform,
+            platform_process: process,
+            nodes: Vec::new(),
+            settings: json!({}),
+        })
     }
 
     /// Starts a node and the upstream beside it; returns its index.
@@ -235,7 +243,7 @@
         instance: &str,
         options: &NodeOptions,
     ) -> anyhow::Result<(Child, BoundAddresses)> {
-        let settings = json!({
+        let mut settings = json!({
             "instance": instance,
             "zone": options.zone,
             "listen": {
@@ -247,6 +255,9 @@
             "platform": { "kind": "http", "address": self.platform },
             "fleet_secret": FLEET_SECRET,
         });
+        for (field, value) in self.settings.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
         let file = self.options.folder.join(format!("{instance}.json"));
         std::fs::write(&file, settings.to_string())?;
         let mut daemon = spawn(
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -9,9 +9,17 @@
     settings::{LogFormat, LogLevel, RawLog},
 };
 
+/// Level of the libraries. Below it, HTTP libraries may write headers, and so keys.
+const DEPENDENCIES_LEVEL: LevelFilter = LevelFilter::Warn;
+/// Top modules of the project's programs.
+pub const OWN_MODULES: [&str; 4] = ["hibiscusdoor", "hibiscusd", "hibiscusctl", "hibiscus_standin"];
+
 /// Starts logging for the process.
 pub fn start_logging(settings: &RawLog) -> anyhow::Result<()> {
-    let mut dispatch = Dispatch::new().level(filter(settings.level));
+    let mut dispatch = Dispatch::new().level(DEPENDENCIES_LEVEL);
+    for program in OWN_MODULES {
+        dispatch = dispatch.level_for(program, filter(settings.level));
+    }
     for (module, level) in &settings.modules {
         dispatch = dispatch.level_for(module.clone(), filter(*level));
     }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,5 +3,5 @@
 mod logging;
 mod metrics;
 
-pub use logging::start_logging;
+pub use logging::{OWN_MODULES, start_logging};
 pub use metrics::Metrics;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -138,6 +138,11 @@
             "line 1, column 0: expected JSON, found other text (EOF while parsing a value)",
         ],
     ),
+    settings_log_module_of_library(
+        "log_module_of_library",
+        &["/log/modules/h2: expected a module below one of hibiscusdoor, hibiscusd, hibiscusctl, \
+           hibiscus_standin, found another module"],
+    ),
     settings_missing_field(
         "missing_field",
         &[
