--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -65,6 +65,11 @@
     if remaining.is_zero() {
         return refused(turn_away(shared, Refusal::DeadlinePassed, undispatched), budget);
     }
+    // A node that was paused since the request came in must not act on an earlier check.
+    if context.organisation.is_some() && !shared.right.row_is_valid(clock::now()) {
+        let detail = "the node cannot show that its table is current";
+        return refused(Outcome::NotRun(undispatched.refuse(Reason::NoRight, detail)), budget);
+    }
     let running = shared.dispatches.begin(context);
     let context = &running.call.context;
     let map = upstream_headers(
