--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -33,9 +33,7 @@
 /// Time between two looks at whether this node is to hold a watch.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Load of an upstream whose slots are all taken, in the unit of the wire.
-const FULL_LOAD: usize = 128;
-const MAX_LOAD: usize = 254;
+/// Load byte of a node whose upstream serves nothing.
 const NOT_SERVING: u8 = 255;
 
 /// Drives the membership decisions.
@@ -199,7 +197,8 @@
 
     fn state_own(&mut self) {
         let revision = self.shared.configuration.load().revision;
-        self.membership.set_own(revision, own_load(&self.shared));
+        let load = u8::try_from(self.shared.gate.load()).unwrap_or(NOT_SERVING);
+        self.membership.set_own(revision, load);
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -255,13 +254,6 @@
     stop.run_until_cancelled(work).await.unwrap_or(());
 }
 
-fn own_load(shared: &Shared) -> u8 {
-    let Some(announced) = shared.upstream.serving() else { return NOT_SERVING };
-    let slots = usize::try_from(announced.slots).unwrap_or(usize::MAX).max(1);
-    let load = (shared.dispatches.len().saturating_mul(FULL_LOAD) / slots).min(MAX_LOAD);
-    u8::try_from(load).unwrap_or(NOT_SERVING)
-}
-
 async fn perform(shared: &Shared, action: Action) -> Option<Event> {
     let began = clock::now();
     match action {
