Do not count a replaced process as having adopted a table version

An instance's older process can be paused while its replacement joins under the same name. Its right then stays valid for up to T, but the version without it settled at once, so that both processes could use the same share for that time. Such a version now settles by majority and time.

--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -468,8 +468,9 @@
             return;
         }
         let version = self.table.version;
-        let has_adopted =
-            |known: &&Known| known.is_own || known.is_superseded || known.version >= version;
+        // A row whose instance runs a newer process does not count as adopted: the older process
+        // may be paused on another machine with a right that is still valid.
+        let has_adopted = |known: &&Known| known.is_own || known.version >= version;
         let adopted = self.book.rows(List::Previous).filter(has_adopted).count();
         let rows = self.table.previous_rows.len();
         if adopted == rows {
