Let replaced processes count towards a majority after their right has ended

Change: a replaced process does not count for immediate settlement, but counts towards the majority that then waits T plus the clock margin.

--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -468,8 +468,6 @@
             return;
         }
         let version = self.table.version;
-        // A row whose instance runs a newer process does not count as adopted: the older process
-        // may be paused on another machine with a right that is still valid.
         let has_adopted = |known: &&Known| known.is_own || known.version >= version;
         let adopted = self.book.rows(List::Previous).filter(has_adopted).count();
         let rows = self.table.previous_rows.len();
@@ -477,7 +475,11 @@
             self.settled = true;
             return;
         }
-        if adopted <= rows / 2 {
+        // The older process of an instance that runs a newer one may be paused with a right that
+        // is still valid, so it counts only where that right has time to end.
+        let is_replaced = |known: &&Known| known.is_superseded && !has_adopted(known);
+        let replaced = self.book.rows(List::Previous).filter(is_replaced).count();
+        if adopted + replaced <= rows / 2 {
             return;
         }
         let majority_at = *self.majority_adopted_at.get_or_insert(now);
