--- a/src/admin/configuration.rs
+++ b/src/admin/configuration.rs
@@ -1,15 +1,19 @@
 //! Reading and changing the configuration.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use uuid::Uuid;
 
 use crate::{
-    config::Document,
-    findings, http_server,
+    config::{Change, ChangeError, Decision, Document, Edit, ResourceId, ResourceKind, decide},
+    findings::{self, Collector, Findings},
+    http_server,
     names::Revision,
     node::Shared,
     platform::{
@@ -18,6 +22,13 @@
     },
 };
 
+/// Attempts to write a change while other writers are ahead. The platform takes several hundred
+/// writes a second, so losing this often means that something is wrong.
+const MAX_ATTEMPTS: u32 = 16;
+/// Longest random pause before the next attempt.
+const MAX_ATTEMPT_DELAY_MS: u64 = 50;
+const REQUEST_BODY: &str = "request body";
+
 /// Result of a change.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ApplyResult {
@@ -25,73 +36,194 @@
     pub revision: Revision,
 }
 
-/// Answer to an edit of an outdated revision.
+/// A resource as it stands in a revision.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct ConflictBody {
-    /// Revision that the edit started from.
-    pub stated_revision: Revision,
-    /// Revision that is accepted now.
-    pub current_revision: Revision,
-}
-
-/// Returns the accepted document.
-pub async fn read(shared: &Shared) -> Response<Full<Bytes>> {
-    match load(shared).await {
-        Ok((document, _)) => http_server::json(StatusCode::OK, &document),
-        Err(error) => failure(&error),
+pub struct ResourceRead {
+    /// Revision of the document that it was read from.
+    pub revision: Revision,
+    /// The resource.
+    pub resource: Value,
+}
+
+/// The resources of a kind as they stand in a revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ResourceList {
+    /// Revision of the document that they were read from.
+    pub revision: Revision,
+    /// The resources, by name.
+    pub resources: Vec<Value>,
+}
+
+/// Why a request of an operator has no result.
+enum Failure {
+    Refused(ChangeError),
+    Platform(PlatformError),
+    TooLarge,
+}
+
+impl From<PlatformError> for Failure {
+    fn from(error: PlatformError) -> Self {
+        Self::Platform(error)
     }
 }
 
-/// Puts the document of the request in place of the revision it states.
-pub async fn apply(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), MAX_VALUE_BYTES).collect().await;
-    let Ok(body) = body else {
-        return http_server::text(StatusCode::PAYLOAD_TOO_LARGE, "the document is too large");
-    };
-    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
-    let mut document = match findings::check_input::<Document>("request body", &text) {
-        Ok(document) => document,
-        Err(findings) => return http_server::json(StatusCode::BAD_REQUEST, &findings),
+impl From<ChangeError> for Failure {
+    fn from(error: ChangeError) -> Self {
+        Self::Refused(error)
+    }
+}
+
+impl From<Findings> for Failure {
+    fn from(findings: Findings) -> Self {
+        Self::Refused(ChangeError::Invalid(findings))
+    }
+}
+
+/// Answers a request for `/v1/configuration` or a resource; none where the path is neither.
+pub async fn answer(shared: &Shared, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+    let path = request.uri().path().strip_prefix("/v1/")?.to_owned();
+    let (list, name) = match path.split_once('/') {
+        Some((list, name)) => (list, Some(name)),
+        None => (&*path, None),
     };
-    document.hash_secrets(&shared.key_hasher);
-    match replace(shared, document).await {
-        Ok(Ok(revision)) => http_server::json(StatusCode::OK, &ApplyResult { revision }),
-        Ok(Err(conflict)) => http_server::json(StatusCode::CONFLICT, &conflict),
-        Err(error) => failure(&error),
+    if path == "configuration" {
+        return Some(finish(whole(shared, request).await));
     }
+    let kind = ResourceKind::from_list(list)?;
+    let id = name.map(|name| ResourceId { kind, name: resource_name(kind, name) });
+    Some(finish(resource(shared, kind, id, request).await))
 }
 
-async fn replace(
-    shared: &Shared,
-    mut document: Document,
-) -> Result<Result<Revision, ConflictBody>, PlatformError> {
-    let stated_revision = document.revision;
-    let change_id = *document.change_id.get_or_insert_with(Uuid::now_v7);
-    document.revision = stated_revision + 1;
-    let value = serde_json::to_value(&document)
-        .map_err(|error| PlatformError::Refused(error.to_string()))?;
-    let (current, version) = load(shared).await?;
-    if current.change_id == Some(change_id) {
-        // An earlier attempt of this change won and its answer was lost.
-        return Ok(Ok(current.revision));
+/// A route is named by its prefix, which begins with a slash.
+fn resource_name(kind: ResourceKind, name: &str) -> std::sync::Arc<str> {
+    match kind {
+        ResourceKind::Route => format!("/{name}").into(),
+        _ => name.into(),
     }
-    let conflict =
-        |current: &Document| ConflictBody { stated_revision, current_revision: current.revision };
-    if current.revision != stated_revision {
-        return Ok(Err(conflict(&current)));
+}
+
+async fn whole(
+    shared: &Shared,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Failure> {
+    let change_id = change_id(&request)?;
+    match *request.method() {
+        Method::GET => Ok(http_server::json(StatusCode::OK, &load(shared).await?.0)),
+        Method::PUT => {
+            let text = read_text(request).await?;
+            let document = findings::check_input::<Document>(REQUEST_BODY, &text)?;
+            let stated_revision = document.revision;
+            let edit = Edit::Replace(Box::new(document));
+            apply(shared, Change { change_id, stated_revision, edit }).await
+        }
+        _ => Ok(method_not_allowed()),
     }
-    let written = shared.platform.put(KIND_CONFIGURATION, NAME_CURRENT, value, version).await;
-    match written {
-        Ok(_) => Ok(Ok(document.revision)),
-        Err(PlatformError::Refused(reason)) => Err(PlatformError::Refused(reason)),
-        Err(_) => {
-            let (current, _) = load(shared).await?;
-            match current.change_id == Some(change_id) {
-                true => Ok(Ok(current.revision)),
-                false => Ok(Err(conflict(&current))),
+}
+
+async fn resource(
+    shared: &Shared,
+    kind: ResourceKind,
+    id: Option<ResourceId>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Failure> {
+    let change_id = change_id(&request)?;
+    let stated = stated_revision(&request)?;
+    let edit = match (request.method().clone(), id) {
+        (Method::GET, None) => {
+            let (document, _) = load(shared).await?;
+            let resources = document.resources().into_iter();
+            let resources = resources.filter(|(id, _)| id.kind == kind).map(|(_, value)| value);
+            let list = ResourceList { revision: document.revision, resources: resources.collect() };
+            return Ok(http_server::json(StatusCode::OK, &list));
+        }
+        (Method::GET, Some(id)) => {
+            let (document, _) = load(shared).await?;
+            let Some(resource) = document.resources().remove(&id) else {
+                return Err(ChangeError::Missing { resource: id }.into());
+            };
+            let read = ResourceRead { revision: document.revision, resource };
+            return Ok(http_server::json(StatusCode::OK, &read));
+        }
+        (Method::POST, None) => Edit::Create(kind, kind.check(&read_text(request).await?)?),
+        (Method::PUT, Some(id)) => {
+            let resource = kind.check(&read_text(request).await?)?;
+            if resource.get(kind.id_field()).and_then(Value::as_str) != Some(&*id.name) {
+                let mut collector = Collector::new(REQUEST_BODY);
+                let place = format!("/{}", kind.id_field());
+                collector.add(place, format!("\"{}\", as in the path", id.name), "another name");
+                return Err(collector.into_findings().into());
+            }
+            Edit::Change(id, resource)
+        }
+        (Method::DELETE, Some(id)) => Edit::Withdraw(id),
+        _ => return Ok(method_not_allowed()),
+    };
+    let stated_revision = match stated {
+        Some(revision) => revision,
+        None => load(shared).await?.0.revision,
+    };
+    apply(shared, Change { change_id, stated_revision, edit }).await
+}
+
+/// Writes a change; repeats it while other writers are ahead and it conflicts with none of them.
+async fn apply(shared: &Shared, change: Change) -> Result<Response<Full<Bytes>>, Failure> {
+    let mut last_error = PlatformError::NoAnswer("other writers were ahead".to_owned());
+    for _ in 0..MAX_ATTEMPTS {
+        let (current, version) = load(shared).await?;
+        let document = match decide(&current, &change, &shared.key_hasher)? {
+            Decision::Applied(revision) => {
+                return Ok(http_server::json(StatusCode::OK, &ApplyResult { revision }));
             }
+            Decision::Write(document) => document,
+        };
+        let value = serde_json::to_value(&document)
+            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+        match shared.platform.put(KIND_CONFIGURATION, NAME_CURRENT, value, version).await {
+            Ok(_) => {
+                let revision = document.revision;
+                log::info!("change {} made revision {revision}", change.change_id);
+                return Ok(http_server::json(StatusCode::OK, &ApplyResult { revision }));
+            }
+            Err(PlatformError::Refused(reason)) => {
+                return Err(PlatformError::Refused(reason).into());
+            }
+            // After a lost answer, the next read shows by the change id whether the write won.
+            Err(error) => last_error = error,
         }
+        let delay_ms = rand::random_range(0..=MAX_ATTEMPT_DELAY_MS);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
+    Err(last_error.into())
+}
+
+fn change_id(request: &Request<Incoming>) -> Result<Uuid, Findings> {
+    let Some(text) = query(request, "change-id") else {
+        return Ok(Uuid::now_v7());
+    };
+    Uuid::parse_str(text).map_err(|_| query_finding("change-id", "a UUID"))
+}
+
+fn stated_revision(request: &Request<Incoming>) -> Result<Option<Revision>, Findings> {
+    let text = query(request, "revision");
+    let revision = text.map(|text| text.parse::<Revision>()).transpose();
+    revision.map_err(|_| query_finding("revision", "a whole number"))
+}
+
+fn query_finding(name: &str, expected: &str) -> Findings {
+    let mut collector = Collector::new("request query");
+    collector.add(format!("/{name}"), expected, "other text");
+    collector.into_findings()
+}
+
+fn query<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    let mut pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+async fn read_text(request: Request<Incoming>) -> Result<String, Failure> {
+    let body = Limited::new(request.into_body(), MAX_VALUE_BYTES).collect().await;
+    let body = body.map_err(|_| Failure::TooLarge)?.to_bytes();
+    Ok(String::from_utf8_lossy(&body).into_owned())
 }
 
 async fn load(shared: &Shared) -> Result<(Document, ObjectVersion), PlatformError> {
@@ -100,10 +232,34 @@
         return Ok((Document::default(), 0));
     };
     let document = serde_json::from_value(object.value.unwrap_or_default())
-        .map_err(|error| PlatformError::Refused(format!("unreadable document: {error}")))?;
+        // The library's message may repeat a value.
+        .map_err(|_| PlatformError::Refused("the accepted document is unreadable".to_owned()))?;
     Ok((document, object.version))
 }
 
-fn failure(error: &PlatformError) -> Response<Full<Bytes>> {
-    http_server::text(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+fn method_not_allowed() -> Response<Full<Bytes>> {
+    http_server::text(StatusCode::METHOD_NOT_ALLOWED, "the path does not take this method")
+}
+
+fn finish(result: Result<Response<Full<Bytes>>, Failure>) -> Response<Full<Bytes>> {
+    let failure = match result {
+        Ok(response) => return response,
+        Err(failure) => failure,
+    };
+    match failure {
+        Failure::Refused(error) => {
+            let status = match &error {
+                ChangeError::Conflict { .. } | ChangeError::Exists { .. } => StatusCode::CONFLICT,
+                ChangeError::Missing { .. } => StatusCode::NOT_FOUND,
+                ChangeError::Invalid(_) => StatusCode::BAD_REQUEST,
+            };
+            http_server::json(status, &error)
+        }
+        Failure::TooLarge => {
+            http_server::text(StatusCode::PAYLOAD_TOO_LARGE, "the document is too large")
+        }
+        Failure::Platform(error) => {
+            http_server::text(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+        }
+    }
 }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod state;
+mod status;
 
 use std::sync::Arc;
 
@@ -12,8 +13,9 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-pub use configuration::{ApplyResult, ConflictBody};
-pub use state::{STATE_FORMAT, StateDump};
+pub use configuration::{ApplyResult, ResourceList, ResourceRead};
+pub use state::{NodeStatus, STATE_FORMAT, StateDump};
+pub use status::{FleetStatus, RowStatus};
 
 use crate::{http_server, node::Shared};
 
@@ -27,11 +29,15 @@
         (&Method::GET, "/healthz") => http_server::text(StatusCode::OK, "ok"),
         (&Method::GET, "/metrics") => http_server::text(StatusCode::OK, &shared.metrics.render()),
         (&Method::GET, "/state") => http_server::json(StatusCode::OK, &StateDump::of(&shared)),
+        (&Method::GET, "/v1/status") => {
+            http_server::json(StatusCode::OK, &status::collect(&shared).await)
+        }
         (&Method::GET, "/v1/nodes") => {
             http_server::json(StatusCode::OK, &*shared.view.load().table)
         }
-        (&Method::GET, "/v1/configuration") => configuration::read(&shared).await,
-        (&Method::PUT, "/v1/configuration") => configuration::apply(&shared, request).await,
-        _ => http_server::text(StatusCode::NOT_FOUND, "no such path"),
+        _ => match configuration::answer(&shared, request).await {
+            Some(response) => response,
+            None => http_server::text(StatusCode::NOT_FOUND, "no such path"),
+        },
     }
 }
--- a/src/bin/hibiscusctl.rs
+++ b/src/bin/hibiscusctl.rs
@@ -2,26 +2,27 @@
 
 use std::process::ExitCode;
 
-use hibiscusdoor::{control, findings::Findings};
+use hibiscusdoor::{
+    control::{self, UsageError},
+    findings::Findings,
+};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let mut arguments = pico_args::Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        print!("{}", control::USAGE);
-        return ExitCode::SUCCESS;
-    }
-    match control::run(arguments).await {
+    match control::run(pico_args::Arguments::from_env()).await {
         Ok(text) => {
-            println!("{text}");
+            println!("{}", text.trim_end());
             ExitCode::SUCCESS
         }
         Err(error) => {
             eprintln!("{error:#}");
-            match error.is::<Findings>() || error.is::<pico_args::Error>() {
+            let is_wrong_input = error.is::<Findings>()
+                || error.is::<UsageError>()
+                || error.is::<pico_args::Error>();
+            match is_wrong_input {
                 true => ExitCode::from(EXIT_USAGE),
                 false => ExitCode::from(EXIT_FAILED),
             }
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -5,10 +5,9 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use uuid::Uuid;
 
 use crate::{
-    config::KeyHasher,
+    config::{KeyHasher, RecentChange},
     findings::{Collector, Findings, Input},
     names::{ClassName, KeyId, OrganisationName, Revision, ServiceName},
 };
@@ -20,8 +19,9 @@
     /// Rises by one with every accepted change; set by the administration API.
     #[schemars(extend("x-unit" = "changes"))]
     pub revision: Revision,
-    /// Id of the change that made this revision, so that a writer can tell whether it won.
-    pub change_id: Option<Uuid>,
+    /// The last changes, by which a writer whose answer was lost finds out whether it won; set by
+    /// the administration API.
+    pub recent_changes: Vec<RecentChange>,
     /// Organisations with their rates.
     pub organisations: Vec<Organisation>,
     /// Keys that callers present.
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -10,34 +10,98 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use serde::de::DeserializeOwned;
+use uuid::Uuid;
+
+use crate::{admin::ApplyResult, config::ChangeError, names::Revision};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Attempts of one change; with the delays they last about 12 s beside the calls themselves.
+const MAX_ATTEMPTS: u32 = 8;
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(3);
 
-/// Client of one node's operators' listener.
+/// Client of the operators' listeners of one or more nodes.
 #[derive(Debug)]
 pub struct AdminClient {
     client: Client<HttpConnector, Full<Bytes>>,
-    address: SocketAddr,
+    addresses: Vec<SocketAddr>,
 }
 
 impl AdminClient {
-    /// Makes a client for a node.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { client: Client::builder(TokioExecutor::new()).build_http(), address }
+    /// Makes a client that goes to the first of `addresses`, and to the others in failures.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self { client: Client::builder(TokioExecutor::new()).build_http(), addresses }
+    }
+
+    /// Reads a JSON document, from the first node that answers.
+    pub async fn read<T: DeserializeOwned>(&self, path: &str) -> anyhow::Result<T> {
+        let mut last_error = anyhow::anyhow!("no node was named");
+        for address in &self.addresses {
+            match self.call(*address, Method::GET, path, Bytes::new()).await {
+                Ok((StatusCode::OK, body)) => {
+                    return serde_json::from_slice(&body)
+                        .with_context(|| format!("the answer of {address} is unreadable"));
+                }
+                Ok((status, body)) => last_error = failure(status, &body),
+                Err(error) => last_error = error,
+            }
+        }
+        Err(last_error)
     }
 
-    /// Calls the administration API.
-    pub async fn call(
+    /// Makes a change, and repeats it with the same change id while its answer is lost.
+    pub async fn change(
         &self,
         method: Method,
         path: &str,
+        revision: Option<Revision>,
         body: impl Into<Bytes>,
+    ) -> anyhow::Result<Revision> {
+        let body = body.into();
+        let change_id = Uuid::now_v7();
+        let mut path = format!("{path}?change-id={change_id}");
+        if let Some(revision) = revision {
+            path.push_str(&format!("&revision={revision}"));
+        }
+        let mut delay = FIRST_RETRY_DELAY;
+        let mut attempt = 0;
+        loop {
+            let address = self.addresses[attempt % self.addresses.len()];
+            attempt += 1;
+            let error = match self.call(address, method.clone(), &path, body.clone()).await {
+                Ok((StatusCode::OK, body)) => {
+                    return Ok(serde_json::from_slice::<ApplyResult>(&body)?.revision);
+                }
+                Ok((status, body)) if !status.is_server_error() => {
+                    return Err(failure(status, &body));
+                }
+                Ok((status, body)) => failure(status, &body),
+                Err(error) => error,
+            };
+            if attempt >= MAX_ATTEMPTS as usize {
+                return Err(error.context(format!(
+                    "change {change_id} is not confirmed after {attempt} attempts; it may have \
+                     taken effect"
+                )));
+            }
+            tokio::time::sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
+        }
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
     ) -> anyhow::Result<(StatusCode, Bytes)> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.address))
+            .uri(format!("http://{address}{path}"))
             .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body.into()))?;
+            .body(Full::new(body))?;
         let exchange = async {
             let response = self.client.request(request).await?;
             let status = response.status();
@@ -46,7 +110,18 @@
         };
         tokio::time::timeout(TIMEOUT, exchange)
             .await
-            .with_context(|| format!("no answer from {} within {TIMEOUT:?}", self.address))?
-            .with_context(|| format!("calling the node at {}", self.address))
+            .with_context(|| format!("no answer from {address} within {TIMEOUT:?}"))?
+            .with_context(|| format!("calling the node at {address}"))
+    }
+}
+
+/// What a refused request means.
+fn failure(status: StatusCode, body: &[u8]) -> anyhow::Error {
+    match serde_json::from_slice::<ChangeError>(body) {
+        Ok(ChangeError::Invalid(findings)) => findings.into(),
+        Ok(error) => error.into(),
+        Err(_) => {
+            anyhow::anyhow!("the node answered {status}: {}", String::from_utf8_lossy(body).trim())
+        }
     }
 }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,43 +1,28 @@
 //! Parsing and running the commands.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+};
 
-use anyhow::{Context as _, bail};
-use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::Method;
+use pico_args::Arguments;
+use serde_json::Value;
 
 use crate::{
-    admin::{ApplyResult, ConflictBody},
-    config::Document,
-    control::client::AdminClient,
+    config::{Document, ResourceKind},
+    control::{client::AdminClient, fleet, help, resource},
     findings,
     settings::RawSettings,
 };
 
-/// Help text.
-pub const USAGE: &str = "\
-hibiscusctl: administers a fleet of hibiscusd nodes
-
-Usage: hibiscusctl [--node ADDRESS] COMMAND
-
-Commands:
-  get                 print the accepted configuration
-  apply FILE          replace the configuration by FILE
-  check FILE          check a configuration file
-  nodes               print the membership table
-  state               print the state dump of the node
-
-Options:
-  --node ADDRESS      operators' address of a node [default: 127.0.0.1:7003]
-  -h, --help          print this help
-
-Exit codes: 0 done, 1 failed, 2 wrong usage or input.
-";
+const DEFAULT_NODE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7003);
 
 const SETTINGS_PAGE: &str = "\
-The settings file of `hibiscusd`, in JSON; sample/settings.json is an example. A node reads it once,
-at the start. `hibiscusd --settings FILE --check` checks a file, and the configuration file that it
-names, without starting a node.
+The settings file of `hibiscusd`, in JSON; sample/settings.json is an example for one node with an
+embedded store, sample/settings-fleet.json for a node of a fleet. A node reads it once, at the
+start. `hibiscusd --settings FILE --check` checks a file, and the configuration file that it names,
+without starting a node.
 
 This page is made by `hibiscusctl reference settings > docs/settings.md`; a test compares it with
 the program.";
@@ -53,80 +38,140 @@
 This page is made by `hibiscusctl reference configuration > docs/configuration.md`; a test compares
 it with the program.";
 
-const DEFAULT_NODE: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7003);
+/// The command line does not say what is to be done.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}; see --help")]
+pub struct UsageError(pub String);
+
+/// What every command is given.
+#[derive(Debug)]
+pub struct Session {
+    /// Client of the nodes.
+    pub client: AdminClient,
+    /// Print JSON.
+    pub json: bool,
+}
 
 /// Runs the command of the arguments and returns what it prints.
-pub async fn run(mut arguments: pico_args::Arguments) -> anyhow::Result<String> {
-    let node = arguments.opt_value_from_str("--node")?.unwrap_or(DEFAULT_NODE);
-    let client = AdminClient::new(node);
-    let command = arguments.subcommand()?.context("no command was given; see --help")?;
-    let file: Option<PathBuf> = match command.as_str() {
-        "apply" | "check" | "reference" => {
-            Some(arguments.free_from_str().context("a file must be named")?)
-        }
-        _ => None,
-    };
-    let rest = arguments.finish();
-    if !rest.is_empty() {
-        bail!("unexpected arguments: {rest:?}");
+pub async fn run(mut arguments: Arguments) -> anyhow::Result<String> {
+    let wants_help = arguments.contains(["-h", "--help"]);
+    let json = arguments.contains("--json");
+    let mut nodes: Vec<SocketAddr> = arguments.values_from_str("--node")?;
+    if nodes.is_empty() {
+        nodes.push(DEFAULT_NODE);
+    }
+    let command = arguments.subcommand()?;
+    if wants_help {
+        let text = match &command {
+            None => Some(help::USAGE),
+            Some(command) => help::of(command),
+        };
+        return text.map(str::to_owned).ok_or_else(|| unknown(command.as_deref()));
     }
-    match (command.as_str(), file) {
-        ("get", None) => read(&client, "/v1/configuration").await,
-        ("nodes", None) => read(&client, "/v1/nodes").await,
-        ("state", None) => read(&client, "/state").await,
-        ("check", Some(file)) => {
+    let session = Session { client: AdminClient::new(nodes), json };
+    let command = command.ok_or_else(|| UsageError("no command was given".to_owned()))?;
+    let kind = ResourceKind::ALL.into_iter().find(|kind| kind.singular() == command);
+    if let Some(kind) = kind {
+        return resource::run(&session, kind, arguments).await;
+    }
+    match command.as_str() {
+        "get" => {
+            finish(arguments)?;
+            read_json(&session, "/v1/configuration").await
+        }
+        "state" => {
+            finish(arguments)?;
+            read_json(&session, "/state").await
+        }
+        "status" => {
+            finish(arguments)?;
+            fleet::status(&session).await
+        }
+        "nodes" => {
+            finish(arguments)?;
+            fleet::nodes(&session).await
+        }
+        "upstreams" => {
+            finish(arguments)?;
+            fleet::upstreams(&session).await
+        }
+        "check" => {
+            let file = free(&mut arguments, "FILE")?;
+            finish(arguments)?;
             check(&file)?;
-            Ok(format!("{}: no findings", file.display()))
+            Ok(format!("{file}: no findings"))
         }
-        ("reference", Some(name)) => reference(&name),
-        ("apply", Some(file)) => apply(&client, &file).await,
-        (command, _) => bail!("unknown command {command}; see --help"),
+        "reference" => {
+            let name = free(&mut arguments, "settings or configuration")?;
+            finish(arguments)?;
+            reference(&name)
+        }
+        "apply" => apply(&session, arguments).await,
+        _ => Err(unknown(Some(&command))),
     }
 }
 
-async fn read(client: &AdminClient, path: &str) -> anyhow::Result<String> {
-    let (status, body) = client.call(Method::GET, path, Bytes::new()).await?;
-    if status != StatusCode::OK {
-        bail!("the node answered {status}: {}", String::from_utf8_lossy(&body));
+/// Takes the next free argument.
+pub fn free(arguments: &mut Arguments, what: &str) -> anyhow::Result<String> {
+    let value = arguments.opt_free_from_str::<String>()?;
+    Ok(value.ok_or_else(|| UsageError(format!("expected {what}, found nothing")))?)
+}
+
+/// Refuses arguments that no command took.
+pub fn finish(arguments: Arguments) -> anyhow::Result<()> {
+    let rest = arguments.finish();
+    if rest.is_empty() {
+        return Ok(());
     }
-    let value: serde_json::Value = serde_json::from_slice(&body)?;
+    let rest: Vec<_> = rest.iter().map(|argument| argument.to_string_lossy()).collect();
+    Err(UsageError(format!("unexpected arguments: {}", rest.join(" "))).into())
+}
+
+fn unknown(command: Option<&str>) -> anyhow::Error {
+    UsageError(format!("unknown command {}", command.unwrap_or_default())).into()
+}
+
+async fn read_json(session: &Session, path: &str) -> anyhow::Result<String> {
+    let value: Value = session.client.read(path).await?;
     Ok(serde_json::to_string_pretty(&value)?)
 }
 
 /// Prints the page that describes the fields of a file.
-fn reference(name: &std::path::Path) -> anyhow::Result<String> {
-    match name.to_str() {
-        Some("settings") => Ok(findings::reference::<RawSettings>("Settings", SETTINGS_PAGE)),
-        Some("configuration") => {
-            Ok(findings::reference::<Document>("Configuration", CONFIGURATION_PAGE))
+fn reference(name: &str) -> anyhow::Result<String> {
+    let page = match name {
+        "settings" => findings::reference::<RawSettings>("Settings", SETTINGS_PAGE),
+        "configuration" => findings::reference::<Document>("Configuration", CONFIGURATION_PAGE),
+        _ => {
+            let message = format!("expected settings or configuration, found {name}");
+            return Err(UsageError(message).into());
         }
-        _ => bail!("expected settings or configuration, found {}", name.display()),
-    }
+    };
+    Ok(page.trim_end().to_owned())
 }
 
-fn check(file: &std::path::Path) -> anyhow::Result<Document> {
-    Ok(findings::check_file::<Document>(file)?)
+fn check(file: &str) -> anyhow::Result<Document> {
+    Ok(findings::check_input_file::<Document>(Path::new(file))?)
 }
 
-async fn apply(client: &AdminClient, file: &std::path::Path) -> anyhow::Result<String> {
-    let document = check(file)?;
+async fn apply(session: &Session, mut arguments: Arguments) -> anyhow::Result<String> {
+    let wait = arguments.contains("--wait");
+    let timeout_s = arguments.opt_value_from_str("--timeout-s")?;
+    let file = free(&mut arguments, "FILE")?;
+    finish(arguments)?;
+    let document = check(&file)?;
     let body = serde_json::to_vec(&document)?;
-    let (status, body) = client.call(Method::PUT, "/v1/configuration", body).await?;
-    match status {
-        StatusCode::OK => {
-            let result: ApplyResult = serde_json::from_slice(&body)?;
-            Ok(format!("revision {} is accepted", result.revision))
-        }
-        StatusCode::CONFLICT => {
-            let conflict: ConflictBody = serde_json::from_slice(&body)?;
-            bail!(
-                "conflict: {} starts from revision {}, but revision {} is accepted",
-                file.display(),
-                conflict.stated_revision,
-                conflict.current_revision,
-            )
-        }
-        _ => bail!("the node answered {status}: {}", String::from_utf8_lossy(&body)),
+    let changed = session.client.change(Method::PUT, "/v1/configuration", None, body).await;
+    let revision = changed.map_err(|error| error.context(file))?;
+    if wait {
+        return fleet::wait_for_revision(session, revision, timeout_s).await;
+    }
+    Ok(accepted(session, revision))
+}
+
+/// Says which revision a change made.
+pub fn accepted(session: &Session, revision: u64) -> String {
+    match session.json {
+        true => serde_json::json!({ "revision": revision }).to_string(),
+        false => format!("revision {revision} is accepted"),
     }
 }
--- /dev/null
+++ b/src/control/fleet.rs
@@ -0,0 +1,244 @@
+//! Commands that show the fleet.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+    time::{Duration, Instant},
+};
+
+use anyhow::bail;
+
+use crate::{
+    admin::{FleetStatus, NodeStatus, RowStatus},
+    config::{Document, Importance},
+    control::{
+        command::{Session, accepted},
+        table::Table,
+    },
+    names::Revision,
+};
+
+const STATUS_PATH: &str = "/v1/status";
+const DEFAULT_WAIT_S: u64 = 30;
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Counts of the requests of one kind.
+#[derive(Debug, Default)]
+struct Served {
+    whole: u64,
+    unknown: u64,
+    refused: BTreeMap<String, u64>,
+}
+
+impl Served {
+    fn total(&self) -> u64 {
+        self.whole + self.unknown + self.refused.values().sum::<u64>()
+    }
+
+    fn cells(&self) -> [String; 4] {
+        let total = self.total();
+        let refused: u64 = self.refused.values().sum();
+        let mut reasons: Vec<(&String, &u64)> = self.refused.iter().collect();
+        reasons.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+        let reasons: Vec<String> =
+            reasons.iter().map(|(reason, count)| format!("{reason} {count}")).collect();
+        let whole = match total {
+            0 => "–".to_owned(),
+            _ => format!("{:.2}%", 100.0 * self.whole as f64 / total as f64),
+        };
+        let refused = match reasons.is_empty() {
+            true => "0".to_owned(),
+            false => format!("{refused}: {}", reasons.join(", ")),
+        };
+        [total.to_string(), whole, self.unknown.to_string(), refused]
+    }
+}
+
+/// Shows who is served how well, what is refused and why.
+pub async fn status(session: &Session) -> anyhow::Result<String> {
+    let fleet: FleetStatus = session.client.read(STATUS_PATH).await?;
+    if session.json {
+        return Ok(serde_json::to_string_pretty(&fleet)?);
+    }
+    let document: Option<Document> = session.client.read("/v1/configuration").await.ok();
+    let mut text = summary(&fleet);
+    let (classes, organisations) = served(&fleet);
+    let mut order: Vec<&String> = classes.keys().collect();
+    order.sort_by_key(|name| std::cmp::Reverse(importance(document.as_ref(), name)));
+    let mut table = Table::new(&["class", "requests", "whole", "unknown", "refused"]);
+    for name in order {
+        table.row(std::iter::once(name.clone()).chain(classes[name].cells()));
+    }
+    let _ = write!(text, "\nClasses, the most important first:\n{table}");
+    let mut table = Table::new(&["organisation", "requests", "whole", "unknown", "refused"]);
+    for (name, served) in &organisations {
+        table.row(std::iter::once(name.clone()).chain(served.cells()));
+    }
+    let _ = write!(text, "\nOrganisations:\n{table}");
+    Ok(text)
+}
+
+fn summary(fleet: &FleetStatus) -> String {
+    let count =
+        |test: &dyn Fn(&RowStatus) -> bool| fleet.nodes.iter().filter(|it| test(it)).count();
+    let status = |test: fn(&NodeStatus) -> bool| {
+        move |row: &RowStatus| row.status.as_ref().is_some_and(test)
+    };
+    let answered = count(&|row| row.status.is_some());
+    let serving = count(&status(|it| it.upstream.is_some()));
+    let rights = count(&status(|it| it.keys_right_left_ms > 0));
+    let zones: BTreeSet<&str> = fleet.nodes.iter().map(|row| &*row.zone).collect();
+    let revisions: BTreeSet<Revision> =
+        fleet.nodes.iter().filter_map(|row| Some(row.status.as_ref()?.revision)).collect();
+    let revisions: Vec<String> = revisions.iter().map(Revision::to_string).collect();
+    let mut text = format!(
+        "{} nodes in {} availability zones: {answered} answer, {serving} have an upstream, \
+         {rights} accept keys\ntable version {}, revision in force {}\n",
+        fleet.nodes.len(),
+        zones.len(),
+        fleet.table_version,
+        revisions.join(" and "),
+    );
+    for row in &fleet.nodes {
+        if let Some(error) = &row.error {
+            let _ = writeln!(text, "{} in {}: {error}", row.instance, row.zone);
+        }
+    }
+    text
+}
+
+fn served(fleet: &FleetStatus) -> (BTreeMap<String, Served>, BTreeMap<String, Served>) {
+    let (mut classes, mut organisations) = (BTreeMap::new(), BTreeMap::new());
+    let counts = fleet.nodes.iter().filter_map(|row| row.status.as_ref());
+    for count in counts.flat_map(|status| &status.requests) {
+        for served in [
+            classes.entry(count.class.to_string()).or_insert_with(Served::default),
+            organisations.entry(count.organisation.to_string()).or_insert_with(Served::default),
+        ] {
+            match count.outcome.as_str() {
+                "whole" => served.whole += count.count,
+                "unknown" => served.unknown += count.count,
+                _ => *served.refused.entry(count.reason.clone()).or_default() += count.count,
+            }
+        }
+    }
+    (classes, organisations)
+}
+
+fn importance(document: Option<&Document>, class: &str) -> Option<Importance> {
+    let class = document?.classes.iter().find(|it| &*it.name == class)?;
+    Some(Importance::of(&class.target))
+}
+
+/// Shows the nodes, their revisions and rights.
+pub async fn nodes(session: &Session) -> anyhow::Result<String> {
+    let fleet: FleetStatus = session.client.read(STATUS_PATH).await?;
+    if session.json {
+        return Ok(serde_json::to_string_pretty(&fleet.nodes)?);
+    }
+    let columns =
+        ["instance", "zone", "state", "table", "revision", "row right", "keys", "running"];
+    let mut table = Table::new(&columns);
+    for row in &fleet.nodes {
+        let mut cells = vec![row.instance.to_string(), row.zone.to_string()];
+        match (&row.status, &row.error) {
+            (Some(status), _) => cells.extend([
+                if status.draining { "draining" } else { "serving" }.to_owned(),
+                status.table_version.to_string(),
+                status.revision.to_string(),
+                right(status.row_right_left_ms),
+                right(status.keys_right_left_ms),
+                status.running.to_string(),
+            ]),
+            (None, error) => cells.push(error.clone().unwrap_or_default()),
+        }
+        table.row(cells);
+    }
+    Ok(table.to_string())
+}
+
+fn right(left_ms: u64) -> String {
+    match left_ms {
+        0 => "no".to_owned(),
+        _ => "yes".to_owned(),
+    }
+}
+
+/// Shows the upstreams, their load and limits.
+pub async fn upstreams(session: &Session) -> anyhow::Result<String> {
+    let fleet: FleetStatus = session.client.read(STATUS_PATH).await?;
+    let serving = fleet.nodes.into_iter().filter(|row| row.service.is_some());
+    let mut rows: Vec<RowStatus> = serving.collect();
+    rows.sort_by(|a, b| (&a.service, &a.instance).cmp(&(&b.service, &b.instance)));
+    if session.json {
+        return Ok(serde_json::to_string_pretty(&rows)?);
+    }
+    let columns =
+        ["service", "instance", "zone", "address", "slots", "running", "reported", "queued"];
+    let mut table = Table::new(&columns);
+    for row in &rows {
+        let service = row.service.as_deref().unwrap_or_default().to_owned();
+        let mut cells = vec![service, row.instance.to_string(), row.zone.to_string()];
+        match row.status.as_ref().map(|status| (status, &status.upstream)) {
+            Some((status, Some(upstream))) => {
+                let report = status.upstream_report;
+                let number =
+                    |value: Option<u32>| value.map_or("–".to_owned(), |it| it.to_string());
+                cells.extend([
+                    upstream.address.to_string(),
+                    upstream.slots.to_string(),
+                    status.running.to_string(),
+                    number(report.map(|report| report.in_flight)),
+                    number(report.map(|report| report.queued)),
+                ]);
+            }
+            Some((_, None)) => cells.push("not announced or draining".to_owned()),
+            None => cells.push(row.error.clone().unwrap_or_default()),
+        }
+        table.row(cells);
+    }
+    Ok(table.to_string())
+}
+
+/// Waits until a revision is in force on every node that accepts keys.
+pub async fn wait_for_revision(
+    session: &Session,
+    revision: Revision,
+    timeout_s: Option<u64>,
+) -> anyhow::Result<String> {
+    let limit = Duration::from_secs(timeout_s.unwrap_or(DEFAULT_WAIT_S));
+    let start = Instant::now();
+    loop {
+        let missing = match session.client.read::<FleetStatus>(STATUS_PATH).await {
+            Ok(fleet) => missing(&fleet, revision),
+            Err(error) => vec![format!("no status of the fleet: {error:#}")],
+        };
+        if missing.is_empty() {
+            let text = accepted(session, revision);
+            return Ok(match session.json {
+                true => text,
+                false => format!("{text} and in force on every node"),
+            });
+        }
+        if start.elapsed() >= limit {
+            bail!(
+                "revision {revision} is accepted, but after {limit:?} it is not in force on: {}",
+                missing.join(", ")
+            );
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Nodes that may accept keys under an older revision.
+fn missing(fleet: &FleetStatus, revision: Revision) -> Vec<String> {
+    let missing = fleet.nodes.iter().filter_map(|row| match (&row.status, &row.error) {
+        // A node without the right accepts no key, whatever its revision is.
+        (Some(status), _) if status.revision >= revision || status.keys_right_left_ms == 0 => None,
+        (Some(status), _) => Some(format!("{} (revision {})", row.instance, status.revision)),
+        (None, error) => {
+            Some(format!("{} ({})", row.instance, error.as_deref().unwrap_or("no answer")))
+        }
+    });
+    missing.collect()
+}
--- /dev/null
+++ b/src/control/help.rs
@@ -0,0 +1,233 @@
+//! Help texts.
+
+/// Help of the tool.
+pub const USAGE: &str = "\
+hibiscusctl: administers a fleet of hibiscusd nodes
+
+Usage: hibiscusctl [--node ADDRESS]... [--json] COMMAND
+
+Resources, each with the verbs list, show, create, change and withdraw:
+  organisation        tenants with rate and burst
+  key                 keys that callers present
+  class               classes of work with their targets
+  service             services that upstreams may announce
+  route               paths, with the service and the class of each
+
+Configuration as a whole:
+  get                 print the accepted configuration
+  apply FILE          replace the configuration by FILE
+  check FILE          check a configuration file
+  reference NAME      print the reference page of \"settings\" or \"configuration\"
+
+Fleet:
+  status              who is served how well, what is refused and why
+  nodes               the nodes, their revisions and rights
+  upstreams           the upstreams, their load and limits
+  state               the state dump of the node
+
+Options:
+  --node ADDRESS      operators' address of a node [default: 127.0.0.1:7003]; may be repeated,
+                      the others are tried when the first does not answer
+  --json              print JSON
+  -h, --help          print this help, or that of COMMAND
+
+Exit codes: 0 done, 1 failed, 2 wrong usage or input.
+";
+
+const ORGANISATION: &str = "\
+hibiscusctl organisation: tenants with rate and burst
+
+Usage:
+  hibiscusctl organisation list
+  hibiscusctl organisation show NAME
+  hibiscusctl organisation create NAME --rate-per-s N --burst N
+  hibiscusctl organisation change NAME [--rate-per-s N] [--burst N] [--revision N]
+  hibiscusctl organisation withdraw NAME [--revision N]
+
+Options:
+  --rate-per-s N      requests a second over the whole fleet
+  --burst N           requests that may come at once over the whole fleet
+  --revision N        fail if the organisation changed after this revision
+                      [default: the revision that the command reads first]
+
+An organisation with keys cannot be withdrawn; withdraw its keys first.
+";
+
+const KEY: &str = "\
+hibiscusctl key: keys that callers present
+
+Usage:
+  hibiscusctl key list
+  hibiscusctl key show ID
+  hibiscusctl key create ID --organisation NAME
+  hibiscusctl key change ID [--organisation NAME] [--new-secret] [--revision N]
+  hibiscusctl key withdraw ID [--revision N]
+
+Options:
+  --organisation NAME organisation that requests with the key run for
+  --new-secret        make another secret; the old one stops within seconds
+  --revision N        fail if the key changed after this revision
+                      [default: the revision that the command reads first]
+
+A new key <id>.<secret> is printed once; the fleet keeps only a keyed hash of it.
+A withdrawn key stops within seconds, on open connections too.
+";
+
+const CLASS: &str = "\
+hibiscusctl class: classes of work with their targets
+
+Usage:
+  hibiscusctl class list
+  hibiscusctl class show NAME
+  hibiscusctl class create NAME --must-get-through FRACTION --answer-within-ms N
+  hibiscusctl class change NAME [--must-get-through FRACTION] [--answer-within-ms N] [--revision N]
+  hibiscusctl class withdraw NAME [--revision N]
+
+Options:
+  --must-get-through FRACTION   fraction of the requests that must get through, 0 to 1
+  --answer-within-ms N          latest useful answer, in milliseconds
+  --revision N                  fail if the class changed after this revision
+                                [default: the revision that the command reads first]
+
+The class with the larger fraction is the more important one, then the one with the shorter
+time; under overload the less important is refused first.
+";
+
+const SERVICE: &str = "\
+hibiscusctl service: services that upstreams may announce
+
+Usage:
+  hibiscusctl service list
+  hibiscusctl service show NAME
+  hibiscusctl service create NAME
+  hibiscusctl service withdraw NAME [--revision N]
+
+Options:
+  --revision N        fail if the service changed after this revision
+                      [default: the revision that the command reads first]
+";
+
+const ROUTE: &str = "\
+hibiscusctl route: paths, with the service and the class of each
+
+Usage:
+  hibiscusctl route list
+  hibiscusctl route show PREFIX
+  hibiscusctl route create PREFIX --service NAME --class NAME [--open BOOL]
+                           [--idempotency KIND]
+  hibiscusctl route change PREFIX [--service NAME] [--class NAME] [--open BOOL]
+                           [--idempotency KIND] [--revision N]
+  hibiscusctl route withdraw PREFIX [--revision N]
+
+Options:
+  --service NAME      service that answers
+  --class NAME        class of the requests
+  --open BOOL         true: no key is needed and no rate is charged [default: false]
+  --idempotency KIND  which requests may run more than once: by_method, always or never
+                      [default: by_method]
+  --revision N        fail if the route changed after this revision
+                      [default: the revision that the command reads first]
+
+The longest prefix that matches a path wins.
+";
+
+const GET: &str = "\
+hibiscusctl get: prints the accepted configuration
+
+Usage: hibiscusctl get
+
+The output is a file for `apply`: its revision is the one that an edit starts from, and keys
+stand in it with their hashes.
+";
+
+const APPLY: &str = "\
+hibiscusctl apply: replaces the configuration by a file
+
+Usage: hibiscusctl apply FILE [--wait] [--timeout-s N]
+
+Options:
+  --wait              return when the revision is in force on every node, and name the nodes
+                      that are missing while it is not
+  --timeout-s N       longest wait, in seconds [default: 30]
+
+The file's revision must be the accepted one; otherwise another edit came first, and the conflict
+names both revisions and what changed. Print the accepted configuration with `get`.
+";
+
+const CHECK: &str = "\
+hibiscusctl check: checks a configuration file without a node
+
+Usage: hibiscusctl check FILE
+
+All findings are printed, each with the file, the place, what is expected and what was found.
+";
+
+const REFERENCE: &str = "\
+hibiscusctl reference: prints a reference page
+
+Usage: hibiscusctl reference settings|configuration
+";
+
+const STATUS: &str = "\
+hibiscusctl status: who is served how well, what is refused and why
+
+Usage: hibiscusctl [--json] status
+
+Counts are those since each node started.
+";
+
+const NODES: &str = "\
+hibiscusctl nodes: the nodes, their revisions and rights
+
+Usage: hibiscusctl [--json] nodes
+";
+
+const UPSTREAMS: &str = "\
+hibiscusctl upstreams: the upstreams, their load and limits
+
+Usage: hibiscusctl [--json] upstreams
+";
+
+const STATE: &str = "\
+hibiscusctl state: the state dump of the node, in JSON
+
+Usage: hibiscusctl state
+";
+
+/// Commands that have a help text.
+pub const HELP_COMMANDS: [&str; 13] = [
+    "organisation",
+    "key",
+    "class",
+    "service",
+    "route",
+    "get",
+    "apply",
+    "check",
+    "reference",
+    "status",
+    "nodes",
+    "upstreams",
+    "state",
+];
+
+/// Help of a command.
+pub fn of(command: &str) -> Option<&'static str> {
+    let text = match command {
+        "organisation" => ORGANISATION,
+        "key" => KEY,
+        "class" => CLASS,
+        "service" => SERVICE,
+        "route" => ROUTE,
+        "get" => GET,
+        "apply" => APPLY,
+        "check" => CHECK,
+        "reference" => REFERENCE,
+        "status" => STATUS,
+        "nodes" => NODES,
+        "upstreams" => UPSTREAMS,
+        "state" => STATE,
+        _ => return None,
+    };
+    Some(text)
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,5 +2,10 @@
 
 mod client;
 mod command;
+mod fleet;
+mod help;
+mod resource;
+mod table;
 
-pub use command::{USAGE, run};
+pub use command::{UsageError, run};
+pub use help::HELP_COMMANDS;
--- a/src/findings/mod.rs
+++ b/src/findings/mod.rs
@@ -112,16 +112,21 @@
 }
 
 /// Reads `path` and checks its text as [`check_input`] does.
-pub fn check_file<T: Input>(path: &Path) -> Result<T, Findings> {
-    let file = path.display().to_string();
-    match std::fs::read_to_string(path) {
-        Ok(text) => check_input(file, &text),
-        Err(error) => {
-            let mut collector = Collector::new(file);
-            collector.add("/", "a readable file", error);
-            Err(collector.into_findings())
-        }
-    }
+pub fn check_input_file<T: Input>(path: &Path) -> Result<T, Findings> {
+    check_input(path.display().to_string(), &read_text(path)?)
+}
+
+/// Reads `path` and checks its text as [`check`] does.
+pub fn check_file<T: JsonSchema + DeserializeOwned>(path: &Path) -> Result<T, Findings> {
+    check(path.display().to_string(), &read_text(path)?)
+}
+
+fn read_text(path: &Path) -> Result<String, Findings> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let mut collector = Collector::new(path.display().to_string());
+        collector.add("/", "a readable file", error);
+        collector.into_findings()
+    })
 }
 
 /// Parses `text` as JSON, checks it against the schema and the rules of `T`, and reports every
@@ -138,6 +143,11 @@
     check_with(file, text, |_, _| {})
 }
 
+/// Checks a value as [`check_input`] does.
+pub fn check_value<T: Input>(file: impl Into<Arc<str>>, value: Value) -> Result<T, Findings> {
+    check_parsed(Collector::new(file), value, T::check_rules)
+}
+
 fn check_with<T: JsonSchema + DeserializeOwned>(
     file: impl Into<Arc<str>>,
     text: &str,
@@ -152,6 +162,14 @@
             return Err(collector.into_findings());
         }
     };
+    check_parsed(collector, document, check_rules)
+}
+
+fn check_parsed<T: JsonSchema + DeserializeOwned>(
+    mut collector: Collector,
+    document: Value,
+    check_rules: impl Fn(&Value, &mut Collector),
+) -> Result<T, Findings> {
     check_against_schema::<T>(&document, &mut collector);
     check_rules(&document, &mut collector);
     if !collector.findings.is_empty() {
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -101,6 +101,11 @@
     pub fn row_until(&self) -> Timestamp {
         Duration::from_nanos(self.row_until_ns.load(Ordering::Acquire))
     }
+
+    /// Until when the node may accept keys.
+    pub fn keys_until(&self) -> Timestamp {
+        Duration::from_nanos(self.keys_until_ns.load(Ordering::Acquire))
+    }
 }
 
 fn nanoseconds(time: Timestamp) -> u64 {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -183,7 +183,7 @@
 pub fn check_configuration_file(settings: &Settings) -> Result<(), Findings> {
     match &settings.platform {
         PlatformSettings::Embedded { configuration: Some(path) } => {
-            findings::check_file::<Document>(Path::new(&**path)).map(drop)
+            findings::check_input_file::<Document>(Path::new(&**path)).map(drop)
         }
         _ => Ok(()),
     }
@@ -194,8 +194,9 @@
     path: &str,
     settings: &Settings,
 ) -> anyhow::Result<()> {
-    let mut document: Document = findings::check_file(path.as_ref())?;
+    let mut document: Document = findings::check_input_file(path.as_ref())?;
     document.hash_secrets(&crate::config::KeyHasher::new(&settings.fleet_secret));
+    document.sort();
     document.revision = 1;
     let value = serde_json::to_value(&document).context("encoding the configuration")?;
     store.put(KIND_CONFIGURATION, NAME_CURRENT, value, 0).await?;
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    admin::NodeStatus,
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
     node::{Shared, entry::WholeRequest, guard},
@@ -120,6 +121,15 @@
     ) -> Answered<proto::CrashReply> {
         Err(Status::unimplemented("report_crash"))
     }
+
+    async fn pull_status(
+        &self,
+        _request: Request<proto::StatusRequest>,
+    ) -> Answered<proto::StatusReply> {
+        let status = serde_json::to_vec(&NodeStatus::of(&self.shared))
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(proto::StatusReply { status: status.into() }))
+    }
 }
 
 fn reply(outcome: Outcome, request_id: &[u8], unused_retries: u32) -> proto::ForwardReply {
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -260,6 +260,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashReply {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusReply {
+    /// `NodeStatus` in JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub status: ::prost::bytes::Bytes,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -471,6 +479,22 @@
                 .insert(GrpcMethod::new("hibiscusdoor.peers.v1.Peer", "ReportCrash"));
             self.inner.unary(req, path, codec).await
         }
+        /// Returns the asked node's status for operators.
+        pub async fn pull_status(
+            &mut self,
+            request: impl tonic::IntoRequest<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/hibiscusdoor.peers.v1.Peer/PullStatus");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hibiscusdoor.peers.v1.Peer", "PullStatus"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -516,6 +540,11 @@
             &self,
             request: tonic::Request<super::CrashReport>,
         ) -> std::result::Result<tonic::Response<super::CrashReply>, tonic::Status>;
+        /// Returns the asked node's status for operators.
+        async fn pull_status(
+            &self,
+            request: tonic::Request<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -816,6 +845,44 @@
                     };
                     Box::pin(fut)
                 }
+                "/hibiscusdoor.peers.v1.Peer/PullStatus" => {
+                    #[allow(non_camel_case_types)]
+                    struct PullStatusSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::StatusRequest> for PullStatusSvc<T> {
+                        type Response = super::StatusReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::StatusRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Peer>::pull_status(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PullStatusSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -282,7 +282,7 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn from_file(path: &Path) -> Result<Self, Findings> {
-        let raw = findings::check_file::<RawSettings>(path)?;
+        let raw = findings::check_input_file::<RawSettings>(path)?;
         Self::from_raw(path.display().to_string(), raw)
     }
 
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,4 +4,4 @@
 mod metrics;
 
 pub use logging::{OWN_MODULES, start_logging};
-pub use metrics::Metrics;
+pub use metrics::{Metrics, RequestCount, RequestOrigin};
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -89,10 +89,12 @@
 /// Guards against samples that a newcomer copies and that do not work.
 #[test]
 fn samples_have_no_findings() {
-    findings::check_file::<RawSettings>(Path::new("sample/settings.json")).expect("no findings");
-    findings::check_file::<RawSettings>(Path::new("sample/settings-fleet.json"))
+    findings::check_input_file::<RawSettings>(Path::new("sample/settings.json"))
+        .expect("no findings");
+    findings::check_input_file::<RawSettings>(Path::new("sample/settings-fleet.json"))
+        .expect("no findings");
+    findings::check_input_file::<Document>(Path::new("sample/configuration.json"))
         .expect("no findings");
-    findings::check_file::<Document>(Path::new("sample/configuration.json")).expect("no findings");
 }
 
 /// Guards against reference pages that describe other fields than the program reads.
