--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,17 +5,22 @@
 //! `docs/design.md` for how the nodes act together.
 
 pub mod admin;
+pub mod admission;
 pub mod call;
 pub mod clock;
 pub mod config;
 pub mod control;
 pub mod findings;
 pub mod http_server;
+pub mod load;
 pub mod membership;
 pub mod names;
 pub mod node;
 pub mod peers;
 pub mod platform;
+pub mod rate;
+pub mod retry;
+pub mod routing;
 pub mod scenario;
 pub mod settings;
 pub mod standin;
