--- a/src/load/plan.rs
+++ b/src/load/plan.rs
@@ -5,8 +5,9 @@
 use http::Method;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
-use crate::findings::{self, Collector, Findings};
+use crate::findings::{self, Collector, Input};
 
 const DEFAULT_MAX_IN_FLIGHT: usize = 4000;
 const DEFAULT_TIMEOUT_MS: u64 = 5000;
@@ -142,52 +143,58 @@
     pub retry: RetryPolicy,
 }
 
-impl Plan {
-    /// Reads and checks a plan.
-    pub fn from_file(path: &Path) -> Result<Self, Findings> {
-        let raw = findings::check_file::<RawPlan>(path)?;
-        Self::from_raw(path.display().to_string(), raw)
-    }
-
-    /// Checks what the schema cannot express.
-    pub fn from_raw(file: impl Into<Arc<str>>, raw: RawPlan) -> Result<Self, Findings> {
-        let mut collector = Collector::new(file);
-        let mut nodes = Vec::new();
-        for (index, text) in raw.nodes.iter().enumerate() {
-            match text.parse() {
-                Ok(address) => nodes.push(address),
-                Err(_) => {
-                    collector.add(format!("/nodes/{index}"), "an IP address and a port", text);
-                }
+impl Input for RawPlan {
+    fn check_rules(value: &Value, collector: &mut Collector) {
+        let nodes = value.pointer("/nodes").and_then(Value::as_array);
+        for (index, node) in nodes.into_iter().flatten().enumerate() {
+            let text = node.as_str().unwrap_or_default();
+            if text.parse::<SocketAddr>().is_err() {
+                collector.add(format!("/nodes/{index}"), "an IP address and a port", text);
             }
         }
-        let mut streams = Vec::new();
-        for (index, stream) in raw.streams.into_iter().enumerate() {
-            match Method::from_bytes(stream.method.as_bytes()) {
-                Ok(method) => streams.push(Stream {
-                    name: stream.name,
-                    method,
-                    path: stream.path,
-                    key: stream.key,
-                    rate_per_s: stream.rate_per_s,
-                    body_bytes: stream.body_bytes.max(MIN_BODY_BYTES),
-                    timeout: Duration::from_millis(stream.timeout_ms),
-                    idempotency_key: stream.idempotency_key,
-                    echo: stream.echo,
-                    retry: stream.retry,
-                }),
-                Err(_) => {
-                    let place = format!("/streams/{index}/method");
-                    collector.add(place, "an HTTP method", stream.method);
-                }
+        let streams = value.pointer("/streams").and_then(Value::as_array);
+        for (index, stream) in streams.into_iter().flatten().enumerate() {
+            let method = stream.get("method").and_then(Value::as_str).unwrap_or("POST");
+            if Method::from_bytes(method.as_bytes()).is_err() {
+                collector.add(format!("/streams/{index}/method"), "an HTTP method", method);
             }
         }
-        collector.finish(Self {
-            nodes,
+    }
+}
+
+impl Plan {
+    /// Reads and checks a plan.
+    pub fn from_file(path: &Path) -> anyhow::Result<Self> {
+        Self::from_raw(findings::check_file::<RawPlan>(path)?)
+    }
+
+    /// Makes the typed plan of one that was checked.
+    pub fn from_raw(raw: RawPlan) -> anyhow::Result<Self> {
+        let nodes = raw.nodes.iter().map(|text| text.parse());
+        let streams = raw.streams.into_iter().map(Stream::from_raw);
+        Ok(Self {
+            nodes: nodes.collect::<Result<_, _>>()?,
             duration: Duration::from_millis(raw.duration_ms),
             seed: raw.seed,
             max_in_flight: raw.max_in_flight,
-            streams,
+            streams: streams.collect::<anyhow::Result<_>>()?,
+        })
+    }
+}
+
+impl Stream {
+    fn from_raw(raw: RawStream) -> anyhow::Result<Self> {
+        Ok(Self {
+            name: raw.name,
+            method: Method::from_bytes(raw.method.as_bytes())?,
+            path: raw.path,
+            key: raw.key,
+            rate_per_s: raw.rate_per_s,
+            body_bytes: raw.body_bytes.max(MIN_BODY_BYTES),
+            timeout: Duration::from_millis(raw.timeout_ms),
+            idempotency_key: raw.idempotency_key,
+            echo: raw.echo,
+            retry: raw.retry,
         })
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -54,6 +54,18 @@
     pub organisation: Option<Option<&'a str>>,
 }
 
+/// Labels of an evidence pull: `asked` or `answered` by this node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PullLabels {
+    part: &'static str,
+}
+
+/// Labels of message bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BytesLabels {
+    direction: &'static str,
+}
+
 /// Metrics of the process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -61,6 +73,8 @@
     requests: Family<RequestLabels, Counter>,
     // The metrics library does not list the members of a family.
     counted: RwLock<HashMap<RequestLabels, Counter>>,
+    evidence_pulls: Family<PullLabels, Counter>,
+    evidence_bytes: Family<BytesLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -73,7 +87,19 @@
              and reason",
             requests.clone(),
         );
-        Self { registry, requests, counted: RwLock::default() }
+        let evidence_pulls = Family::default();
+        registry.register(
+            "evidence_pulls",
+            "Evidence pulls that were answered, by this node's part in them",
+            evidence_pulls.clone(),
+        );
+        let evidence_bytes = Family::default();
+        registry.register(
+            "evidence_message_bytes",
+            "Bytes of evidence messages, without framing",
+            evidence_bytes.clone(),
+        );
+        Self { registry, requests, counted: RwLock::default(), evidence_pulls, evidence_bytes }
     }
 }
 
@@ -157,6 +183,24 @@
         counts
     }
 
+    /// Counts an evidence pull that this node `asked` or `answered`.
+    pub fn count_evidence(&self, part: &'static str, received_bytes: usize, sent_bytes: usize) {
+        self.evidence_pulls.get_or_create(&PullLabels { part }).inc();
+        for (direction, bytes) in [("received", received_bytes), ("sent", sent_bytes)] {
+            let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+            self.evidence_bytes.get_or_create(&BytesLabels { direction }).inc_by(bytes);
+        }
+    }
+
+    /// Adds the counter of platform calls.
+    pub fn register_platform_calls(&mut self, calls: Counter) {
+        self.registry.register(
+            "platform_calls",
+            "Calls made to the platform, a watch counted as one",
+            calls,
+        );
+    }
+
     /// Renders all metrics.
     pub fn render(&self) -> String {
         let mut text = String::new();
