Run non-idempotent requests at most once

The thin path ran every request at a random row, so a re-send of an idempotency key ran again, and a connection that failed before the first byte was reported as an unknown outcome.

A request with an idempotency key now goes to the row that owns the key. The owner records it before the dispatch and answers re-sends from the record. It runs only keys stamped after it became the owner, unless a leaving row handed over complete records. Dispatches run in tracked tasks. The connection to the upstream is opened before the dispatch begins, and a request that the HTTP client returns unwritten is not run. An upstream crash makes what was in flight suspect and is reported to the rows of the service before the answer goes out. Shutdown has one deadline.

--- a/src/bin/hibiscusd.rs
+++ b/src/bin/hibiscusd.rs
@@ -101,6 +101,7 @@
     }
 }
 
+/// The first signal starts the shutdown, a second one ends the process at once.
 async fn cancel_on_signal(shutdown: CancellationToken) {
     let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     if let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) {
@@ -108,6 +109,13 @@
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
+        shutdown.cancel();
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        log::warn!("a second signal ends the process at once; running requests are cut");
+        std::process::exit(i32::from(EXIT_FAILED));
     }
     shutdown.cancel();
 }
--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -1,12 +1,14 @@
 //! How a request ends: a whole answer, a true refusal, or an outcome that is not known.
 //!
 //! A [`NotRun`] is made from an [`Undispatched`], which [`Dispatch::begin`] consumes. So a
-//! request whose bytes went to an upstream cannot be reported as not run.
+//! request whose bytes went to an upstream cannot be reported as not run. The only way back is
+//! an [`Unsent`], which the HTTP client's error gives where it returns the request unwritten.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
+use hyper::client::conn::TrySendError;
 use serde::{Deserialize, Serialize};
 
 use crate::peers::proto;
@@ -139,13 +141,30 @@
 
 /// A request that was handed to an upstream.
 #[derive(Debug)]
-pub struct Dispatch(());
+pub struct Dispatch {
+    covers_request: bool,
+}
+
+/// Shows that the HTTP client never took a request for writing.
+#[derive(Debug)]
+pub struct Unsent(());
+
+impl Unsent {
+    /// The client gives a request back only where it wrote no byte of it.
+    pub fn of<B>(error: &mut TrySendError<Request<B>>) -> Option<Self> {
+        error.take_message().map(|_| Self(()))
+    }
+}
 
 impl Dispatch {
     /// Marks the moment from which the request can no longer be called not run.
     pub fn begin(undispatched: Undispatched) -> Self {
-        let Undispatched { .. } = undispatched;
-        Self(())
+        Self { covers_request: undispatched.covers_request }
+    }
+
+    /// The connection closed before the client took the request.
+    pub fn not_sent(self, _: Unsent) -> Undispatched {
+        Undispatched { covers_request: self.covers_request }
     }
 
     /// The whole answer came.
--- a/src/http_server/mod.rs
+++ b/src/http_server/mod.rs
@@ -1,5 +1,7 @@
 //! An HTTP/1.1 and HTTP/2 accept loop that joins every connection it spawned.
 
+mod stalled;
+
 use std::{convert::Infallible, future::Future, time::Duration};
 
 use bytes::Bytes;
@@ -14,8 +16,13 @@
 use tokio::{net::TcpListener, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 
+use stalled::StalledWriteTimeout;
+
 /// Time that a client gets to send the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a client must take some bytes of an answer; a silent one would otherwise hold
+/// its connection, and the answer, for ever.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after an accept error, which is most often a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -24,6 +31,19 @@
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    serve_until(listener, shutdown, CancellationToken::new(), handler).await;
+}
+
+/// Like [`serve`], but cuts the connections that are left when `cut` comes.
+pub async fn serve_until<H, F>(
+    listener: TcpListener,
+    shutdown: CancellationToken,
+    cut: CancellationToken,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
@@ -50,7 +70,8 @@
             let answer = handler(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let stream = TokioIo::new(StalledWriteTimeout::new(stream, WRITE_STALL_TIMEOUT));
+        let connection = builder.serve_connection(stream, service).into_owned();
         let connection = graceful.watch(connection);
         connections.spawn(async move {
             if let Err(error) = connection.await {
@@ -59,8 +80,15 @@
         });
     }
     drop(listener);
-    graceful.shutdown().await;
-    while connections.join_next().await.is_some() {}
+    let finish = async {
+        graceful.shutdown().await;
+        while connections.join_next().await.is_some() {}
+    };
+    tokio::select! {
+        () = finish => return,
+        () = cut.cancelled() => {}
+    }
+    connections.shutdown().await;
 }
 
 /// Makes a JSON response.
--- /dev/null
+++ b/src/http_server/stalled.rs
@@ -0,0 +1,87 @@
+//! A stream that fails where the other side takes no bytes for too long.
+
+use std::{
+    future::Future as _,
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep, sleep},
+};
+
+/// A stream that fails where the other side takes no bytes for too long.
+pub(super) struct StalledWriteTimeout {
+    stream: TcpStream,
+    limit: Duration,
+    /// Set while a write waits.
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl StalledWriteTimeout {
+    pub(super) fn new(stream: TcpStream, limit: Duration) -> Self {
+        Self { stream, limit, stalled: None }
+    }
+
+    fn watch<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let limit = self.limit;
+        let timer = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(timer.as_mut().poll(context));
+        timer.as_mut().reset(Instant::now() + limit);
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the other side takes no bytes")))
+    }
+}
+
+impl AsyncRead for StalledWriteTimeout {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for StalledWriteTimeout {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.watch(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.watch(context, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod names;
 pub mod node;
+pub mod once;
 pub mod peers;
 pub mod platform;
 pub mod scenario;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -22,7 +22,9 @@
 
 /// Serves callers until `shutdown`.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
-    http_server::serve(listener, shutdown, move |request| answer(shared.clone(), request)).await;
+    let cut = shared.stop_now.clone();
+    let handler = move |request| answer(shared.clone(), request);
+    http_server::serve_until(listener, shutdown, cut, handler).await;
 }
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/src/node/dispatches.rs
+++ b/src/node/dispatches.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use uuid::Uuid;
 
-use crate::call::CallContext;
+use crate::{call::CallContext, names::RequestId};
 
 /// Id in the opaque context header; random, so that it cannot be guessed.
 pub type DispatchId = Uuid;
@@ -79,6 +79,11 @@
         self.running.lock().get(&id).cloned()
     }
 
+    /// Tells whether the upstream is running a request of this call chain.
+    pub fn runs_chain(&self, root_id: RequestId) -> bool {
+        self.running.lock().values().any(|call| call.context.root_id == root_id)
+    }
+
     /// Number of requests that the upstream is running.
     pub fn len(&self) -> usize {
         self.running.lock().len()
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -18,8 +18,8 @@
     http_server,
     membership::{Row, RowState},
     names::OrganisationName,
-    node::{Lifecycle, Shared, dispatches::RunningCall, guard},
-    peers::proto,
+    node::{Lifecycle, Shared, dispatches::RunningCall, guard, once},
+    peers::{self, proto},
 };
 
 /// Retries that a root request and all calls below it may spend together.
@@ -59,7 +59,7 @@
 
 /// Answers a request of a caller or of the upstream.
 pub async fn answer(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     origin: Origin,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
@@ -70,7 +70,7 @@
 }
 
 async fn run(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     origin: Origin,
     request: Request<Incoming>,
     request_id: Uuid,
@@ -229,12 +229,21 @@
 }
 
 async fn attempt(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
 ) -> Outcome {
-    let Some(row) = choose(shared, &context) else {
+    let row = match context.idempotency_key {
+        Some(key) => match once::owner(shared, &context.service, key) {
+            None if choose(shared, &context).is_some() => {
+                return Outcome::NotRun(once::refuse_without_owner(undispatched));
+            }
+            owner => owner,
+        },
+        None => choose(shared, &context),
+    };
+    let Some(row) = row else {
         let detail = format!("no upstream offers the service {}", context.service);
         return Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail));
     };
@@ -290,6 +299,10 @@
         Ok(Err(status)) => {
             let detail =
                 format!("the node of {} did not answer: {}", row.instance, status.message());
+            if peers::not_connected(&status) {
+                let not_run = forwarding.not_sent().refuse(Reason::PeerFailed, detail);
+                return Outcome::NotRun(not_run);
+            }
             return forwarding.unknown(Reason::PeerFailed, detail);
         }
         Err(_) => {
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -1,54 +1,302 @@
 //! The guard of the upstream beside the node: the last checks, the dispatch, the answer.
 
+use std::{sync::Arc, time::Duration};
+
+use http::Request;
+use http_body_util::Full;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
 use crate::{
-    call::{CallContext, Dispatch, Outcome, Reason, Undispatched, headers},
+    call::{CallContext, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown, headers},
     clock,
     node::{
-        Shared,
+        Announcement, Lifecycle, Shared,
         entry::WholeRequest,
-        upstream::{UpstreamError, upstream_headers},
+        upstream::{ConnectFailure, SendFailure, UpstreamConnection, upstream_headers},
     },
+    once::{Fingerprint, Standing, fingerprint},
 };
 
+/// Time in which an upstream that crashed may announce itself again before its row gives up the
+/// service.
+const RESTART_ALLOWANCE: Duration = Duration::from_secs(2);
+
 /// Runs one request at the upstream beside the node.
 ///
+/// The request runs in a task of its own, so that its record and a crash report are completed
+/// although the caller has gone. Only an idempotent request ends with its caller.
+///
 /// The second value is the number of retries that the request did not use.
 pub async fn run(
-    shared: &Shared,
+    shared: &Arc<Shared>,
+    context: CallContext,
+    request: WholeRequest,
+    undispatched: Undispatched,
+) -> (Outcome, u32) {
+    let cancelled = CancellationToken::new();
+    let _cancel_with_caller = context.idempotent.then(|| cancelled.clone().drop_guard());
+    let task = shared.once.tasks.spawn({
+        let shared = shared.clone();
+        async move { run_to_end(&shared, context, request, undispatched, &cancelled).await }
+    });
+    task.await.unwrap_or_else(|error| {
+        let detail = format!("the task of the request failed: {error}");
+        (Outcome::Unknown(Unknown { reason: Reason::UpstreamFailed, detail }), 0)
+    })
+}
+
+async fn run_to_end(
+    shared: &Arc<Shared>,
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
+    cancelled: &CancellationToken,
 ) -> (Outcome, u32) {
     let budget = context.retry_budget;
-    let announced = shared.upstream.serving();
-    let Some(announced) = announced.filter(|it| it.service == context.service) else {
-        let detail = format!("the upstream does not offer {} now", context.service);
-        return (Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail)), budget);
+    let (undispatched, record) = match shared.once.claim(shared, &context, undispatched) {
+        Ok(claimed) => claimed,
+        Err(outcome) => return (*outcome, budget),
+    };
+    let prepared = prepare(shared, &context, &request, undispatched, cancelled).await;
+    let prepared = prepared.and_then(|(prepared, undispatched)| {
+        let undispatched = shared.once.check_again(shared, record.as_ref(), undispatched)?;
+        check_time_and_right(shared, &context, undispatched)
+            .map(|undispatched| (prepared, undispatched))
+    });
+    let (outcome, unused) = match prepared {
+        Ok((prepared, undispatched)) => {
+            dispatch(shared, prepared, context, request, undispatched, cancelled).await
+        }
+        Err(not_run) => (Outcome::NotRun(not_run), budget),
+    };
+    if let Some(record) = record {
+        record.close(&outcome);
+    }
+    (outcome, unused)
+}
+
+/// What a request holds when it is about to be sent.
+struct Prepared<'a> {
+    announced: Arc<Announcement>,
+    connection: UpstreamConnection,
+    fingerprint: Fingerprint,
+    /// Keeps others out while a suspect runs, and suspects out while others run.
+    turn: Turn<'a>,
+}
+
+enum Turn<'a> {
+    Shared {
+        _permit: tokio::sync::RwLockReadGuard<'a, ()>,
+    },
+    Alone {
+        _permit: tokio::sync::RwLockWriteGuard<'a, ()>,
+    },
+    /// The upstream already runs a request of this chain, which waits for this one.
+    Nested,
+}
+
+async fn prepare<'a>(
+    shared: &'a Arc<Shared>,
+    context: &CallContext,
+    request: &WholeRequest,
+    undispatched: Undispatched,
+    cancelled: &CancellationToken,
+) -> Result<(Prepared<'a>, Undispatched), NotRun> {
+    let Some(announced) = serving(shared, context) else {
+        return Err(refuse_unserved(shared, context, undispatched));
     };
     let remaining = context.deadline.saturating_sub(clock::now());
-    if remaining.is_zero() {
-        let not_run = undispatched.refuse(Reason::DeadlinePassed, "the deadline has passed");
-        return (Outcome::NotRun(not_run), budget);
+    let configuration = shared.configuration.load();
+    let path_only = request.path.split('?').next().unwrap_or_default();
+    let route = configuration.route(path_only).map_or("", |route| route.prefix.as_str());
+    let fingerprint = fingerprint(
+        context.organisation.as_ref(),
+        route,
+        request.method.as_str(),
+        &request.path,
+        &request.body,
+    );
+    let turn = tokio::select! {
+        turn = timeout(remaining, take_turn(shared, context, &fingerprint)) => turn,
+        () = cancelled.cancelled() => {
+            return Err(undispatched.refuse(Reason::DeadlinePassed, "the caller has gone"));
+        }
+    };
+    let turn = match turn {
+        Ok(Ok(turn)) => turn,
+        Ok(Err(wait)) => {
+            let detail = "the request crashed upstreams and is quarantined";
+            return Err(undispatched.refuse(Reason::Quarantined, detail).retry_after(wait));
+        }
+        Err(_) => {
+            let detail = "the deadline passed before the request could run";
+            return Err(undispatched.refuse(Reason::DeadlinePassed, detail));
+        }
+    };
+    // The upstream may have crashed or been drained while the request waited for its turn.
+    if !serving(shared, context).is_some_and(|current| Arc::ptr_eq(&current, &announced)) {
+        return Err(refuse_unserved(shared, context, undispatched));
+    }
+    let connection = match shared.upstream.connect(announced.address).await {
+        Ok(connection) => connection,
+        Err(failure) => {
+            if matches!(failure, ConnectFailure::Refused) {
+                upstream_lost(shared, &announced);
+            }
+            return Err(undispatched.refuse(Reason::UpstreamFailed, failure.to_string()));
+        }
+    };
+    Ok((Prepared { announced, connection, fingerprint, turn }, undispatched))
+}
+
+fn serving(shared: &Shared, context: &CallContext) -> Option<Arc<Announcement>> {
+    shared.upstream.serving().filter(|it| it.service == context.service)
+}
+
+fn refuse_unserved(shared: &Shared, context: &CallContext, undispatched: Undispatched) -> NotRun {
+    let reason = match shared.lifecycle() {
+        Lifecycle::Serving => Reason::NoUpstream,
+        _ => Reason::Leaving,
+    };
+    let detail = format!("the upstream does not offer {} now", context.service);
+    undispatched.refuse(reason, detail)
+}
+
+/// Waits until the request may run, or returns the time that its quarantine lasts.
+async fn take_turn<'a>(
+    shared: &'a Shared,
+    context: &CallContext,
+    fingerprint: &Fingerprint,
+) -> Result<Turn<'a>, Duration> {
+    loop {
+        let wanted = shared.once.standing(fingerprint);
+        let turn = match wanted {
+            Standing::Quarantined { remaining } => return Err(remaining),
+            _ if context.depth > 0 && shared.dispatches.runs_chain(context.root_id) => Turn::Nested,
+            Standing::Clear => Turn::Shared { _permit: shared.once.alone.read().await },
+            Standing::Suspect => Turn::Alone { _permit: shared.once.alone.write().await },
+        };
+        // An equal request may have crashed the upstream, or run well, in the meantime.
+        if std::mem::discriminant(&shared.once.standing(fingerprint))
+            == std::mem::discriminant(&wanted)
+        {
+            return Ok(turn);
+        }
+    }
+}
+
+fn check_time_and_right(
+    shared: &Shared,
+    context: &CallContext,
+    undispatched: Undispatched,
+) -> Result<Undispatched, NotRun> {
+    let now = clock::now();
+    if context.deadline <= now {
+        return Err(undispatched.refuse(Reason::DeadlinePassed, "the deadline has passed"));
+    }
+    if context.organisation.is_some() && !shared.right.row_is_valid(now) {
+        return Err(undispatched.refuse(Reason::NoRight, "the node's evidence is too old"));
     }
+    Ok(undispatched)
+}
+
+async fn dispatch(
+    shared: &Arc<Shared>,
+    prepared: Prepared<'_>,
+    context: CallContext,
+    request: WholeRequest,
+    undispatched: Undispatched,
+    cancelled: &CancellationToken,
+) -> (Outcome, u32) {
+    let Prepared { announced, connection, fingerprint, turn } = prepared;
+    let budget = context.retry_budget;
+    let request_id = context.request_id.to_string();
     let running = shared.dispatches.begin(context);
     let context = &running.call.context;
+    let remaining = context.deadline.saturating_sub(clock::now());
     let map = upstream_headers(
         headers::from_proto(&request.headers),
-        &context.request_id.to_string(),
+        &request_id,
         context.organisation.as_deref(),
         &running.id.to_string(),
         remaining,
     );
+    let mut message = Request::new(Full::new(request.body));
+    *message.method_mut() = request.method;
+    match request.path.parse() {
+        Ok(uri) => *message.uri_mut() = uri,
+        Err(error) => {
+            let not_run = undispatched.refuse(Reason::BadRequest, format!("bad path: {error}"));
+            return (Outcome::NotRun(not_run), budget);
+        }
+    }
+    *message.headers_mut() = map;
+    if let Ok(host) = http::HeaderValue::from_str(&announced.address.to_string()) {
+        message.headers_mut().insert(http::header::HOST, host);
+    }
     let dispatch = Dispatch::begin(undispatched);
-    let send =
-        shared.upstream.send(announced.address, request.method, &request.path, map, request.body);
-    let outcome = match tokio::time::timeout(remaining, send).await {
-        Ok(Ok(answer)) => dispatch.answered(answer),
-        Ok(Err(UpstreamError::NotWhole(detail) | UpstreamError::NotConnected(detail))) => {
-            shared.upstream.lost();
+    let send = shared.upstream.send(connection, message, &request_id);
+    let sent = tokio::select! {
+        sent = timeout(remaining, send) => sent.ok(),
+        () = cancelled.cancelled() => None,
+    };
+    let outcome = match sent {
+        Some(Ok(answer)) => {
+            if let Turn::Alone { .. } = turn {
+                shared.once.ran_alone(&fingerprint);
+            }
+            dispatch.answered(answer)
+        }
+        Some(Err(SendFailure::Unsent(unsent, detail))) => {
+            let undispatched = dispatch.not_sent(unsent);
+            Outcome::NotRun(undispatched.refuse(Reason::UpstreamFailed, detail))
+        }
+        Some(Err(SendFailure::NotWhole(detail))) => {
+            look_for_crash(shared, &announced, fingerprint).await;
             dispatch.unknown(Reason::UpstreamFailed, detail)
         }
-        Err(_) => dispatch.unknown(Reason::DeadlinePassed, "no answer before the deadline"),
+        None => {
+            look_for_crash(shared, &announced, fingerprint).await;
+            dispatch.unknown(Reason::DeadlinePassed, "no answer before the deadline")
+        }
     };
     (outcome, running.call.retries_left())
 }
+
+/// Makes the request suspect where its upstream has crashed; others must know before the answer
+/// goes out, since the caller may then send the request again to any node.
+async fn look_for_crash(
+    shared: &Arc<Shared>,
+    announced: &Arc<Announcement>,
+    fingerprint: Fingerprint,
+) {
+    if !shared.upstream.has_crashed(announced).await {
+        return;
+    }
+    upstream_lost(shared, announced);
+    let crash = Uuid::now_v7();
+    shared.once.report_crash(shared, &announced.service, fingerprint, crash).await;
+}
+
+/// Takes no new work until the upstream announces itself again; where that takes long, the row
+/// gives up the service, so that others own its keys.
+fn upstream_lost(shared: &Arc<Shared>, announced: &Arc<Announcement>) {
+    if !shared.upstream.lost(announced) {
+        return;
+    }
+    log::warn!("the upstream at {} has crashed or closed", announced.address);
+    let state = shared.clone();
+    shared.once.tasks.spawn(async move {
+        let shared = state;
+        tokio::select! {
+            () = tokio::time::sleep(RESTART_ALLOWANCE) => {}
+            () = shared.stop_serving.cancelled() => return,
+        }
+        if shared.upstream.serving().is_none() {
+            shared.once.hand_over(&shared).await;
+            shared.announced.notify_one();
+        }
+    });
+}
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -91,7 +91,9 @@
 impl MembersActor {
     fn own_row(&self) -> Row {
         let shared = &self.shared;
-        let serving = shared.upstream.serving();
+        // A row whose records are with its successors must leave the service before it may own
+        // keys again.
+        let serving = shared.upstream.serving().filter(|_| !shared.once.is_handing_over());
         Row {
             instance: shared.settings.instance.clone(),
             incarnation: shared.incarnation,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod guard;
 mod members;
+mod once;
 mod peer_service;
 mod shared;
 mod upstream;
@@ -16,10 +17,14 @@
 use anyhow::Context as _;
 use kameo::actor::{ActorRef, Spawn as _};
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, timeout, timeout_at},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
+pub use once::OnceState;
 pub use shared::{Lifecycle, Shared};
 pub use upstream::{Announcement, LoadReport, UpstreamLink};
 
@@ -39,6 +44,10 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which entries learn that the node is leaving, before it refuses new work.
 const DRAIN_NOTICE: Duration = Duration::from_millis(500);
+/// Part of the drain timeout that is kept for cutting connections and joining tasks.
+const CUT_SHARE: u32 = 10;
+const MAX_CUT_TIME: Duration = Duration::from_secs(1);
+const ACTOR_STOP_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Listeners that are bound before the node starts, so that an occupied port is found early.
 #[derive(Debug)]
@@ -114,8 +123,12 @@
     let shared = Arc::new(Shared::new(settings, platform, addresses));
     let tasks = TaskTracker::new();
     // Requests may still come in while the node drains, so the listeners stop later.
-    let stop_serving = CancellationToken::new();
+    let stop_serving = shared.stop_serving.clone();
 
+    tasks.spawn({
+        let (shared, stop) = (shared.clone(), stop_serving.clone());
+        async move { shared.once.follow_view(&shared, stop).await }
+    });
     tasks.spawn(peer_service::serve(listeners.peers, shared.clone(), stop_serving.clone()));
     tasks.spawn(admin::serve(listeners.operators, shared.clone(), stop_serving.clone()));
     tasks.spawn(upstream_service::serve(listeners.upstream, shared.clone(), stop_serving.clone()));
@@ -132,35 +145,62 @@
     );
 
     shutdown.cancelled().await;
-    drain(&shared, &members).await;
+    let drain_timeout = shared.settings.limits.drain_timeout;
+    let cut_time = (drain_timeout / CUT_SHARE).min(MAX_CUT_TIME);
+    let deadline = Instant::now() + drain_timeout - cut_time;
+    drain(&shared, &members, deadline).await;
     stop_serving.cancel();
     tasks.close();
-    if timeout(shared.settings.limits.drain_timeout, tasks.wait()).await.is_err() {
-        log::warn!("{} tasks did not end within the drain timeout", tasks.len());
+    if timeout_at(deadline, tasks.wait()).await.is_err() {
+        log::warn!("cutting connections that did not end within the drain timeout");
+    }
+    shared.stop_now.cancel();
+    shared.upstream.close_idle();
+    let rest = async {
+        tasks.wait().await;
+        shared.once.tasks.wait().await;
+        stop(configuration).await;
+        stop(members).await;
+    };
+    if timeout(cut_time, rest).await.is_err() {
+        let left = tasks.len() + shared.once.tasks.len();
+        log::warn!("{left} tasks did not end within the drain timeout");
     }
-    stop(configuration).await;
-    stop(members).await;
     log::info!("instance {} has stopped", shared.settings.instance);
     Ok(())
 }
 
-/// Takes the node out of the table first, so that no new work comes, then waits for the rest.
-async fn drain(shared: &Shared, members: &ActorRef<MembersActor>) {
+/// Hands over the records and leaves the table, so that no new work comes, then waits for the
+/// rest.
+async fn drain(shared: &Shared, members: &ActorRef<MembersActor>, deadline: Instant) {
     log::info!("instance {} drains", shared.settings.instance);
     shared.set_lifecycle(Lifecycle::Draining);
-    if timeout(LEAVE_TIMEOUT, members.ask(Leave)).await.is_err() {
+    if timeout_at(deadline, shared.once.hand_over(shared)).await.is_err() {
+        log::warn!("the records were not handed over within the drain timeout");
+    }
+    // A platform that is down must not take the time of the requests that are running.
+    let leave_until = deadline.min(Instant::now() + LEAVE_TIMEOUT);
+    if timeout_at(leave_until, members.ask(Leave)).await.is_err() {
         log::warn!("the platform did not confirm within {LEAVE_TIMEOUT:?} that the row is gone");
     }
-    tokio::time::sleep(DRAIN_NOTICE).await;
-    if timeout(shared.settings.limits.drain_timeout, shared.dispatches.idle()).await.is_err() {
+    let _ = timeout_at(deadline, tokio::time::sleep(DRAIN_NOTICE)).await;
+    // Nodes that do not know yet that the row is gone are told to go elsewhere.
+    shared.upstream.drain();
+    shared.once.tasks.close();
+    if timeout_at(deadline, shared.once.tasks.wait()).await.is_err() {
         log::warn!("{} requests did not end within the drain timeout", shared.dispatches.len());
     }
 }
 
+/// Stops an actor; one that waits for the platform is ended without its answer.
 async fn stop<A: kameo::Actor>(actor: ActorRef<A>) {
-    if actor.stop_gracefully().await.is_ok() {
-        actor.wait_for_shutdown().await;
+    if timeout(ACTOR_STOP_TIMEOUT, actor.stop_gracefully()).await.is_ok()
+        && timeout(ACTOR_STOP_TIMEOUT, actor.wait_for_shutdown()).await.is_ok()
+    {
+        return;
     }
+    actor.kill();
+    actor.wait_for_shutdown().await;
 }
 
 async fn connect_platform(settings: &Settings) -> anyhow::Result<Platform> {
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -109,16 +109,18 @@
 
     async fn handover(
         &self,
-        _request: Request<proto::HandoverRequest>,
+        request: Request<proto::HandoverRequest>,
     ) -> Answered<proto::HandoverReply> {
-        Err(Status::unimplemented("handover"))
+        let accepted = self.shared.once.receive_handover(request.into_inner());
+        Ok(Response::new(proto::HandoverReply { accepted }))
     }
 
     async fn report_crash(
         &self,
-        _request: Request<proto::CrashReport>,
+        request: Request<proto::CrashReport>,
     ) -> Answered<proto::CrashReply> {
-        Err(Status::unimplemented("report_crash"))
+        self.shared.once.merge_quarantine(&request.into_inner().entries);
+        Ok(Response::new(proto::CrashReply {}))
     }
 }
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -4,6 +4,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     call::ContextSigner,
@@ -11,7 +12,8 @@
     config::{Configuration, KeyHasher},
     membership::{Right, View},
     names::Incarnation,
-    node::{BoundAddresses, Dispatches, UpstreamLink},
+    node::{BoundAddresses, Dispatches, OnceState, UpstreamLink},
+    once::RowIdentity,
     peers::PeerPool,
     platform::Platform,
     settings::Settings,
@@ -54,10 +56,16 @@
     pub peers: PeerPool,
     /// Requests that the upstream is running.
     pub dispatches: Dispatches,
+    /// Records of idempotency keys and requests that crash upstreams.
+    pub once: OnceState,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Notified when the upstream has announced itself, drains or is lost.
     pub announced: Notify,
+    /// The listeners finish their requests and close.
+    pub stop_serving: CancellationToken,
+    /// The time for shutdown is over; connections are cut.
+    pub stop_now: CancellationToken,
     lifecycle: AtomicU8,
 }
 
@@ -65,10 +73,11 @@
     /// Makes the state of a node that has just started.
     pub fn new(settings: Settings, platform: Platform, addresses: BoundAddresses) -> Self {
         let signer = ContextSigner::new(&settings.fleet_secret);
+        // The wall clock makes a later process's incarnation the higher one.
+        let incarnation = u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX);
         Self {
             addresses,
-            // The wall clock makes a later process's incarnation the higher one.
-            incarnation: u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX),
+            incarnation,
             platform,
             key_hasher: KeyHasher::new(&settings.fleet_secret),
             peers: PeerPool::new(signer.peer_token().clone()),
@@ -78,8 +87,11 @@
             right: Right::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
+            once: OnceState::new(RowIdentity { instance: settings.instance.clone(), incarnation }),
             metrics: Metrics::default(),
             announced: Notify::new(),
+            stop_serving: CancellationToken::new(),
+            stop_now: CancellationToken::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
             settings,
         }
--- a/src/node/upstream_service.rs
+++ b/src/node/upstream_service.rs
@@ -25,7 +25,9 @@
 
 /// Serves the upstream until `shutdown`.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
-    http_server::serve(listener, shutdown, move |request| answer(shared.clone(), request)).await;
+    let cut = shared.stop_now.clone();
+    let handler = move |request| answer(shared.clone(), request);
+    http_server::serve_until(listener, shutdown, cut, handler).await;
 }
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -46,7 +48,11 @@
         },
         (&Method::POST, "/drain") => {
             shared.upstream.drain();
-            shared.announced.notify_one();
+            let draining = shared.clone();
+            shared.once.tasks.spawn(async move {
+                draining.once.hand_over(&draining).await;
+                draining.announced.notify_one();
+            });
             http_server::text(StatusCode::OK, "draining")
         }
         _ => http_server::text(
@@ -68,7 +74,7 @@
     http_server::text(StatusCode::OK, "announced")
 }
 
-async fn outgoing(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn outgoing(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let context = request.headers().get(headers::CONTEXT).and_then(|value| value.to_str().ok());
     let id = context.and_then(|text| Uuid::parse_str(text).ok());
     match id.and_then(|id| shared.dispatches.find(id)) {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,4 +4,4 @@
 #[allow(missing_docs, clippy::all)]
 pub mod proto;
 
-pub use pool::{PeerClient, PeerPool, TOKEN_HEADER};
+pub use pool::{PeerClient, PeerPool, TOKEN_HEADER, not_connected};
--- a/src/peers/pool.rs
+++ b/src/peers/pool.rs
@@ -1,10 +1,10 @@
 //! Channels to other nodes, one an address, with keep-alive.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, error::Error as _, net::SocketAddr, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 use tonic::{
-    Request, Status,
+    ConnectError, Request, Status,
     metadata::MetadataValue,
     service::{Interceptor, interceptor::InterceptedService},
     transport::{Channel, Endpoint},
@@ -74,3 +74,18 @@
             .max_encoding_message_size(MAX_MESSAGE_BYTES)
     }
 }
+
+/// Tells whether a call failed because no connection could be made, so that nothing was sent.
+///
+/// tonic wraps errors of its connector, and only those, in [`ConnectError`]; a channel returns
+/// them in place of a call that was waiting for the connection.
+pub fn not_connected(status: &Status) -> bool {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -157,6 +157,9 @@
     pub crashes: u32,
     #[prost(uint64, tag = "3")]
     pub remaining_ms: u64,
+    /// One id a crash, 16 bytes each, so that a crash that is reported twice counts once.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub crash_ids: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigurationRequest {
@@ -228,6 +231,9 @@
     /// All records of the range have been sent.
     #[prost(bool, tag = "6")]
     pub complete: bool,
+    /// The sender has the records of all keys that are stamped later than this Unix time.
+    #[prost(uint64, tag = "7")]
+    pub complete_after_unix_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct KeyRecord {
@@ -243,10 +249,14 @@
     pub status: u32,
     #[prost(message, repeated, tag = "6")]
     pub headers: ::prost::alloc::vec::Vec<Header>,
+    /// Status 0 of a whole outcome: the answer was too large to be kept.
     #[prost(bytes = "bytes", tag = "7")]
     pub body: ::prost::bytes::Bytes,
     #[prost(uint64, tag = "8")]
     pub remaining_ms: u64,
+    /// Why the outcome is not known.
+    #[prost(string, tag = "9")]
+    pub reason: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandoverReply {
