--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -1,4 +1,4 @@
-//! The guard of the upstream beside the node: the last checks, the dispatch, the answer.
+//! The guard of the upstream beside the node: admission, the last checks, the dispatch, the answer.
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,42 +9,71 @@
 use uuid::Uuid;
 
 use crate::{
+    admission::Refusal,
     call::{CallContext, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown, headers},
     clock,
     node::{
         Announcement, Lifecycle, Shared,
         entry::WholeRequest,
+        gate::Slot,
         upstream::{ConnectFailure, SendFailure, UpstreamConnection, upstream_headers},
     },
     once::{Fingerprint, Standing, fingerprint},
+    routing::Pressure,
 };
 
 /// Time in which an upstream that crashed may announce itself again before its row gives up the
 /// service.
 const RESTART_ALLOWANCE: Duration = Duration::from_secs(2);
 
+/// The end of a request at the node beside the upstream.
+#[derive(Debug)]
+pub struct Guarded {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Retries that it did not use.
+    pub unused_retries: u32,
+    /// Load of the node.
+    pub load: u32,
+    /// Pressures of the service and of those below it.
+    pub pressures: Vec<Pressure>,
+    /// A call that the request made was refused for overload.
+    pub refused_below: bool,
+}
+
+impl Guarded {
+    /// The request did not reach the upstream, or has ended before.
+    fn without_run(outcome: Outcome, unused_retries: u32) -> Self {
+        Self { outcome, unused_retries, load: 0, pressures: Vec::new(), refused_below: false }
+    }
+}
+
 /// Runs one request at the upstream beside the node.
 ///
 /// The request runs in a task of its own, so that its record and a crash report are completed
 /// although the caller has gone. Only an idempotent request ends with its caller.
-///
-/// The second value is the number of retries that the request did not use.
 pub async fn run(
     shared: &Arc<Shared>,
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
-) -> (Outcome, u32) {
+) -> Guarded {
+    let service = context.service.clone();
     let cancelled = CancellationToken::new();
     let _cancel_with_caller = context.idempotent.then(|| cancelled.clone().drop_guard());
     let task = shared.once.tasks.spawn({
         let shared = shared.clone();
         async move { run_to_end(&shared, context, request, undispatched, &cancelled).await }
     });
-    task.await.unwrap_or_else(|error| {
+    let mut guarded = task.await.unwrap_or_else(|error| {
         let detail = format!("the task of the request failed: {error}");
-        (Outcome::Unknown(Unknown { reason: Reason::UpstreamFailed, detail }), 0)
-    })
+        let unknown = Unknown { reason: Reason::UpstreamFailed, detail };
+        Guarded::without_run(Outcome::Unknown(unknown), 0)
+    });
+    guarded.load = shared.gate.load();
+    let shed_below = shared.gate.shed_below();
+    guarded.pressures.push(Pressure { service, shed_below });
+    guarded
 }
 
 async fn run_to_end(
@@ -53,11 +82,11 @@
     request: WholeRequest,
     undispatched: Undispatched,
     cancelled: &CancellationToken,
-) -> (Outcome, u32) {
+) -> Guarded {
     let budget = context.retry_budget;
     let (undispatched, record) = match shared.once.claim(shared, &context, undispatched) {
         Ok(claimed) => claimed,
-        Err(outcome) => return (*outcome, budget),
+        Err(outcome) => return Guarded::without_run(*outcome, budget),
     };
     let prepared = prepare(shared, &context, &request, undispatched, cancelled).await;
     let prepared = prepared.and_then(|(prepared, undispatched)| {
@@ -65,16 +94,16 @@
         check_time_and_right(shared, &context, undispatched)
             .map(|undispatched| (prepared, undispatched))
     });
-    let (outcome, unused) = match prepared {
+    let guarded = match prepared {
         Ok((prepared, undispatched)) => {
             dispatch(shared, prepared, context, request, undispatched, cancelled).await
         }
-        Err(not_run) => (Outcome::NotRun(not_run), budget),
+        Err(not_run) => Guarded::without_run(Outcome::NotRun(not_run), budget),
     };
     if let Some(record) = record {
-        record.close(&outcome);
+        record.close(&guarded.outcome);
     }
-    (outcome, unused)
+    guarded
 }
 
 /// What a request holds when it is about to be sent.
@@ -82,6 +111,7 @@
     announced: Arc<Announcement>,
     connection: UpstreamConnection,
     fingerprint: Fingerprint,
+    slot: Slot<'a>,
     /// Keeps others out while a suspect runs, and suspects out while others run.
     turn: Turn<'a>,
 }
@@ -104,6 +134,18 @@
     undispatched: Undispatched,
     cancelled: &CancellationToken,
 ) -> Result<(Prepared<'a>, Undispatched), NotRun> {
+    if serving(shared, context).is_none() {
+        return Err(refuse_unserved(shared, context, undispatched));
+    }
+    let admitted = tokio::select! {
+        admitted = shared.gate.enter(context) => admitted,
+        () = cancelled.cancelled() => Err(Refusal::DeadlinePassed),
+    };
+    let slot = match admitted {
+        Ok(slot) => slot,
+        Err(refusal) => return Err(turn_away(shared, refusal, undispatched)),
+    };
+    // The upstream may have gone or begun to drain while the request waited.
     let Some(announced) = serving(shared, context) else {
         return Err(refuse_unserved(shared, context, undispatched));
     };
@@ -135,7 +177,7 @@
             return Err(undispatched.refuse(Reason::DeadlinePassed, detail));
         }
     };
-    // The upstream may have crashed or been drained while the request waited for its turn.
+    // A suspect that ran in between may have crashed it.
     if !serving(shared, context).is_some_and(|current| Arc::ptr_eq(&current, &announced)) {
         return Err(refuse_unserved(shared, context, undispatched));
     }
@@ -145,10 +187,24 @@
             if matches!(failure, ConnectFailure::Refused) {
                 upstream_lost(shared, &announced);
             }
-            return Err(undispatched.refuse(Reason::UpstreamFailed, failure.to_string()));
+            return Err(undispatched.refuse(Reason::NoUpstream, failure.to_string()));
         }
     };
-    Ok((Prepared { announced, connection, fingerprint, turn }, undispatched))
+    Ok((Prepared { announced, connection, fingerprint, slot, turn }, undispatched))
+}
+
+fn turn_away(shared: &Shared, refusal: Refusal, undispatched: Undispatched) -> NotRun {
+    match refusal {
+        Refusal::Overload => {
+            let delay = shared.retries.lock().retry_after();
+            let detail = "the upstream is full of work that goes first";
+            undispatched.refuse(Reason::Overload, detail).retry_after(delay)
+        }
+        Refusal::DeadlinePassed => {
+            let detail = "the answer could not come before the deadline";
+            undispatched.refuse(Reason::DeadlinePassed, detail)
+        }
+    }
 }
 
 fn serving(shared: &Shared, context: &CallContext) -> Option<Arc<Announcement>> {
@@ -209,8 +265,8 @@
     request: WholeRequest,
     undispatched: Undispatched,
     cancelled: &CancellationToken,
-) -> (Outcome, u32) {
-    let Prepared { announced, connection, fingerprint, turn } = prepared;
+) -> Guarded {
+    let Prepared { announced, connection, fingerprint, slot, turn } = prepared;
     let budget = context.retry_budget;
     let request_id = context.request_id.to_string();
     let running = shared.dispatches.begin(context);
@@ -229,7 +285,7 @@
         Ok(uri) => *message.uri_mut() = uri,
         Err(error) => {
             let not_run = undispatched.refuse(Reason::BadRequest, format!("bad path: {error}"));
-            return (Outcome::NotRun(not_run), budget);
+            return Guarded::without_run(Outcome::NotRun(not_run), budget);
         }
     }
     *message.headers_mut() = map;
@@ -247,11 +303,14 @@
             if let Turn::Alone { .. } = turn {
                 shared.once.ran_alone(&fingerprint);
             }
+            if !answer.status.is_server_error() {
+                slot.answered(running.call.own_time(clock::now()));
+            }
             dispatch.answered(answer)
         }
         Some(Err(SendFailure::Unsent(unsent, detail))) => {
             let undispatched = dispatch.not_sent(unsent);
-            Outcome::NotRun(undispatched.refuse(Reason::UpstreamFailed, detail))
+            Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail))
         }
         Some(Err(SendFailure::NotWhole(detail))) => {
             look_for_crash(shared, &announced, fingerprint).await;
@@ -262,7 +321,13 @@
             dispatch.unknown(Reason::DeadlinePassed, "no answer before the deadline")
         }
     };
-    (outcome, running.call.retries_left())
+    Guarded {
+        outcome,
+        unused_retries: running.call.retries_left(),
+        load: 0,
+        pressures: running.call.pressures(),
+        refused_below: running.call.was_refused_below(),
+    }
 }
 
 /// Makes the request suspect where its upstream has crashed; others must know before the answer
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,15 +4,18 @@
 mod configuration;
 mod dispatches;
 mod entry;
+mod gate;
 mod guard;
+mod loans;
 mod members;
 mod once;
 mod peer_service;
+mod rates;
 mod shared;
 mod upstream;
 mod upstream_service;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use anyhow::Context as _;
 use kameo::actor::{ActorRef, Spawn as _};
@@ -24,20 +27,24 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
+pub use gate::Gate;
+pub use loans::LoanCounters;
 pub use once::OnceState;
+pub use rates::{AccountCell, Rates};
 pub use shared::{Lifecycle, Shared};
 pub use upstream::{Announcement, LoadReport, UpstreamLink};
 
 use crate::{
     admin,
-    config::{Document, check_document},
-    findings,
+    config::Document,
+    findings::{self, Collector, Findings},
     platform::{
         HttpPlatform, KIND_CONFIGURATION, MemoryStore, NAME_CURRENT, ObjectApi as _, Platform,
     },
     settings::{PlatformSettings, Settings},
 };
 use configuration::ConfigurationActor;
+use loans::LoansActor;
 use members::{Leave, MembersActor};
 
 /// Time that a leaving node waits for the platform to take its row out of the table.
@@ -81,17 +88,17 @@
             bind("/listen/peers", listen.peers),
             bind("/listen/operators", listen.operators),
         );
-        let mut failures = Vec::new();
+        let mut collector = Collector::new(settings.file.clone());
         for result in [&callers, &upstream, &peers, &operators] {
-            if let Err(failure) = result {
-                failures.push(failure.clone());
+            if let Err((place, found)) = result {
+                collector.add(*place, "an address that can be bound", found);
             }
         }
         match (callers, upstream, peers, operators) {
             (Ok(callers), Ok(upstream), Ok(peers), Ok(operators)) => {
                 Ok(Self { callers, upstream, peers, operators })
             }
-            _ => anyhow::bail!(failures.join("\n")),
+            _ => Err(collector.into_findings().into()),
         }
     }
 
@@ -106,10 +113,11 @@
     }
 }
 
-async fn bind(place: &str, address: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).await.map_err(|error| {
-        format!("{place}: expected an address that can be bound, found {address}: {error}")
-    })
+async fn bind(
+    place: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, (&'static str, String)> {
+    TcpListener::bind(address).await.map_err(|error| (place, format!("{address}: {error}")))
 }
 
 /// Runs a node until `shutdown`, then drains it and joins all its tasks.
@@ -134,6 +142,7 @@
     tasks.spawn(upstream_service::serve(listeners.upstream, shared.clone(), stop_serving.clone()));
     let configuration = ConfigurationActor::spawn(shared.clone());
     let members = MembersActor::spawn(shared.clone());
+    let loans = LoansActor::spawn(shared.clone());
     tasks.spawn(callers::serve(listeners.callers, shared.clone(), stop_serving.clone()));
     log::info!(
         "instance {} serves callers on {}, its upstream on {}, nodes on {}, operators on {}",
@@ -159,6 +168,7 @@
     let rest = async {
         tasks.wait().await;
         shared.once.tasks.wait().await;
+        stop(loans).await;
         stop(configuration).await;
         stop(members).await;
     };
@@ -218,13 +228,22 @@
     }
 }
 
+/// Checks the configuration file that the settings of an embedded store name.
+pub fn check_configuration_file(settings: &Settings) -> Result<(), Findings> {
+    match &settings.platform {
+        PlatformSettings::Embedded { configuration: Some(path) } => {
+            findings::check_file::<Document>(Path::new(&**path)).map(drop)
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn load_configuration(
     store: &MemoryStore,
     path: &str,
     settings: &Settings,
 ) -> anyhow::Result<()> {
     let mut document: Document = findings::check_file(path.as_ref())?;
-    check_document(path, &document)?;
     document.hash_secrets(&crate::config::KeyHasher::new(&settings.fleet_secret));
     document.revision = 1;
     let value = serde_json::to_value(&document).context("encoding the configuration")?;
