--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod names;
 pub mod node;
+pub mod once;
 pub mod peers;
 pub mod platform;
 pub mod rate;
--- a/src/node/dispatches.rs
+++ b/src/node/dispatches.rs
@@ -16,6 +16,7 @@
     admission::OwnTime,
     call::CallContext,
     clock::{self, Timestamp},
+    names::RequestId,
     routing::Pressure,
 };
 
@@ -142,6 +143,11 @@
         self.running.lock().get(&id).cloned()
     }
 
+    /// Tells whether the upstream is running a request of this call chain.
+    pub fn runs_chain(&self, root_id: RequestId) -> bool {
+        self.running.lock().values().any(|call| call.context.root_id == root_id)
+    }
+
     /// Number of requests that the upstream is running.
     pub fn len(&self) -> usize {
         self.running.lock().len()
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -182,7 +182,8 @@
         if let Some(announcement) = shared.upstream.serving() {
             self.service = Some(announcement.service.clone());
         }
-        let state = match shared.upstream.is_draining() {
+        // A row whose records are with its successors must leave before it may own keys again.
+        let state = match shared.upstream.is_draining() || shared.once.is_handing_over() {
             true => RowState::Leaving,
             false => RowState::Active,
         };
@@ -301,6 +302,7 @@
     match timeout(PULL_TIMEOUT, client.pull_evidence(request)).await {
         Ok(Ok(reply)) => {
             let reply = reply.into_inner();
+            shared.once.merge_quarantine(&reply.quarantine);
             shared.metrics.count_evidence("asked", reply.encoded_len(), request_bytes);
             Some(Event::Answered { sent_at, reply })
         }
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -106,7 +106,10 @@
     ) -> Answered<proto::EvidenceReply> {
         let reply = self.members.ask(Asked(request.into_inner())).await;
         reply
-            .map(|Answer(reply)| Response::new(reply))
+            .map(|Answer(mut reply)| {
+                reply.quarantine = self.shared.once.quarantine_entries();
+                Response::new(reply)
+            })
             .map_err(|error| Status::unavailable(error.to_string()))
     }
 
@@ -123,16 +126,18 @@
 
     async fn handover(
         &self,
-        _request: Request<proto::HandoverRequest>,
+        request: Request<proto::HandoverRequest>,
     ) -> Answered<proto::HandoverReply> {
-        Err(Status::unimplemented("handover"))
+        let accepted = self.shared.once.receive_handover(request.into_inner());
+        Ok(Response::new(proto::HandoverReply { accepted }))
     }
 
     async fn report_crash(
         &self,
-        _request: Request<proto::CrashReport>,
+        request: Request<proto::CrashReport>,
     ) -> Answered<proto::CrashReply> {
-        Err(Status::unimplemented("report_crash"))
+        self.shared.once.merge_quarantine(&request.into_inner().entries);
+        Ok(Response::new(proto::CrashReply {}))
     }
 
     async fn pull_status(
