Add overload experiments and mend what they found

Cause: the decision modules had no figures under load.

Change: - src/experiment: a closed event loop on a virtual clock that drives the decision modules; scenario files for section 1.8 on both deployments; examples/overload.rs prints the tables for hibiscusdoor, no control, and a fixed limit with plain retries; tests/overload.rs runs a subset with bounds from section 1.8. - Concurrency limit: search by factors of two, then small steps; a level is measured only after the requests of the other level have ended; the lower level is rarely used once the limit fits. - First hop: requests are counted when they end, like their answers. - Routing: a full target costs more than its latency says. - The flood scenario has rates, by an ideal stand-in for the rate control, since the excess is otherwise ordinary demand; a second scenario floods without rates. Callers begin after the cold start of the fleet.

--- /dev/null
+++ b/examples/overload.rs
@@ -0,0 +1,150 @@
+//! Runs the overload scenarios on both deployments for hibiscusdoor and two baselines, and prints
+//! a table for each scenario: `cargo run --release --example overload [-- NAME-PART]`.
+//!
+//! `--seeds N` sets the number of seeds (5), `--only CONTROL` leaves out the other controls.
+
+use std::{path::Path, sync::Mutex, time::Instant};
+
+use anyhow::Context as _;
+use hibiscusdoor::experiment::{Control, Deployment, Figures, Scenario, median, run};
+
+const FOLDER: &str = "tests/scenarios";
+const FIRST_SEED: u64 = 1;
+const DEFAULT_SEEDS: u64 = 5;
+const MAX_THREADS: usize = 6;
+const DEPLOYMENTS: [&str; 2] = ["tesfaye", "swanleigh"];
+const CONTROLS: [(&str, Control); 3] =
+    [("none", Control::None), ("fixed", Control::Fixed), ("hibiscusdoor", Control::Hibiscusdoor)];
+
+struct Job {
+    deployment: usize,
+    scenario: usize,
+    control: usize,
+    seed: u64,
+}
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let seeds: u64 = arguments.opt_value_from_str("--seeds")?.unwrap_or(DEFAULT_SEEDS);
+    let only: Option<String> = arguments.opt_value_from_str("--only")?;
+    let part: String = arguments.opt_free_from_str()?.unwrap_or_default();
+    let mut deployments = Vec::new();
+    for name in DEPLOYMENTS {
+        let text = std::fs::read_to_string(format!("{FOLDER}/deployment-{name}.scenario"))?;
+        deployments.push(Deployment::read(name, &text).map_err(anyhow::Error::msg)?);
+    }
+    let scenarios = read_scenarios(&part)?;
+    let mut jobs = Vec::new();
+    for scenario in 0..scenarios.len() {
+        for deployment in 0..deployments.len() {
+            for (control, (name, _)) in CONTROLS.iter().enumerate() {
+                if only.as_ref().is_none_or(|only| only == name) {
+                    let seeds = FIRST_SEED..FIRST_SEED + seeds;
+                    jobs.extend(seeds.map(|seed| Job { deployment, scenario, control, seed }));
+                }
+            }
+        }
+    }
+    let started = Instant::now();
+    let total = jobs.len();
+    // The longest runs come last in the list and are taken first.
+    let jobs = Mutex::new(jobs);
+    let results = Mutex::new(Vec::new());
+    let threads = std::thread::available_parallelism()?.get().min(MAX_THREADS);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let Some(job) = jobs.lock().expect("no panic").pop() else { return };
+                    let control = CONTROLS[job.control].1;
+                    let figures = run(
+                        &deployments[job.deployment],
+                        &scenarios[job.scenario],
+                        control,
+                        job.seed,
+                    );
+                    results.lock().expect("no panic").push((job, figures));
+                }
+            });
+        }
+    });
+    let results = results.into_inner()?;
+    for (index, scenario) in scenarios.iter().enumerate() {
+        println!("\n### {}\n", scenario.name);
+        println!(
+            "| deployment | control | goodput | recovery s | worst org. | wrongful | attempts \
+             | max | sendings | inversions | by class (ideal) |"
+        );
+        println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (place, deployment) in deployments.iter().enumerate() {
+            for (control, (name, _)) in CONTROLS.iter().enumerate() {
+                let runs: Vec<&Figures> = results
+                    .iter()
+                    .filter(|(job, _)| {
+                        (job.scenario, job.deployment, job.control) == (index, place, control)
+                    })
+                    .map(|(_, figures)| figures)
+                    .collect();
+                if !runs.is_empty() {
+                    print_row(deployment, name, &runs);
+                }
+            }
+        }
+    }
+    println!("\n{total} runs in {:.0} s", started.elapsed().as_secs_f64());
+    Ok(())
+}
+
+fn read_scenarios(part: &str) -> anyhow::Result<Vec<Scenario>> {
+    let mut files: Vec<_> = Path::new(FOLDER)
+        .read_dir()
+        .context("run this in the root of the repository")?
+        .collect::<Result<Vec<_>, _>>()?;
+    files.sort_by_key(std::fs::DirEntry::file_name);
+    let mut scenarios = Vec::new();
+    for file in files {
+        let name = file.file_name().to_string_lossy().into_owned();
+        let name = name.strip_prefix("overload-").and_then(|it| it.strip_suffix(".scenario"));
+        let Some(name) = name.filter(|name| name.contains(part)) else { continue };
+        let text = std::fs::read_to_string(file.path())?;
+        scenarios.push(Scenario::read(name, &text).map_err(anyhow::Error::msg)?);
+    }
+    Ok(scenarios)
+}
+
+fn print_row(deployment: &Deployment, control: &str, runs: &[&Figures]) {
+    let of = |figure: &dyn Fn(&Figures) -> f64| median(runs.iter().map(|run| figure(run)));
+    let optional = |figure: &dyn Fn(&Figures) -> Option<f64>, places: usize| {
+        let values: Vec<f64> = runs.iter().filter_map(|run| figure(run)).collect();
+        match values.is_empty() {
+            true => "-".to_owned(),
+            false => match median(values) {
+                value if value.is_finite() => format!("{value:.places$}"),
+                _ => "not".to_owned(),
+            },
+        }
+    };
+    let classes: Vec<String> = deployment
+        .classes
+        .iter()
+        .enumerate()
+        .map(|(index, class)| {
+            let served = of(&|run| run.classes[index].served);
+            let ideal = of(&|run| run.classes[index].ideal);
+            format!("{} {served:.3} ({ideal:.3})", class.name)
+        })
+        .collect();
+    println!(
+        "| {} | {control} | {:.3} | {} | {:.3} | {} | {:.3} | {:.0} | {:.2} | {:.0} | {} |",
+        deployment.name,
+        of(&|run| run.goodput),
+        optional(&|run| run.recovery_s, 1),
+        of(&|run| run.fair),
+        optional(&|run| run.wrongful, 4),
+        of(&|run| run.attempts),
+        of(&|run| run.attempts_max),
+        of(&|run| run.sendings),
+        of(&|run| run.inversions),
+        classes.join(", "),
+    );
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -77,10 +77,12 @@
 /// How a started request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Completion {
-    /// The upstream answered; the time that it spent in calls to other services is left out.
+    /// The upstream answered.
     Answered {
         /// Time of the upstream itself.
         own_time: Duration,
+        /// Time with the calls to other services.
+        total_time: Duration,
     },
     /// No answer, an error, or cancelled: says nothing about the upstream's speed.
     Aborted,
@@ -142,8 +144,8 @@
     /// A started request has ended.
     pub fn finish(&mut self, now: Timestamp, completion: Completion) -> Actions {
         let at_limit = self.in_flight >= self.limit.current(now) && !self.queue.is_empty();
-        if let Completion::Answered { own_time } = completion {
-            self.limit.completed(now, own_time, at_limit);
+        if let Completion::Answered { own_time, total_time } = completion {
+            self.limit.completed(now, own_time, total_time, at_limit);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
         let mut actions = Actions::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod experiment;
 pub mod findings;
 pub mod http_server;
 pub mod membership;
--- a/src/node/dispatches.rs
+++ b/src/node/dispatches.rs
@@ -13,7 +13,7 @@
 use uuid::Uuid;
 
 use crate::{
-    admission::OwnTime,
+    admission::{Completion, OwnTime},
     call::CallContext,
     clock::{self, Timestamp},
     routing::Pressure,
@@ -102,9 +102,10 @@
         self.below.lock().refused
     }
 
-    /// Time of the upstream itself until now.
-    pub fn own_time(&self, now: Timestamp) -> std::time::Duration {
-        self.below.lock().own_time.total(now)
+    /// What to tell the gate when the upstream has answered.
+    pub fn completion(&self, now: Timestamp) -> Completion {
+        let own_time = self.below.lock().own_time;
+        Completion::Answered { own_time: own_time.own(now), total_time: own_time.total(now) }
     }
 }
 
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -3,7 +3,6 @@
 use std::{
     collections::HashMap,
     sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
 };
 
 use parking_lot::Mutex;
@@ -43,8 +42,8 @@
 
 impl Slot<'_> {
     /// The upstream answered.
-    pub fn answered(mut self, own_time: Duration) {
-        self.completion = Completion::Answered { own_time };
+    pub fn answered(mut self, completion: Completion) {
+        self.completion = completion;
     }
 }
 
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -80,7 +80,7 @@
     let outcome = match tokio::time::timeout(remaining, send).await {
         Ok(Ok(answer)) => {
             if !answer.status.is_server_error() {
-                slot.answered(running.call.own_time(clock::now()));
+                slot.answered(running.call.completion(clock::now()));
             }
             dispatch.answered(answer)
         }
--- a/src/routing/first_hop.rs
+++ b/src/routing/first_hop.rs
@@ -89,10 +89,10 @@
         let chance: f64 = self.random.random_range(0.0..1.0);
         let key = (route.clone(), importance, organisation.clone());
         let lane = self.lane(now, key);
-        lane.requests += 1.0;
         let refusing = lane.refused_at.is_some_and(|at| now < at + REFUSAL_LIFETIME);
         let excess = lane.requests - PASS_FACTOR * lane.accepted - PASS_EXTRA;
         if refusing && chance < excess / lane.requests {
+            lane.requests += 1.0;
             return Verdict::Refuse;
         }
         let shed = self.chains.get(route).is_some_and(|chain| {
@@ -114,6 +114,8 @@
         refused: bool,
     ) {
         let lane = self.lane(now, (route.clone(), importance, organisation.clone()));
+        // Counted at the end like the answers, or requests under way would look refused.
+        lane.requests += 1.0;
         match refused {
             true => lane.refused_at = Some(now),
             false => lane.accepted += 1.0,
--- a/src/routing/targets.rs
+++ b/src/routing/targets.rs
@@ -31,6 +31,8 @@
 const LOAD_UNIT: f64 = 128.0;
 /// Load from which a target is expected to refuse or to let a request wait.
 const FULL_LOAD: f64 = 1.0;
+/// Growth of the cost with load beyond that.
+const FULL_COST: f64 = 8.0;
 
 /// A row that offers the service.
 #[derive(Debug, Clone, Copy)]
@@ -97,8 +99,10 @@
         let load = self.reported_load(now);
         let since_report = self.in_flight.saturating_sub(self.in_flight_at_load);
         let ahead = 1.0 + load + f64::from(since_report) / f64::from(self.in_flight.max(4));
+        // A full target does not answer late, it refuses.
+        let full = 1.0 + FULL_COST * (load - FULL_LOAD).max(0.0);
         let success = (1.0 - self.failure_rate).max(0.02);
-        latency_s * ahead * ahead * f64::from(self.in_flight + 1) / success
+        latency_s * ahead * ahead * full * f64::from(self.in_flight + 1) / success
     }
 }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -16,7 +16,11 @@
 /// After the ramp of a new upstream.
 const WARM: Duration = Duration::from_secs(10);
 const SLOTS: u32 = 8;
-const OWN_TIME: Duration = Duration::from_millis(10);
+const ANSWERED: Completion = answered(Duration::from_millis(10));
+
+const fn answered(time: Duration) -> Completion {
+    Completion::Answered { own_time: time, total_time: time }
+}
 
 fn config() -> ProptestConfig {
     ProptestConfig { rng_seed: RngSeed::Fixed(SEED), cases: 64, ..ProptestConfig::default() }
@@ -69,8 +73,7 @@
         for (step, (importance, organisation, begun, finishes)) in steps.into_iter().enumerate() {
             let now = WARM + Duration::from_millis(step as u64);
             if finishes && admission.in_flight() > 0 {
-                let completion = Completion::Answered { own_time: OWN_TIME };
-                for action in admission.finish(now, completion) {
+                for action in admission.finish(now, ANSWERED) {
                     check_order(&mut model, action)?;
                 }
             }
@@ -96,11 +99,10 @@
         let mut admission = Admission::new(Duration::ZERO, SLOTS);
         for round in 0..ROUNDS {
             let now = WARM + Duration::from_millis(u64::from(round) * 10);
-            let completion = Completion::Answered { own_time: OWN_TIME };
             let running = admission.in_flight();
             let mut actions = Vec::new();
             for _ in 0..running {
-                actions.extend(admission.finish(now, completion));
+                actions.extend(admission.finish(now, ANSWERED));
             }
             // Requests of all organisations are interleaved as on a network.
             for turn in 0..30 {
@@ -152,7 +154,7 @@
     let mut hurried = arrival(10, 9, "a", false);
     hurried.deadline = now + late;
     admission.arrive(now, hurried);
-    let actions = admission.finish(now + late, Completion::Answered { own_time: OWN_TIME });
+    let actions = admission.finish(now + late, ANSWERED);
     assert_eq!(actions[0], Action::Refuse(Ticket(10), Refusal::DeadlinePassed));
     assert!(matches!(actions[1], Action::Start(_)));
 }
@@ -203,7 +205,7 @@
             && now >= begun_at + Duration::from_nanos(service_ns)
         {
             running.pop_front();
-            let completion = Completion::Answered { own_time: now - begun_at };
+            let completion = answered(now - begun_at);
             started += admission.finish(now, completion).len();
         }
         while admission.waiting() < 4 {
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,92 @@
+//! Usefulness under overload on the virtual clock; bounds are in the scenario files and come from
+//! section 1.8 of docs/design.md. `cargo run --release --example overload` runs all of them.
+
+use hibiscusdoor::experiment::{Control, Deployment, Scenario, run};
+
+const SWANLEIGH: &str = include_str!("scenarios/deployment-swanleigh.scenario");
+const TESFAYE: &str = include_str!("scenarios/deployment-tesfaye.scenario");
+
+fn check(deployment: &str, name: &str, text: &str, seed: u64) {
+    let deployment = Deployment::read("deployment", deployment).expect("a deployment");
+    let scenario = Scenario::read(name, text).expect("a scenario");
+    assert!(!scenario.bounds.is_empty(), "{name} has no bounds");
+    let figures = run(&deployment, &scenario, Control::Hibiscusdoor, seed);
+    let broken = figures.broken_bounds(&scenario);
+    assert!(broken.is_empty(), "{name}, seed {seed}: {broken:?}\n{figures:#?}");
+}
+
+macro_rules! scenario {
+    ($deployment:expr, $name:literal, $seed:expr) => {
+        check(
+            $deployment,
+            $name,
+            include_str!(concat!("scenarios/overload-", $name, ".scenario")),
+            $seed,
+        )
+    };
+}
+
+/// Guards against goodput that falls, less important work that goes first, or a slow recovery
+/// when demand is several times capacity.
+#[test]
+fn five_times_capacity_seed_1() {
+    scenario!(SWANLEIGH, "demand-5", 1);
+}
+
+/// As above, with another seed.
+#[test]
+fn five_times_capacity_seed_2() {
+    scenario!(SWANLEIGH, "demand-5", 2);
+}
+
+/// Guards against retries that keep a slowed service down after it has recovered.
+#[test]
+fn deepest_service_slow_seed_1() {
+    scenario!(SWANLEIGH, "slow", 1);
+}
+
+/// Guards against an organisation beyond its rate that takes capacity from the others.
+#[test]
+fn one_organisation_over_its_rate_seed_1() {
+    scenario!(SWANLEIGH, "flood", 1);
+}
+
+/// The same on the other deployment.
+#[test]
+fn one_organisation_over_its_rate_seed_2() {
+    scenario!(TESFAYE, "flood", 2);
+}
+
+/// Guards against trust in false announcements.
+#[test]
+fn false_reports_seed_1() {
+    scenario!(SWANLEIGH, "false-reports", 1);
+}
+
+/// Guards against requests sent to instances that are gone.
+#[test]
+fn third_of_the_instances_killed_seed_1() {
+    scenario!(SWANLEIGH, "killed", 1);
+}
+
+/// Guards against fast upstreams that idle while slow ones refuse.
+#[test]
+fn mixed_speeds_seed_1() {
+    scenario!(SWANLEIGH, "mixed-speeds", 1);
+}
+
+/// Guards against a frozen table that keeps a dead instance in use.
+#[test]
+fn platform_outage_seed_1() {
+    scenario!(SWANLEIGH, "outage", 1);
+}
+
+/// Guards against results that cannot be repeated.
+#[test]
+fn same_seed_gives_the_same_figures() {
+    let deployment = Deployment::read("deployment", SWANLEIGH).expect("a deployment");
+    let text = "length 6s\ndemand 2\ncallers retries=3\nmeasure from=3s to=6s\n";
+    let scenario = Scenario::read("short", text).expect("a scenario");
+    let figures = || format!("{:?}", run(&deployment, &scenario, Control::Hibiscusdoor, 3));
+    assert_eq!(figures(), figures());
+}
