--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -17,11 +17,12 @@
     config::{Configuration, Importance, KeyCheck, Route},
     http_server,
     membership::{Row, RowState},
-    names::{InstanceName, OrganisationName},
+    names::{InstanceName, OrganisationName, ServiceName},
     node::{
         Lifecycle, Shared,
         dispatches::RunningCall,
         guard::{self, Guarded},
+        rates::{self, ChargeRefusal, HeldCharge},
     },
     peers::proto,
     retry::{AttemptEnd, HopBudget, ROOT_RETRY_BUDGET, may_retry},
@@ -137,16 +138,28 @@
     request: WholeRequest,
     undispatched: Undispatched,
 ) -> Outcome {
+    if !is_offered(shared, &context.service) {
+        let detail = format!("no upstream offers the service {}", context.service);
+        return Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail));
+    }
+    let charge = match charge(shared, &context).await {
+        Ok(charge) => charge,
+        Err(refusal) => return Outcome::NotRun(not_charged(undispatched, refusal)),
+    };
     let route: Arc<str> = Arc::from(route);
     let (importance, organisation) = (context.importance, context.organisation.clone());
     let verdict = shared.first_hop.lock().check(clock::now(), &route, importance, &organisation);
     if verdict == Verdict::Refuse {
+        if let Some(charge) = charge {
+            charge.give_back();
+        }
         let mut retries = shared.retries.lock();
         retries.ended(clock::now(), true);
         let delay = retries.retry_after();
         let detail = "a service of the call chain sheds this class";
         return Outcome::NotRun(undispatched.refuse(Reason::Overload, detail).retry_after(delay));
     }
+    drop(charge);
     let mut budget = HopBudget::new(ROOT_RETRY_BUDGET);
     let guarded = run_attempts(shared, context, request, undispatched, &mut budget).await;
     let now = clock::now();
@@ -159,6 +172,23 @@
     guarded.outcome
 }
 
+/// Charges a request to its organisation's rate; requests on open routes are not charged.
+async fn charge(
+    shared: &Shared,
+    context: &CallContext,
+) -> Result<Option<HeldCharge>, ChargeRefusal> {
+    match &context.organisation {
+        Some(organisation) => rates::charge(shared, organisation, context.deadline).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+fn is_offered(shared: &Shared, service: &ServiceName) -> bool {
+    let view = shared.view.load();
+    let mut active = view.table.rows.iter().filter(|row| row.state == RowState::Active);
+    active.any(|row| row.service.as_ref() == Some(service))
+}
+
 /// Runs a call that the upstream makes for a request.
 async fn run_below(
     shared: &Shared,
@@ -264,6 +294,11 @@
     let Some(key) = key else {
         return Err((Reason::UnknownKey, "the request carries no key".to_owned()));
     };
+    let now = clock::now();
+    if !shared.right.row_is_valid(now) || !shared.right.keys_are_valid(now) {
+        let detail = "the node cannot show that its table and configuration are current";
+        return Err((Reason::NoRight, detail.to_owned()));
+    }
     match configuration.check_key(&shared.key_hasher, key) {
         KeyCheck::Organisation(name) => Ok(Some(name)),
         KeyCheck::Unknown => Err((Reason::UnknownKey, "the key is not in force".to_owned())),
@@ -273,6 +308,17 @@
     }
 }
 
+fn not_charged(undispatched: Undispatched, refusal: ChargeRefusal) -> NotRun {
+    match refusal {
+        ChargeRefusal::NoRight { retry_after } => undispatched
+            .refuse(Reason::NoRight, "the node cannot show that its share of the rate is current")
+            .retry_after(retry_after),
+        ChargeRefusal::OverRate { retry_after } => undispatched
+            .refuse(Reason::OverRate, "the organisation is over its rate and burst")
+            .retry_after(retry_after),
+    }
+}
+
 fn complete_context(
     configuration: &Configuration,
     origin: &Origin,
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::Method;
+use kameo::actor::ActorRef;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tonic::{
@@ -12,12 +13,15 @@
 };
 
 use crate::{
+    admin::NodeStatus,
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
     node::{
         Shared,
         entry::WholeRequest,
         guard::{self, Guarded},
+        loans,
+        members::{Answer, Asked, MembersActor},
     },
     peers::{
         TOKEN_HEADER,
@@ -32,10 +36,15 @@
 const MESSAGE_OVERHEAD_BYTES: usize = 1 << 20;
 
 /// Serves other nodes until `shutdown`.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    members: ActorRef<MembersActor>,
+    shutdown: CancellationToken,
+) {
     let token = shared.signer.peer_token().clone();
     let limit_bytes = shared.settings.limits.max_body_bytes + MESSAGE_OVERHEAD_BYTES;
-    let service = PeerServer::new(PeerService { shared })
+    let service = PeerServer::new(PeerService { shared, members })
         .max_decoding_message_size(limit_bytes)
         .max_encoding_message_size(limit_bytes);
     let service = tonic::service::interceptor::InterceptedService::new(
@@ -63,6 +72,7 @@
 
 struct PeerService {
     shared: Arc<Shared>,
+    members: ActorRef<MembersActor>,
 }
 
 type Answered<T> = Result<Response<T>, Status>;
@@ -92,9 +102,12 @@
 
     async fn pull_evidence(
         &self,
-        _request: Request<proto::EvidenceRequest>,
+        request: Request<proto::EvidenceRequest>,
     ) -> Answered<proto::EvidenceReply> {
-        Err(Status::unimplemented("evidence"))
+        let reply = self.members.ask(Asked(request.into_inner())).await;
+        reply
+            .map(|Answer(reply)| Response::new(reply))
+            .map_err(|error| Status::unavailable(error.to_string()))
     }
 
     async fn pull_configuration(
@@ -104,11 +117,8 @@
         Err(Status::unimplemented("configuration"))
     }
 
-    async fn borrow(
-        &self,
-        _request: Request<proto::BorrowRequest>,
-    ) -> Answered<proto::BorrowReply> {
-        Err(Status::unimplemented("borrow"))
+    async fn borrow(&self, request: Request<proto::BorrowRequest>) -> Answered<proto::BorrowReply> {
+        Ok(Response::new(loans::lend(&self.shared, request.into_inner())))
     }
 
     async fn handover(
@@ -124,6 +134,15 @@
     ) -> Answered<proto::CrashReply> {
         Err(Status::unimplemented("report_crash"))
     }
+
+    async fn pull_status(
+        &self,
+        _request: Request<proto::StatusRequest>,
+    ) -> Answered<proto::StatusReply> {
+        let status = serde_json::to_vec(&NodeStatus::of(&self.shared))
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(proto::StatusReply { status: status.into() }))
+    }
 }
 
 fn reply(guarded: Guarded, request_id: &[u8]) -> proto::ForwardReply {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -10,9 +10,9 @@
     call::ContextSigner,
     clock,
     config::{Configuration, KeyHasher},
-    membership::{Right, View},
+    membership::{Evidence, Right, View},
     names::Incarnation,
-    node::{BoundAddresses, Dispatches, Gate, UpstreamLink},
+    node::{BoundAddresses, Dispatches, Gate, LoanCounters, Rates, UpstreamLink},
     peers::PeerPool,
     platform::Platform,
     retry::RetryControl,
@@ -51,12 +51,18 @@
     pub view: ArcSwap<View>,
     /// Until when the node may use its row and accept keys.
     pub right: Right,
+    /// What the node knows of the rows: ages, revisions and loads.
+    pub evidence: ArcSwap<Evidence>,
     /// The upstream beside the node.
     pub upstream: UpstreamLink,
     /// Channels to other nodes.
     pub peers: PeerPool,
     /// Requests that the upstream is running.
     pub dispatches: Dispatches,
+    /// Accounts of the organisations' rates.
+    pub rates: Rates,
+    /// Messages about loans.
+    pub loan_counters: LoanCounters,
     /// The gate before the upstream.
     pub gate: Gate,
     /// What this node has seen of the targets that it sends requests to.
@@ -75,6 +81,10 @@
 impl Shared {
     /// Makes the state of a node that has just started.
     pub fn new(settings: Settings, platform: Platform, addresses: BoundAddresses) -> Self {
+        let mut metrics = Metrics::default();
+        if let Platform::Http(client) = &platform {
+            metrics.register_platform_calls(client.calls().clone());
+        }
         let signer = ContextSigner::new(&settings.fleet_secret);
         Self {
             addresses,
@@ -87,13 +97,16 @@
             configuration: ArcSwap::default(),
             view: ArcSwap::default(),
             right: Right::default(),
+            evidence: ArcSwap::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
+            rates: Rates::default(),
+            loan_counters: LoanCounters::default(),
             gate: Gate::default(),
             targets: Mutex::new(Targets::new(rand::random())),
             first_hop: Mutex::new(FirstHop::new(rand::random())),
             retries: Mutex::new(RetryControl::new(rand::random())),
-            metrics: Metrics::default(),
+            metrics,
             announced: Notify::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
             settings,
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -110,6 +110,15 @@
     pub instance: ::prost::alloc::string::String,
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
+    /// The row that the asker wants in the table, where the table has another or none.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub wanted_row: ::prost::bytes::Bytes,
+    /// The asker wants its row out of the table.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Where the asker can be asked, when the asked node may not have its table.
+    #[prost(string, tag = "8")]
+    pub peer_address: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EvidenceReply {
@@ -129,7 +138,7 @@
     /// The table version is known to be settled.
     #[prost(bool, tag = "7")]
     pub settled: bool,
-    /// One byte a row of `table_version`, in row order: age in 20 ms, 255 = unknown.
+    /// One byte a row of `table_version`, in row order: age in 20 ms, rounded up, 255 = unknown.
     #[prost(bytes = "bytes", tag = "8")]
     pub ages: ::prost::bytes::Bytes,
     /// One byte a row: load in 1/128, 255 = not serving.
@@ -202,8 +211,26 @@
     pub rate_per_s: f64,
     #[prost(uint64, tag = "7")]
     pub term_ms: u64,
+    /// Rises with every ask of one borrower for one organisation, and names the loan.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+    #[prost(double, tag = "9")]
+    pub burst: f64,
+    /// Loans that should last for the term from now.
+    #[prost(uint64, repeated, tag = "10")]
+    pub renew: ::prost::alloc::vec::Vec<u64>,
+    /// Loans that the borrower has given up.
+    #[prost(message, repeated, tag = "11")]
+    pub returned: ::prost::alloc::vec::Vec<ReturnedLoan>,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ReturnedLoan {
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    #[prost(double, tag = "2")]
+    pub tokens: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BorrowReply {
     #[prost(double, tag = "1")]
     pub tokens: f64,
@@ -212,9 +239,18 @@
     /// Burst capacity that moves with the loan.
     #[prost(double, tag = "3")]
     pub burst: f64,
-    /// Zero where nothing is lent.
+    /// Zero where nothing is lent. Counted from before the ask was sent.
     #[prost(uint64, tag = "4")]
     pub term_ms: u64,
+    #[prost(uint64, repeated, tag = "5")]
+    pub renewed: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint64, tag = "6")]
+    pub renewed_term_ms: u64,
+    /// What the lender could lend beyond this.
+    #[prost(double, tag = "7")]
+    pub spare_tokens: f64,
+    #[prost(double, tag = "8")]
+    pub spare_rate_per_s: f64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HandoverRequest {
@@ -263,6 +299,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashReply {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusReply {
+    /// `NodeStatus` in JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub status: ::prost::bytes::Bytes,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -474,6 +518,22 @@
                 .insert(GrpcMethod::new("hibiscusdoor.peers.v1.Peer", "ReportCrash"));
             self.inner.unary(req, path, codec).await
         }
+        /// Returns the asked node's status for operators.
+        pub async fn pull_status(
+            &mut self,
+            request: impl tonic::IntoRequest<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/hibiscusdoor.peers.v1.Peer/PullStatus");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hibiscusdoor.peers.v1.Peer", "PullStatus"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -519,6 +579,11 @@
             &self,
             request: tonic::Request<super::CrashReport>,
         ) -> std::result::Result<tonic::Response<super::CrashReply>, tonic::Status>;
+        /// Returns the asked node's status for operators.
+        async fn pull_status(
+            &self,
+            request: tonic::Request<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -819,6 +884,44 @@
                     };
                     Box::pin(fut)
                 }
+                "/hibiscusdoor.peers.v1.Peer/PullStatus" => {
+                    #[allow(non_camel_case_types)]
+                    struct PullStatusSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::StatusRequest> for PullStatusSvc<T> {
+                        type Response = super::StatusReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::StatusRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Peer>::pull_status(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PullStatusSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
