--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -306,7 +306,7 @@
                 shared.once.ran_alone(&fingerprint);
             }
             if !answer.status.is_server_error() {
-                slot.answered(running.call.own_time(clock::now()));
+                slot.answered(running.call.completion(clock::now()));
             }
             dispatch.answered(answer)
         }
