--- a/src/node/dispatches.rs
+++ b/src/node/dispatches.rs
@@ -13,9 +13,10 @@
 use uuid::Uuid;
 
 use crate::{
-    admission::OwnTime,
+    admission::{Completion, OwnTime},
     call::CallContext,
     clock::{self, Timestamp},
+    names::RequestId,
     routing::Pressure,
 };
 
@@ -102,9 +103,10 @@
         self.below.lock().refused
     }
 
-    /// Time of the upstream itself until now.
-    pub fn own_time(&self, now: Timestamp) -> std::time::Duration {
-        self.below.lock().own_time.total(now)
+    /// What to tell the gate when the upstream has answered.
+    pub fn completion(&self, now: Timestamp) -> Completion {
+        let own_time = self.below.lock().own_time;
+        Completion::Answered { own_time: own_time.own(now), total_time: own_time.total(now) }
     }
 }
 
@@ -142,6 +144,11 @@
         self.running.lock().get(&id).cloned()
     }
 
+    /// Tells whether the upstream is running a request of this call chain.
+    pub fn runs_chain(&self, root_id: RequestId) -> bool {
+        self.running.lock().values().any(|call| call.context.root_id == root_id)
+    }
+
     /// Number of requests that the upstream is running.
     pub fn len(&self) -> usize {
         self.running.lock().len()
--- a/src/peers/proto.rs
+++ b/src/peers/proto.rs
@@ -169,6 +169,9 @@
     pub crashes: u32,
     #[prost(uint64, tag = "3")]
     pub remaining_ms: u64,
+    /// One id a crash, 16 bytes each, so that a crash that is reported twice counts once.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub crash_ids: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigurationRequest {
@@ -267,6 +270,9 @@
     /// All records of the range have been sent.
     #[prost(bool, tag = "6")]
     pub complete: bool,
+    /// The sender has the records of all keys that are stamped later than this Unix time.
+    #[prost(uint64, tag = "7")]
+    pub complete_after_unix_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct KeyRecord {
@@ -282,10 +288,14 @@
     pub status: u32,
     #[prost(message, repeated, tag = "6")]
     pub headers: ::prost::alloc::vec::Vec<Header>,
+    /// Status 0 of a whole outcome: the answer was too large to be kept.
     #[prost(bytes = "bytes", tag = "7")]
     pub body: ::prost::bytes::Bytes,
     #[prost(uint64, tag = "8")]
     pub remaining_ms: u64,
+    /// Why the outcome is not known.
+    #[prost(string, tag = "9")]
+    pub reason: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandoverReply {
@@ -299,6 +309,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashReply {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatusReply {
+    /// `NodeStatus` in JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub status: ::prost::bytes::Bytes,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -510,6 +528,22 @@
                 .insert(GrpcMethod::new("hibiscusdoor.peers.v1.Peer", "ReportCrash"));
             self.inner.unary(req, path, codec).await
         }
+        /// Returns the asked node's status for operators.
+        pub async fn pull_status(
+            &mut self,
+            request: impl tonic::IntoRequest<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/hibiscusdoor.peers.v1.Peer/PullStatus");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hibiscusdoor.peers.v1.Peer", "PullStatus"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -555,6 +589,11 @@
             &self,
             request: tonic::Request<super::CrashReport>,
         ) -> std::result::Result<tonic::Response<super::CrashReply>, tonic::Status>;
+        /// Returns the asked node's status for operators.
+        async fn pull_status(
+            &self,
+            request: tonic::Request<super::StatusRequest>,
+        ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -855,6 +894,44 @@
                     };
                     Box::pin(fut)
                 }
+                "/hibiscusdoor.peers.v1.Peer/PullStatus" => {
+                    #[allow(non_camel_case_types)]
+                    struct PullStatusSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::StatusRequest> for PullStatusSvc<T> {
+                        type Response = super::StatusReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::StatusRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Peer>::pull_status(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PullStatusSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/tests/membership_processes.rs
+++ b/tests/membership_processes.rs
@@ -44,7 +44,8 @@
 }
 
 fn is_serving(state: &Value) -> bool {
-    state["settled"] == true && state["row_right"] == true && state["keys_right"] == true
+    let has = |right: &str| state[right].as_u64().is_some_and(|left_ms| left_ms > 0);
+    state["settled"] == true && has("row_right_left_ms") && has("keys_right_left_ms")
 }
 
 async fn state(fleet: &Fleet, node: usize) -> Value {
