--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -63,6 +63,7 @@
 /// Labels of message bytes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BytesLabels {
+    message: &'static str,
     direction: &'static str,
 }
 
@@ -74,7 +75,7 @@
     // The metrics library does not list the members of a family.
     counted: RwLock<HashMap<RequestLabels, Counter>>,
     evidence_pulls: Family<PullLabels, Counter>,
-    evidence_bytes: Family<BytesLabels, Counter>,
+    peer_bytes: Family<BytesLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -93,13 +94,13 @@
             "Evidence pulls that were answered, by this node's part in them",
             evidence_pulls.clone(),
         );
-        let evidence_bytes = Family::default();
+        let peer_bytes = Family::default();
         registry.register(
-            "evidence_message_bytes",
-            "Bytes of evidence messages, without framing",
-            evidence_bytes.clone(),
+            "peer_bytes",
+            "Bytes of messages between nodes, without framing, by kind of message",
+            peer_bytes.clone(),
         );
-        Self { registry, requests, counted: RwLock::default(), evidence_pulls, evidence_bytes }
+        Self { registry, requests, counted: RwLock::default(), evidence_pulls, peer_bytes }
     }
 }
 
@@ -188,7 +189,9 @@
         self.evidence_pulls.get_or_create(&PullLabels { part }).inc();
         for (direction, bytes) in [("received", received_bytes), ("sent", sent_bytes)] {
             let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-            self.evidence_bytes.get_or_create(&BytesLabels { direction }).inc_by(bytes);
+            self.peer_bytes
+                .get_or_create(&BytesLabels { message: "evidence", direction })
+                .inc_by(bytes);
         }
     }
 
