--- a/src/node/loans.rs
+++ b/src/node/loans.rs
@@ -30,7 +30,7 @@
 /// Shortest interval while requests wait for tokens.
 const MIN_INTERVAL: Duration = Duration::from_millis(2);
 /// Time after which an ask counts as lost.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Counters of the messages about loans.
 #[derive(Debug, Default)]
--- a/src/rate/account.rs
+++ b/src/rate/account.rs
@@ -21,13 +21,16 @@
 /// Part of its share below which a node's spare rate or burst is not worth a loan.
 const MIN_LOAN_FRACTION: f64 = 0.01;
 /// Part of the predicted demand that is held beyond it, for its variation.
-const RATE_HEADROOM: f64 = 1.15;
+const RATE_HEADROOM: f64 = 1.1;
 /// Time of the predicted demand that a bucket should hold.
 const STOCK_SECONDS: f64 = 0.25;
 /// Standard deviations of one second's demand that a bucket should hold beyond that.
 const STOCK_DEVIATIONS: f64 = 2.0;
-/// Below this demand a node keeps nothing for itself.
-const NO_DEMAND_PER_S: f64 = 0.01;
+/// Below this demand a node keeps nothing for itself and borrows for single requests only. One
+/// request makes a predicted demand of 0.5 a second, which is no evidence of more to come.
+const NO_DEMAND_PER_S: f64 = 0.75;
+/// Times that one ask is sent; at a loss of a fifth of all messages, one in 60 asks fails.
+const MAX_TRIES: u32 = 4;
 /// Time in which another node's unanswered ask makes this one give back what it can spare.
 const CONTESTED: Duration = Duration::from_millis(500);
 
@@ -73,16 +76,22 @@
     pub id: LoanId,
     pub amount: Allowance,
     pub until: Timestamp,
+    /// Tokens that moved at the start.
+    pub tokens: f64,
+    /// Term that the lender answered.
+    pub term: Duration,
 }
 
 /// An ask whose answer has not come.
 #[derive(Debug, Clone)]
 pub(super) struct Pending {
-    pub sequence: LoanId,
+    pub ask: Ask,
     pub lender: Peer,
+    /// When it was sent for the first time; the term counts from here.
     pub sent: Timestamp,
-    pub rate_per_s: f64,
-    pub tokens: f64,
+    pub tries: u32,
+    /// No answer came to the last try.
+    pub unanswered: bool,
 }
 
 /// What is known of a peer's spare part.
@@ -132,6 +141,8 @@
     pub(super) contested_until: Timestamp,
     pub(super) dry_until: Timestamp,
     pub(super) dry_backoff: Duration,
+    pub(super) vain_asks: f64,
+    pub(super) vain_updated: Timestamp,
 }
 
 /// State of an account for people and programs.
@@ -248,9 +259,10 @@
         }
         let mut loan = Loan::default();
         let last = self.last_sequences.entry(borrower.clone()).or_default();
-        if ask.sequence <= *last || now >= right_until {
+        if ask.sequence < *last || now >= right_until {
             return loan;
         }
+        let repeated = ask.sequence == *last;
         *last = ask.sequence;
         let Some((until, term)) = terms(now, ask.term, right_until) else {
             return loan;
@@ -259,11 +271,16 @@
         if !loan.renewed.is_empty() {
             loan.renewed_term = term;
         }
-        if ask.wants_loan() {
-            self.lend_new(borrower, ask, until, &mut loan);
-            if loan.burst > 0.0 || loan.rate_per_s > 0.0 {
-                loan.term = term;
-            } else {
+        if repeated {
+            self.repeat(borrower, ask, &mut loan);
+        } else if ask.wants_loan() {
+            self.lend_new(borrower, ask, until, term, &mut loan);
+            if loan.term.is_zero() && !self.is_contested(now) {
+                // What is kept for a demand that may be over is lent when others lack it.
+                self.contested_until = now + CONTESTED;
+                self.lend_new(borrower, ask, until, term, &mut loan);
+            }
+            if loan.term.is_zero() {
                 self.contested_until = now + CONTESTED;
             }
         }
@@ -279,7 +296,7 @@
         let Some(index) = self
             .pending
             .iter()
-            .position(|pending| pending.sequence == sequence && pending.lender == *lender)
+            .position(|pending| pending.ask.sequence == sequence && pending.lender == *lender)
         else {
             return;
         };
@@ -294,18 +311,30 @@
         let empty = loan.term.is_zero();
         if !empty && until > now {
             let amount = Allowance { rate_per_s: loan.rate_per_s, burst: loan.burst };
-            self.borrowed.push(Moved { peer: lender.clone(), id: sequence, amount, until });
-            self.tokens += loan.tokens.min(loan.burst);
+            let (term, tokens) = (loan.term, loan.tokens.min(loan.burst));
+            let peer = lender.clone();
+            self.borrowed.push(Moved { peer, id: sequence, amount, until, tokens, term });
+            self.tokens += tokens;
             self.clip();
         }
-        self.learn(lender, loan, pending.rate_per_s > 0.0 || pending.tokens > 0.0, now);
+        if pending.ask.wants_loan() {
+            self.learn(lender, loan, now);
+        }
     }
 
-    /// Gives up an ask whose answer did not come in time.
+    /// Takes note that no answer came to an ask in time; [`Self::plan`] sends the same ask again a
+    /// few times, and the lender answers it with the same loan.
     pub fn lost(&mut self, lender: &Peer, sequence: LoanId, now: Timestamp) {
-        let before = self.pending.len();
-        self.pending.retain(|pending| pending.sequence != sequence || pending.lender != *lender);
-        if self.pending.len() < before {
+        let mut given_up = false;
+        self.pending.retain_mut(|pending| {
+            if pending.ask.sequence != sequence || pending.lender != *lender {
+                return true;
+            }
+            pending.unanswered = true;
+            given_up = pending.tries >= MAX_TRIES;
+            !given_up
+        });
+        if given_up {
             self.mark_dry(lender, now);
         }
     }
@@ -374,6 +403,23 @@
         self.own().plus(sum(&self.borrowed))
     }
 
+    /// Rate and burst that this node should hold.
+    pub(super) fn need(&self, now: Timestamp) -> Allowance {
+        match self.is_contested(now) {
+            // Without the headroom, since another node lacks what is spare here.
+            true => self.needed(self.demand.recent_per_s(now) / RATE_HEADROOM),
+            false => self.predicted_need(now),
+        }
+    }
+
+    /// Rate and burst that the predicted demand needs.
+    pub(super) fn predicted_need(&self, now: Timestamp) -> Allowance {
+        let rate_per_s = self.needed(self.demand.predicted_per_s(now)).rate_per_s;
+        // A burst that is over needs no stock, so it does not make the node hoard tokens.
+        let burst = self.needed(self.demand.lasting_per_s(now)).burst;
+        Allowance { rate_per_s, burst }
+    }
+
     /// Rate and burst that a demand needs.
     pub(super) fn needed(&self, demand_per_s: f64) -> Allowance {
         if demand_per_s < NO_DEMAND_PER_S || self.whole.rate_per_s <= 0.0 {
@@ -395,10 +441,8 @@
     }
 
     fn renew(&mut self, borrower: &Peer, ask: &Ask, until: Timestamp, loan: &mut Loan) {
-        // A lender that needs its share lets its loans run out.
-        if self.waiting > 0 {
-            return;
-        }
+        // A loan is renewed even where requests wait: at its end the rate would lie idle for the
+        // allowance, and the borrower gives back what it does not need.
         for lent in &mut self.lent {
             if lent.peer == *borrower && ask.renew.contains(&lent.id) {
                 lent.until = lent.until.max(until);
@@ -407,7 +451,25 @@
         }
     }
 
-    fn lend_new(&mut self, borrower: &Peer, ask: &Ask, until: Timestamp, loan: &mut Loan) {
+    /// Answers an ask that came before with the loan that it was given then.
+    fn repeat(&self, borrower: &Peer, ask: &Ask, loan: &mut Loan) {
+        let known = self.lent.iter().find(|it| it.peer == *borrower && it.id == ask.sequence);
+        if let Some(known) = known {
+            loan.rate_per_s = known.amount.rate_per_s;
+            loan.burst = known.amount.burst;
+            loan.tokens = known.tokens;
+            loan.term = known.term;
+        }
+    }
+
+    fn lend_new(
+        &mut self,
+        borrower: &Peer,
+        ask: &Ask,
+        until: Timestamp,
+        term: Duration,
+        loan: &mut Loan,
+    ) {
         let loans = self.lent.iter().filter(|lent| lent.peer == *borrower).count();
         if loans >= MAX_LOANS_PER_PEER || self.waiting > 0 {
             return;
@@ -420,15 +482,27 @@
         let free = self.usable().burst - (self.tokens - tokens) - f64::from(self.held);
         let burst = ask.burst.max(tokens).min(spare.burst).min(free).max(0.0);
         let tokens = tokens.min(burst);
+        // Rate without capacity is wasted, so they move together.
+        let own_burst = self.own().burst;
+        let part = if own_burst > 0.0 { burst / own_burst } else { 0.0 };
+        let rate_per_s = rate_per_s.max(spare.rate_per_s * part.min(1.0));
         let worthwhile = rate_per_s > base.rate_per_s * MIN_LOAN_FRACTION
             || tokens > (base.burst * MIN_LOAN_FRACTION).min(1.0);
         if !worthwhile {
             return;
         }
+        let keeps_rate = self.own().rate_per_s - rate_per_s > base.rate_per_s * MIN_LOAN_FRACTION;
+        let (burst, tokens) = match keeps_rate && base.burst >= 1.0 {
+            // The rate that stays needs room for a whole token.
+            true => (burst.min((own_burst - 1.0).max(0.0)), tokens.min((own_burst - 1.0).max(0.0))),
+            false => (burst, tokens),
+        };
         self.tokens -= tokens;
         let amount = Allowance { rate_per_s, burst };
-        self.lent.push(Moved { peer: borrower.clone(), id: ask.sequence, amount, until });
+        let (peer, id) = (borrower.clone(), ask.sequence);
+        self.lent.push(Moved { peer, id, amount, until, tokens, term });
         self.clip();
+        loan.term = term;
         loan.rate_per_s = rate_per_s;
         loan.burst = burst;
         loan.tokens = tokens;
@@ -437,7 +511,7 @@
     /// Rate, burst and tokens that the node can lend without missing them.
     fn spare(&self) -> (Allowance, f64) {
         let own = self.own();
-        let needed = self.needed(self.demand.predicted_per_s(self.updated));
+        let needed = self.need(self.updated);
         let kept = needed.less(sum(&self.borrowed));
         let spare = own.less(kept);
         // The bucket may be below the stock that it needs for some time.
--- a/src/rate/demand.rs
+++ b/src/rate/demand.rs
@@ -12,6 +12,12 @@
 /// this long once in about 3,000 requests.
 const SILENT_GAPS: f64 = 8.0;
 
+/// Standard deviations of the fast rate beyond the slow one that are taken for a jump.
+const JUMP_DEVIATIONS: f64 = 3.0;
+/// Standard deviations beyond the fast rate that are kept when another node lacks rate; without
+/// them, two nodes near the whole rate take it from each other at every fluctuation.
+const SAFE_DEVIATIONS: f64 = 1.5;
+
 /// Exponentially weighted request rates with a fast and a slow time constant.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
@@ -34,7 +40,15 @@
     pub fn predicted_per_s(&self, now: Timestamp) -> f64 {
         let (fast, slow) = self.at(now);
         // One request lifts the fast rate to 10 a second, which is no evidence of a jump.
-        if fast < 3.0 / FAST.as_secs_f64() { slow } else { fast.max(slow) }
+        if fast < 3.0 / FAST.as_secs_f64() || fast < slow + JUMP_DEVIATIONS * deviation(slow) {
+            return slow;
+        }
+        fast
+    }
+
+    /// Expected requests a second of a demand that lasts; a burst hardly changes it.
+    pub fn lasting_per_s(&self, now: Timestamp) -> f64 {
+        self.at(now).1
     }
 
     /// Expected requests a second by the latest requests alone, for giving back what another
@@ -42,10 +56,13 @@
     pub fn recent_per_s(&self, now: Timestamp) -> f64 {
         let (fast, slow) = self.at(now);
         let silence = now.saturating_sub(self.last_arrival).as_secs_f64();
-        if silence * slow > SILENT_GAPS {
+        if silence * fast.max(slow) > SILENT_GAPS {
             return 0.0;
         }
-        if slow < 3.0 / FAST.as_secs_f64() { slow } else { fast }
+        if slow < 3.0 / FAST.as_secs_f64() {
+            return slow;
+        }
+        (fast + SAFE_DEVIATIONS * deviation(fast)).min(fast.max(slow))
     }
 
     fn decay(&mut self, now: Timestamp) {
@@ -60,3 +77,8 @@
         (fast, slow)
     }
 }
+
+/// Standard deviation of the fast rate for a Poisson process.
+fn deviation(per_s: f64) -> f64 {
+    (per_s / (2.0 * FAST.as_secs_f64())).sqrt()
+}
--- a/src/rate/loan.rs
+++ b/src/rate/loan.rs
@@ -109,7 +109,7 @@
     /// Asks a second.
     pub const PER_SECOND: f64 = 40.0;
     /// Asks at once.
-    pub const BURST: f64 = 64.0;
+    pub const BURST: f64 = 128.0;
 
     /// Takes up to `wanted` asks.
     pub fn available(&mut self, now: Timestamp) -> usize {
--- a/src/rate/planning.rs
+++ b/src/rate/planning.rs
@@ -16,15 +16,28 @@
 const TERM: Duration = Duration::from_secs(3);
 /// Time before its end at which a loan is renewed; two lost messages leave time for a third.
 const RENEW_BEFORE: Duration = Duration::from_secs(1);
-/// Time after which an ask counts as lost.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which an ask is forgotten of which the node was told neither answer nor loss.
+const FORGET_ASK: Duration = Duration::from_secs(1);
 /// Peers asked at once while no request waits.
 const PARALLEL: usize = 4;
 /// Peers asked at once while requests wait for a token.
 const PARALLEL_WAITING: usize = 16;
+/// Further peers that are asked for the last few tokens while requests wait.
+const MORE_FOR_LAST: usize = 3;
+/// More tokens than this, asked of several peers, would be missed by another node in need.
+const FEW_TOKENS: f64 = 2.0;
 /// Pause after a peer had nothing, doubled each time.
 const MIN_BACKOFF: Duration = Duration::from_millis(10);
 const MAX_BACKOFF: Duration = Duration::from_millis(1000);
+/// Asks in vain that an organisation may make a second.
+const VAIN_ASKS_PER_S: f64 = 10.0;
+/// Asks in vain that it may make at once; a jump of demand to another node takes about 40.
+const VAIN_ASKS_BURST: f64 = 96.0;
+/// Asks of the node's budget that are kept from an organisation that asked in vain, so that one
+/// that is over its rate does not use up the asks of the others.
+const RESERVED_ASKS: usize = 48;
+/// Asks in vain from which an organisation may not use the reserve.
+const MANY_VAIN_ASKS: f64 = 48.0;
 /// Age at which a hint says nothing any more.
 const HINT_AGE: Duration = Duration::from_secs(2);
 /// Part of the needed rate that may be missing before a peer is asked.
@@ -52,11 +65,12 @@
         random: &mut impl rand::Rng,
     ) -> Vec<OutgoingAsk> {
         self.advance(now, right_until);
-        self.pending.retain(|pending| now < pending.sent + ASK_TIMEOUT);
+        self.pending.retain(|pending| now < pending.sent + FORGET_ASK);
         let mut asks = Vec::new();
         if now >= right_until || peers.is_empty() {
             return asks;
         }
+        self.send_again(budget, &mut asks);
         self.give_up_surplus(now, budget, &mut asks);
         self.renew_loans(now, budget, &mut asks);
         self.ask_for_more(peers, now, budget, random, &mut asks);
@@ -68,14 +82,13 @@
         if self.waiting >= MAX_WAITING || f64::from(self.waiting) >= self.whole.burst {
             return false;
         }
-        retry_after <= MAX_WAIT || !self.pending.is_empty() || now >= self.dry_until
+        retry_after <= MAX_WAIT
+            || self.pending.iter().any(|pending| pending.ask.wants_loan())
+            || now >= self.dry_until
     }
 
     /// Learns from an answer which peers have something to spare.
-    pub(super) fn learn(&mut self, lender: &Peer, loan: &Loan, asked: bool, now: Timestamp) {
-        if !asked {
-            return;
-        }
+    pub(super) fn learn(&mut self, lender: &Peer, loan: &Loan, now: Timestamp) {
         if loan.term.is_zero() {
             self.mark_dry(lender, now);
             return;
@@ -96,6 +109,7 @@
     pub(super) fn mark_dry(&mut self, lender: &Peer, now: Timestamp) {
         let known = self.hints.get(lender).map_or(Duration::ZERO, |hint| hint.backoff);
         let backoff = (known * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
+        self.vain_asks += 1.0;
         let hint = Hint {
             spare_tokens: 0.0,
             spare_rate_per_s: 0.0,
@@ -117,12 +131,9 @@
     /// Gives loans back that the demand no longer needs.
     fn give_up_surplus(&mut self, now: Timestamp, budget: usize, asks: &mut Vec<OutgoingAsk>) {
         let contested = now < self.contested_until;
-        let demand_per_s = match contested {
-            true => self.demand.recent_per_s(now),
-            false => self.demand.predicted_per_s(now),
-        };
-        let needed = self.needed(demand_per_s);
+        let needed = self.need(now);
         let surplus = if contested { 1.0 } else { SURPLUS };
+        let first = asks.len();
         let mut index = 0;
         while index < self.borrowed.len() && asks.len() < budget {
             let usable = self.usable();
@@ -142,7 +153,7 @@
             self.tokens -= tokens;
             let loan = self.borrowed.remove(index);
             let returned = Returned { id: loan.id, tokens };
-            match asks.iter_mut().find(|ask| ask.lender == loan.peer) {
+            match asks[first..].iter_mut().find(|ask| ask.lender == loan.peer) {
                 Some(known) => known.ask.returned.push(returned),
                 None => {
                     let ask = Ask { returned: vec![returned], ..self.next_ask(now) };
@@ -150,6 +161,19 @@
                 }
             }
         }
+        for outgoing in &asks[first..] {
+            self.pending.push(pending(outgoing, now));
+        }
+    }
+
+    /// Sends asks again that were not answered; they keep their number, so the lender lends once.
+    fn send_again(&mut self, budget: usize, asks: &mut Vec<OutgoingAsk>) {
+        let unanswered = self.pending.iter_mut().filter(|pending| pending.unanswered);
+        for pending in unanswered.take(budget) {
+            pending.unanswered = false;
+            pending.tries += 1;
+            asks.push(OutgoingAsk { lender: pending.lender.clone(), ask: pending.ask.clone() });
+        }
     }
 
     fn renew_loans(&mut self, now: Timestamp, budget: usize, asks: &mut Vec<OutgoingAsk>) {
@@ -178,27 +202,37 @@
         random: &mut impl rand::Rng,
         asks: &mut Vec<OutgoingAsk>,
     ) {
-        let needed = self.needed(self.demand.predicted_per_s(now));
+        let needed = self.predicted_need(now);
         let usable = self.usable();
         let waiting = f64::from(self.waiting);
-        let coming_rate: f64 = self.pending.iter().map(|pending| pending.rate_per_s).sum();
-        let coming_tokens: f64 = self.pending.iter().map(|pending| pending.tokens).sum();
+        // An ask that was sent again may go to a peer that does not live any more.
+        let coming = self.pending.iter().filter(|pending| pending.tries == 1);
+        let (coming_rate, coming_tokens) = coming.fold((0.0, 0.0), |(rate, tokens), pending| {
+            (rate + pending.ask.rate_per_s, tokens + pending.ask.tokens)
+        });
         let mut rate_per_s = needed.rate_per_s - usable.rate_per_s - coming_rate;
         let mut tokens = needed.burst + waiting - self.tokens - coming_tokens;
         let short_of_rate = rate_per_s > needed.rate_per_s * RATE_SLACK;
         let short_of_tokens = self.tokens + coming_tokens < needed.burst * LOW_STOCK;
         let urgent = waiting > 0.0 && coming_tokens < waiting;
-        let pausing = now < self.dry_until;
+        let pausing = now < self.dry_until && !self.may_hurry();
         if pausing || !(short_of_rate || short_of_tokens || urgent) {
             return;
         }
         let parallel = if waiting > 0.0 { PARALLEL_WAITING } else { PARALLEL };
-        let mut free = parallel.saturating_sub(self.pending.len());
+        let elapsed = now.saturating_sub(self.vain_updated).as_secs_f64();
+        self.vain_asks = (self.vain_asks - elapsed * VAIN_ASKS_PER_S).max(0.0);
+        self.vain_updated = now;
+        let vain = (VAIN_ASKS_BURST - self.vain_asks).max(0.0) as usize;
+        let mut free = parallel.min(vain).saturating_sub(self.pending.len());
         let candidates = self.candidates(peers, now, random);
         if candidates.is_empty() && self.pending.is_empty() {
             self.dry_backoff = (self.dry_backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF / 2);
             self.dry_until = now + self.dry_backoff;
         }
+        let mut more_for_last = MORE_FOR_LAST;
+        let reserved = if self.vain_asks > MANY_VAIN_ASKS { RESERVED_ASKS } else { 0 };
+        let budget = budget.saturating_sub(reserved);
         for lender in candidates {
             if free == 0 || asks.len() >= budget {
                 return;
@@ -209,29 +243,34 @@
             let base = self.base();
             let (hint_rate, hint_tokens) = self.hinted(&lender, now);
             let ask_rate = rate_per_s.max(0.0).min(hint_rate.max(base.rate_per_s));
-            let ask_tokens = tokens.max(0.0).min(hint_tokens.max(base.burst).max(1.0));
+            let ask_tokens = tokens.max(0.0).min(hint_tokens.max(base.burst));
             let ask = Ask {
                 rate_per_s: ask_rate,
                 tokens: ask_tokens,
                 burst: ask_tokens.max((needed.burst - usable.burst).clamp(0.0, base.burst)),
                 ..self.next_ask(now)
             };
-            rate_per_s -= ask_rate;
-            tokens -= ask_tokens;
+            if ask_tokens == tokens && tokens <= FEW_TOKENS && waiting > 0.0 && more_for_last > 0 {
+                // One peer may have nothing, and there is no time for one after another.
+                more_for_last -= 1;
+            } else {
+                rate_per_s -= ask_rate;
+                tokens -= ask_tokens;
+            }
             free -= 1;
             self.send(lender, ask, now, asks);
         }
     }
 
     fn send(&mut self, lender: Peer, ask: Ask, now: Timestamp, asks: &mut Vec<OutgoingAsk>) {
-        self.pending.push(Pending {
-            sequence: ask.sequence,
-            lender: lender.clone(),
-            sent: now,
-            rate_per_s: ask.rate_per_s,
-            tokens: ask.tokens,
-        });
-        asks.push(OutgoingAsk { lender, ask });
+        let outgoing = OutgoingAsk { lender, ask };
+        self.pending.push(pending(&outgoing, now));
+        asks.push(outgoing);
+    }
+
+    /// Requests wait, and peers may have got something back since they were asked.
+    fn may_hurry(&self) -> bool {
+        self.waiting > 0 && self.vain_asks < MANY_VAIN_ASKS
     }
 
     fn is_pending(&self, lender: &Peer) -> bool {
@@ -240,10 +279,15 @@
 
     /// Peers that may have something, those with the most by their hints first.
     fn candidates(&self, peers: &[Peer], now: Timestamp, random: &mut impl rand::Rng) -> Vec<Peer> {
+        let pause = if self.may_hurry() { MIN_BACKOFF } else { MAX_BACKOFF };
         let mut candidates: Vec<&Peer> = peers
             .iter()
             .filter(|peer| !self.is_pending(peer))
-            .filter(|peer| self.hints.get(*peer).is_none_or(|hint| hint.dry_until <= now))
+            .filter(|peer| {
+                self.hints
+                    .get(*peer)
+                    .is_none_or(|hint| hint.dry_until.min(hint.learnt + pause) <= now)
+            })
             .collect();
         candidates.shuffle(random);
         // Sorting is stable, so peers with equal hints stay in random order.
@@ -264,6 +308,16 @@
     }
 }
 
+fn pending(outgoing: &OutgoingAsk, now: Timestamp) -> Pending {
+    Pending {
+        ask: outgoing.ask.clone(),
+        lender: outgoing.lender.clone(),
+        sent: now,
+        tries: 1,
+        unanswered: false,
+    }
+}
+
 /// A delay within a quarter of `delay` around it, so that refused callers do not return at once.
 pub fn jittered(delay: Duration, random: &mut impl rand::Rng) -> Duration {
     delay.mul_f64(random.random_range(0.75..1.25))
--- /dev/null
+++ b/tests/rate_accounts.rs
@@ -0,0 +1,223 @@
+//! Single rules of shares, buckets and loans.
+
+mod support;
+
+use std::time::Duration;
+
+use hibiscusdoor::rate::{Account, Allowance, Ask, Charge, Loan, OutgoingAsk, Peer};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+const WHOLE: Allowance = Allowance { rate_per_s: 100.0, burst: 40.0 };
+const START: Duration = Duration::from_secs(100);
+const FOREVER: Duration = Duration::MAX;
+const TERM: Duration = Duration::from_secs(2);
+
+fn ms(milliseconds: u64) -> Duration {
+    START + Duration::from_millis(milliseconds)
+}
+
+fn peer(name: &str) -> Peer {
+    Peer { instance: name.into(), incarnation: 1 }
+}
+
+/// An account with a share and the tokens of one second.
+fn account(share: f64) -> Account {
+    let mut account = Account::default();
+    let before = START - Duration::from_secs(1);
+    account.set_whole(WHOLE, before);
+    account.set_share(share, before);
+    // The first look at the right counts as the end of a lapse.
+    account.charge(before, FOREVER, true);
+    account.snapshot(START);
+    account
+}
+
+fn ask(sequence: u64) -> Ask {
+    Ask { sequence, rate_per_s: 10.0, burst: 5.0, tokens: 5.0, term: TERM, ..Ask::default() }
+}
+
+/// Guards against a burst that two nodes hand out, the old owner of a share and the new one.
+#[test]
+fn share_that_grows_brings_no_tokens() {
+    let mut account = account(0.5);
+    let before = account.snapshot(START).tokens;
+    account.set_share(1.0, START);
+    let after = account.snapshot(START);
+    assert_eq!(after.tokens, before);
+    assert_eq!(after.usable.burst, WHOLE.burst);
+}
+
+/// Guards against tokens that outlive the share they belong to.
+#[test]
+fn share_that_shrinks_clips_tokens() {
+    let mut account = account(1.0);
+    account.set_share(0.25, START);
+    assert_eq!(account.snapshot(START).tokens, WHOLE.burst * 0.25);
+}
+
+/// Guards against more tokens after operators raise the burst, and too many after they lower it.
+#[test]
+fn changed_figures_follow_the_rule_of_shares() {
+    let mut account = account(1.0);
+    account.set_whole(Allowance { rate_per_s: 100.0, burst: 80.0 }, START);
+    assert_eq!(account.snapshot(START).tokens, WHOLE.burst);
+    account.set_whole(Allowance { rate_per_s: 100.0, burst: 10.0 }, START);
+    assert_eq!(account.snapshot(START).tokens, 10.0);
+}
+
+/// Guards against a version that counts as adopted while a loan exceeds the share it gives.
+#[test]
+fn smaller_share_waits_for_loans_to_end() {
+    let mut account = account(0.5);
+    let loan = account.lend(&peer("b"), &ask(1), START, FOREVER);
+    // A quarter of the burst takes a quarter of the rate with it.
+    assert_eq!(loan.rate_per_s, 12.5);
+    assert!(!account.prepare_share(0.05, ms(10)));
+    assert_eq!(account.snapshot(ms(10)).usable, Allowance::default());
+    assert!(account.prepare_share(0.05, ms(10) + TERM + Duration::from_millis(100)));
+}
+
+/// Guards against a loan that lasts longer at the borrower than at the lender: the answer comes
+/// 150 ms after the ask was sent, and the sum is looked at every millisecond.
+#[test]
+fn borrower_counts_its_term_from_before_it_asked() {
+    let (mut lender, mut borrower) = (account(0.5), account(0.5));
+    // Requests beyond its bucket make the borrower ask.
+    while borrower.charge(START, FOREVER, false) == Charge::Admitted {
+        borrower.spend();
+    }
+    borrower.begin_wait();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let asks = borrower.plan(&[peer("a")], START, FOREVER, 8, &mut random);
+    let OutgoingAsk { ask, .. } = asks.first().expect("an ask").clone();
+    let loan = lender.lend(&peer("b"), &ask, ms(1), FOREVER);
+    assert!(!loan.term.is_zero(), "{loan:?}");
+    borrower.receive(&peer("a"), ask.sequence, &loan, ms(150));
+    assert!(borrower.snapshot(ms(150)).loans_taken == 1);
+    for time in 150..10_000 {
+        let (a, b) = (lender.snapshot(ms(time)), borrower.snapshot(ms(time)));
+        let rate_per_s = a.usable.rate_per_s + b.usable.rate_per_s;
+        let burst = a.usable.burst + b.usable.burst;
+        assert!(rate_per_s <= WHOLE.rate_per_s + 1e-9, "rate {rate_per_s} after {time} ms");
+        assert!(burst <= WHOLE.burst + 1e-9, "burst {burst} after {time} ms");
+    }
+    assert_eq!(borrower.snapshot(ms(10_000)).loans_taken, 0);
+    assert_eq!(lender.snapshot(ms(10_000)).loans_given, 0);
+}
+
+/// Guards against a message that came twice, or late, and lends twice.
+#[test]
+fn repeated_and_reordered_asks_lend_once() {
+    let mut account = account(0.5);
+    let first = account.lend(&peer("b"), &ask(2), START, FOREVER);
+    let tokens = account.snapshot(ms(1)).tokens;
+    // The same ask, sent again since no answer came, gets the same loan.
+    let again = account.lend(&peer("b"), &ask(2), ms(1), FOREVER);
+    let amounts = |loan: &Loan| (loan.rate_per_s, loan.burst, loan.tokens, loan.term);
+    assert_eq!(amounts(&again), amounts(&first));
+    let late = account.lend(&peer("b"), &ask(1), ms(1), FOREVER);
+    assert_eq!(late.term, Duration::ZERO);
+    let state = account.snapshot(ms(1));
+    assert_eq!((state.loans_given, state.tokens), (1, tokens));
+}
+
+/// Guards against an answer that is booked twice, or after its ask was given up.
+#[test]
+fn answer_is_booked_once() {
+    let mut borrower = account(0.5);
+    while borrower.charge(START, FOREVER, false) == Charge::Admitted {
+        borrower.spend();
+    }
+    // More than one peer's share has.
+    for _ in 0..30 {
+        borrower.begin_wait();
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let peers = [peer("a"), peer("c")];
+    let asks = borrower.plan(&peers, START, FOREVER, 8, &mut random);
+    assert_eq!(asks.len(), 2);
+    let loan = Loan { rate_per_s: 1.0, burst: 2.0, tokens: 2.0, term: TERM, ..Loan::default() };
+    for _ in 0..2 {
+        borrower.receive(&asks[0].lender, asks[0].ask.sequence, &loan, ms(5));
+    }
+    // The same ask is sent again until it is given up.
+    for time in 5..20 {
+        borrower.lost(&asks[1].lender, asks[1].ask.sequence, ms(time));
+        borrower.plan(&peers[..1], ms(time), FOREVER, 8, &mut random);
+    }
+    borrower.receive(&asks[1].lender, asks[1].ask.sequence, &loan, ms(21));
+    assert_eq!(borrower.snapshot(ms(21)).loans_taken, 1);
+}
+
+/// Guards against a return that gives tokens twice or of a loan that already ended.
+#[test]
+fn returned_loan_is_taken_back_once() {
+    let mut account = account(0.5);
+    let full = account.snapshot(START).tokens;
+    account.lend(&peer("b"), &ask(1), START, FOREVER);
+    assert_eq!(account.snapshot(START).tokens, full - 5.0);
+    let returned = vec![hibiscusdoor::rate::Returned { id: 1, tokens: 3.0 }];
+    let back = Ask { sequence: 2, returned, ..Ask::default() };
+    for _ in 0..2 {
+        account.lend(&peer("b"), &back, START, FOREVER);
+    }
+    let state = account.snapshot(START);
+    assert_eq!((state.loans_given, state.tokens), (0, full - 2.0));
+}
+
+/// Guards against loans of loans.
+#[test]
+fn borrowed_rate_is_not_lent_on() {
+    let mut account = account(0.0);
+    assert_eq!(account.lend(&peer("b"), &ask(1), START, FOREVER).term, Duration::ZERO);
+    let mut borrower = self::account(0.1);
+    while borrower.charge(START, FOREVER, false) == Charge::Admitted {
+        borrower.spend();
+    }
+    borrower.begin_wait();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let asks = borrower.plan(&[peer("a")], START, FOREVER, 8, &mut random);
+    let loan = Loan { rate_per_s: 50.0, burst: 20.0, tokens: 20.0, term: TERM, ..Loan::default() };
+    borrower.receive(&peer("a"), asks[0].ask.sequence, &loan, ms(1));
+    borrower.end_wait();
+    let wanted = Ask { rate_per_s: 100.0, burst: 40.0, tokens: 40.0, ..ask(1) };
+    // The demand has long gone, so everything of its own is to spare.
+    let lent = borrower.lend(&peer("c"), &wanted, ms(1500), FOREVER);
+    assert!(lent.rate_per_s <= WHOLE.rate_per_s * 0.1 + 1e-9, "{lent:?}");
+    assert!(lent.burst <= WHOLE.burst * 0.1 + 1e-9, "{lent:?}");
+}
+
+/// Guards against a loan that outlives the lender's right to what it lends.
+#[test]
+fn loan_ends_with_the_right_of_the_lender() {
+    let mut account = account(0.5);
+    let right_until = ms(800);
+    let loan = account.lend(&peer("b"), &ask(1), START, right_until);
+    assert!(loan.term < Duration::from_millis(800), "{:?}", loan.term);
+    assert!(loan.term > Duration::from_millis(700), "{:?}", loan.term);
+    let refused = account.lend(&peer("b"), &ask(2), ms(790), right_until);
+    assert_eq!(refused.term, Duration::ZERO);
+}
+
+/// Guards against a bucket that admits after its share may have gone to others.
+#[test]
+fn lapsed_right_refuses_and_empties_the_bucket() {
+    let mut account = account(0.5);
+    account.snapshot(START);
+    assert_eq!(account.charge(START, ms(100), false), Charge::Admitted);
+    account.spend();
+    assert_eq!(account.charge(ms(100), ms(100), false), Charge::NoRight);
+    assert!(matches!(account.charge(ms(200), ms(4000), false), Charge::Empty { .. }));
+}
+
+/// Guards against a token that is given back to a bucket which filled up in the meantime.
+#[test]
+fn token_given_back_never_exceeds_the_capacity() {
+    let mut account = account(0.5);
+    assert_eq!(account.charge(START, FOREVER, false), Charge::Admitted);
+    let later = ms(2000);
+    assert_eq!(account.snapshot(later).tokens, WHOLE.burst * 0.5 - 1.0);
+    account.give_back(later);
+    assert_eq!(account.snapshot(later).tokens, WHOLE.burst * 0.5);
+}
--- a/tests/support/rate_world.rs
+++ b/tests/support/rate_world.rs
@@ -23,7 +23,7 @@
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(250);
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 const URGENT_DELAY: Duration = Duration::from_millis(2);
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Whether a node runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -106,7 +106,7 @@
 }
 
 impl Node {
-    fn local(&self, now: Duration) -> Duration {
+    pub fn local(&self, now: Duration) -> Duration {
         self.offset + now.mul_f64(1.0 + self.drift)
     }
 
@@ -533,7 +533,9 @@
             }
             let mut delay = Duration::from_micros(self.random.random_range(500..3000));
             if self.random.random_range(0.0..1.0) < self.long_delay {
-                delay += Duration::from_millis(self.random.random_range(0..5000));
+                // Half of them come before the ask is given up, half after.
+                let longest = if self.random.random_range(0.0..1.0) < 0.5 { 180 } else { 5000 };
+                delay += Duration::from_millis(self.random.random_range(0..longest));
             }
             let time = self.now + delay;
             self.at(time, event.clone());
