--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -22,9 +22,10 @@
         Lifecycle, Shared,
         dispatches::RunningCall,
         guard::{self, Guarded},
+        once,
         rates::{self, ChargeRefusal, HeldCharge},
     },
-    peers::proto,
+    peers::{self, proto},
     retry::{AttemptEnd, HopBudget, ROOT_RETRY_BUDGET, may_retry},
     routing::{AttemptResult, Candidate, Pressure, Verdict},
 };
@@ -64,7 +65,7 @@
 
 /// Answers a request of a caller or of the upstream.
 pub async fn answer(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     origin: Origin,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
@@ -75,7 +76,7 @@
 }
 
 async fn run(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     origin: Origin,
     request: Request<Incoming>,
     request_id: Uuid,
@@ -132,7 +133,7 @@
 
 /// Runs the request of a caller.
 async fn run_root(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     route: &str,
     context: CallContext,
     request: WholeRequest,
@@ -191,7 +192,7 @@
 
 /// Runs a call that the upstream makes for a request.
 async fn run_below(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     parent: &RunningCall,
     context: CallContext,
     request: WholeRequest,
@@ -223,7 +224,7 @@
 
 /// Makes attempts until one is final or the budget is spent.
 async fn run_attempts(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     mut context: CallContext,
     request: WholeRequest,
     mut undispatched: Undispatched,
@@ -294,6 +295,11 @@
     let Some(key) = key else {
         return Err((Reason::UnknownKey, "the request carries no key".to_owned()));
     };
+    let now = clock::now();
+    if !shared.right.row_is_valid(now) || !shared.right.keys_are_valid(now) {
+        let detail = "the node cannot show that its table and configuration are current";
+        return Err((Reason::NoRight, detail.to_owned()));
+    }
     match configuration.check_key(&shared.key_hasher, key) {
         KeyCheck::Organisation(name) => Ok(Some(name)),
         KeyCheck::Unknown => Err((Reason::UnknownKey, "the key is not in force".to_owned())),
@@ -395,14 +401,22 @@
 
 /// Makes one attempt; returns the target that was chosen.
 async fn attempt(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     context: CallContext,
     request: WholeRequest,
     undispatched: Undispatched,
     tried: &[InstanceName],
 ) -> (Option<InstanceName>, Guarded) {
     let rows = rows_of(shared, &context);
-    let chosen = shared.targets.lock().choose(clock::now(), &candidates(shared, &rows), tried);
+    let chosen = match owned_key(&context) {
+        Some(_) if rows.is_empty() && is_offered(shared, &context.service) => {
+            let outcome = Outcome::NotRun(once::refuse_without_owner(undispatched));
+            return (None, not_forwarded(outcome, context.retry_budget));
+        }
+        // Only the owner may run the key, however it fares.
+        Some(_) => (!rows.is_empty()).then_some(0),
+        None => shared.targets.lock().choose(clock::now(), &candidates(shared, &rows), tried),
+    };
     let Some(row) = chosen.map(|index| &rows[index]) else {
         let detail = format!("no upstream offers the service {}", context.service);
         let outcome = Outcome::NotRun(undispatched.refuse(Reason::NoUpstream, detail));
@@ -417,8 +431,17 @@
     (Some(row.instance.clone()), guarded)
 }
 
-/// The active rows that offer the service, the node's own among them.
+/// The idempotency key of a request that only the owner of the key may run.
+fn owned_key(context: &CallContext) -> Option<Uuid> {
+    context.idempotency_key.filter(|_| !context.idempotent)
+}
+
+/// The rows that may run the request: the owner of its idempotency key, or the active rows that
+/// offer the service, the node's own among them.
 fn rows_of(shared: &Shared, context: &CallContext) -> Vec<Row> {
+    if let Some(key) = owned_key(context) {
+        return once::owner(shared, &context.service, key).into_iter().collect();
+    }
     let view = shared.view.load();
     let active = view.table.rows.iter().filter(|row| row.state == RowState::Active);
     active.filter(|row| row.service.as_ref() == Some(&context.service)).cloned().collect()
@@ -510,7 +533,7 @@
         Ok(Err(status)) => {
             let detail =
                 format!("the node of {} did not answer: {}", row.instance, status.message());
-            if is_connect_error(&status) {
+            if peers::not_connected(&status) {
                 let not_run = forwarding.not_sent().refuse(Reason::PeerFailed, detail);
                 return not_forwarded(Outcome::NotRun(not_run), context.retry_budget);
             }
@@ -540,18 +563,6 @@
     Guarded { outcome, unused_retries, load: 0, pressures: Vec::new(), refused_below: false }
 }
 
-/// Tells whether no connection could be made, so that nothing was sent.
-fn is_connect_error(status: &tonic::Status) -> bool {
-    let mut source = std::error::Error::source(status);
-    while let Some(error) = source {
-        if error.is::<tonic::ConnectError>() {
-            return true;
-        }
-        source = error.source();
-    }
-    false
-}
-
 fn read_reply(
     forwarding: Forwarding,
     context: &CallContext,
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::Method;
+use kameo::actor::ActorRef;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tonic::{
@@ -12,6 +13,7 @@
 };
 
 use crate::{
+    admin::NodeStatus,
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
     node::{
@@ -19,6 +21,7 @@
         entry::WholeRequest,
         guard::{self, Guarded},
         loans,
+        members::{Answer, Asked, MembersActor},
     },
     peers::{
         TOKEN_HEADER,
@@ -33,10 +36,15 @@
 const MESSAGE_OVERHEAD_BYTES: usize = 1 << 20;
 
 /// Serves other nodes until `shutdown`.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, shutdown: CancellationToken) {
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    members: ActorRef<MembersActor>,
+    shutdown: CancellationToken,
+) {
     let token = shared.signer.peer_token().clone();
     let limit_bytes = shared.settings.limits.max_body_bytes + MESSAGE_OVERHEAD_BYTES;
-    let service = PeerServer::new(PeerService { shared })
+    let service = PeerServer::new(PeerService { shared, members })
         .max_decoding_message_size(limit_bytes)
         .max_encoding_message_size(limit_bytes);
     let service = tonic::service::interceptor::InterceptedService::new(
@@ -64,6 +72,7 @@
 
 struct PeerService {
     shared: Arc<Shared>,
+    members: ActorRef<MembersActor>,
 }
 
 type Answered<T> = Result<Response<T>, Status>;
@@ -93,9 +102,15 @@
 
     async fn pull_evidence(
         &self,
-        _request: Request<proto::EvidenceRequest>,
+        request: Request<proto::EvidenceRequest>,
     ) -> Answered<proto::EvidenceReply> {
-        Err(Status::unimplemented("evidence"))
+        let reply = self.members.ask(Asked(request.into_inner())).await;
+        reply
+            .map(|Answer(mut reply)| {
+                reply.quarantine = self.shared.once.quarantine_entries();
+                Response::new(reply)
+            })
+            .map_err(|error| Status::unavailable(error.to_string()))
     }
 
     async fn pull_configuration(
@@ -111,16 +126,27 @@
 
     async fn handover(
         &self,
-        _request: Request<proto::HandoverRequest>,
+        request: Request<proto::HandoverRequest>,
     ) -> Answered<proto::HandoverReply> {
-        Err(Status::unimplemented("handover"))
+        let accepted = self.shared.once.receive_handover(request.into_inner());
+        Ok(Response::new(proto::HandoverReply { accepted }))
     }
 
     async fn report_crash(
         &self,
-        _request: Request<proto::CrashReport>,
+        request: Request<proto::CrashReport>,
     ) -> Answered<proto::CrashReply> {
-        Err(Status::unimplemented("report_crash"))
+        self.shared.once.merge_quarantine(&request.into_inner().entries);
+        Ok(Response::new(proto::CrashReply {}))
+    }
+
+    async fn pull_status(
+        &self,
+        _request: Request<proto::StatusRequest>,
+    ) -> Answered<proto::StatusReply> {
+        let status = serde_json::to_vec(&NodeStatus::of(&self.shared))
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(proto::StatusReply { status: status.into() }))
     }
 }
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -5,14 +5,16 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     call::ContextSigner,
     clock,
     config::{Configuration, KeyHasher},
-    membership::{Right, View},
+    membership::{Evidence, Right, View},
     names::Incarnation,
-    node::{BoundAddresses, Dispatches, Gate, LoanCounters, Rates, UpstreamLink},
+    node::{BoundAddresses, Dispatches, Gate, LoanCounters, OnceState, Rates, UpstreamLink},
+    once::RowIdentity,
     peers::PeerPool,
     platform::Platform,
     retry::RetryControl,
@@ -51,12 +53,16 @@
     pub view: ArcSwap<View>,
     /// Until when the node may use its row and accept keys.
     pub right: Right,
+    /// What the node knows of the rows: ages, revisions and loads.
+    pub evidence: ArcSwap<Evidence>,
     /// The upstream beside the node.
     pub upstream: UpstreamLink,
     /// Channels to other nodes.
     pub peers: PeerPool,
     /// Requests that the upstream is running.
     pub dispatches: Dispatches,
+    /// Records of idempotency keys and requests that crash upstreams.
+    pub once: OnceState,
     /// Accounts of the organisations' rates.
     pub rates: Rates,
     /// Messages about loans.
@@ -73,17 +79,26 @@
     pub metrics: Metrics,
     /// Notified when the upstream has announced itself, drains or is lost.
     pub announced: Notify,
+    /// The listeners finish their requests and close.
+    pub stop_serving: CancellationToken,
+    /// The time for shutdown is over; connections are cut.
+    pub stop_now: CancellationToken,
     lifecycle: AtomicU8,
 }
 
 impl Shared {
     /// Makes the state of a node that has just started.
     pub fn new(settings: Settings, platform: Platform, addresses: BoundAddresses) -> Self {
+        let mut metrics = Metrics::default();
+        if let Platform::Http(client) = &platform {
+            metrics.register_platform_calls(client.calls().clone());
+        }
         let signer = ContextSigner::new(&settings.fleet_secret);
+        // The wall clock makes a later process's incarnation the higher one.
+        let incarnation = u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX);
         Self {
             addresses,
-            // The wall clock makes a later process's incarnation the higher one.
-            incarnation: u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX),
+            incarnation,
             platform,
             key_hasher: KeyHasher::new(&settings.fleet_secret),
             peers: PeerPool::new(signer.peer_token().clone()),
@@ -91,16 +106,20 @@
             configuration: ArcSwap::default(),
             view: ArcSwap::default(),
             right: Right::default(),
+            evidence: ArcSwap::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
+            once: OnceState::new(RowIdentity { instance: settings.instance.clone(), incarnation }),
             rates: Rates::default(),
             loan_counters: LoanCounters::default(),
             gate: Gate::default(),
             targets: Mutex::new(Targets::new(rand::random())),
             first_hop: Mutex::new(FirstHop::new(rand::random())),
             retries: Mutex::new(RetryControl::new(rand::random())),
-            metrics: Metrics::default(),
+            metrics,
             announced: Notify::new(),
+            stop_serving: CancellationToken::new(),
+            stop_now: CancellationToken::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
             settings,
         }
