Distribute the configuration from readers through peers

Cause: every node watched the platform, so its calls grew with the fleet, and a revision reached a node only while the platform answered it.

Change: the readers of each availability zone watch; a node that evidence shows to be behind pulls from a random live holder, as a difference where the peer remembers all changes since, else whole, and compares the digest; a digest that does not fit leads to the whole document. A node that no peer helps for 3 s reads the platform, at most every 3 to 6 s. Revisions only rise, in one place.

A node paused over the withdrawal accepts nothing afterwards.

--- a/src/admin/configuration.rs
+++ b/src/admin/configuration.rs
@@ -172,6 +172,7 @@
         let (current, version) = load(shared).await?;
         let document = match decide(&current, &change, &shared.key_hasher)? {
             Decision::Applied(revision) => {
+                shared.adopt_configuration(current);
                 return Ok(http_server::json(StatusCode::OK, &ApplyResult { revision }));
             }
             Decision::Write(document) => document,
@@ -182,6 +183,8 @@
             Ok(_) => {
                 let revision = document.revision;
                 log::info!("change {} made revision {revision}", change.change_id);
+                // Other nodes learn of the revision from this one too.
+                shared.adopt_configuration(*document);
                 return Ok(http_server::json(StatusCode::OK, &ApplyResult { revision }));
             }
             Err(PlatformError::Refused(reason)) => {
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -15,7 +15,7 @@
 
 pub use configuration::{ApplyResult, ResourceList, ResourceRead};
 pub use state::{NodeStatus, STATE_FORMAT, StateDump};
-pub use status::{FleetStatus, RowStatus};
+pub use status::{FleetRevisions, FleetStatus, RowRevision, RowStatus};
 
 use crate::{http_server, node::Shared};
 
@@ -32,6 +32,9 @@
         (&Method::GET, "/v1/status") => {
             http_server::json(StatusCode::OK, &status::collect(&shared).await)
         }
+        (&Method::GET, "/v1/revisions") => {
+            http_server::json(StatusCode::OK, &status::revisions(&shared))
+        }
         (&Method::GET, "/v1/nodes") => {
             http_server::json(StatusCode::OK, &*shared.view.load().table)
         }
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     admin::NodeStatus,
+    clock,
     membership::{Row, RowState},
     names::{Incarnation, InstanceName, Revision, ServiceName, TableVersion, ZoneName},
     node::Shared,
@@ -50,6 +51,39 @@
     pub error: Option<String>,
 }
 
+/// What one node knows of the revisions that the rows hold.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FleetRevisions {
+    /// Node that was asked.
+    pub asked: InstanceName,
+    /// The rows of its table.
+    pub rows: Vec<RowRevision>,
+}
+
+/// What is known of the revision that a row holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RowRevision {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Newest revision that the row is known to hold.
+    pub revision: Revision,
+    /// Age of the newest evidence about the row, in milliseconds; none where there is none.
+    pub age_ms: Option<u64>,
+}
+
+/// Reads what this node knows of the revisions that the rows hold.
+pub fn revisions(shared: &Shared) -> FleetRevisions {
+    let (now, evidence) = (clock::now(), shared.evidence.load());
+    let rows = evidence.rows.iter().map(|row| RowRevision {
+        instance: row.instance.clone(),
+        revision: row.revision,
+        age_ms: row
+            .at
+            .map(|at| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)),
+    });
+    FleetRevisions { asked: shared.settings.instance.clone(), rows: rows.collect() }
+}
+
 /// Asks every row of the table for its status.
 pub async fn collect(shared: &Arc<Shared>) -> FleetStatus {
     let table = shared.view.load().table.clone();
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -7,12 +7,14 @@
 };
 
 use anyhow::bail;
+use serde_json::json;
 
 use crate::{
-    admin::{FleetStatus, NodeStatus, RowStatus},
+    admin::{FleetRevisions, FleetStatus, NodeStatus, RowStatus},
     config::{Document, Importance},
     control::{
-        command::{Session, accepted},
+        command::Session,
+        spread::{Progress, Spread},
         table::Table,
     },
     names::Revision,
@@ -208,18 +210,17 @@
 ) -> anyhow::Result<String> {
     let limit = Duration::from_secs(timeout_s.unwrap_or(DEFAULT_WAIT_S));
     let start = Instant::now();
+    let mut spread = Spread::new(revision);
     loop {
-        let missing = match session.client.read::<FleetStatus>(STATUS_PATH).await {
-            Ok(fleet) => missing(&fleet, revision),
-            Err(error) => vec![format!("no status of the fleet: {error:#}")],
+        let missing = match session.client.read::<FleetRevisions>("/v1/revisions").await {
+            Ok(fleet) => match spread.check(start.elapsed(), &fleet.rows) {
+                Progress::InForce { without_right } => {
+                    return Ok(in_force(session, revision, &without_right));
+                }
+                Progress::Missing(missing) => missing,
+            },
+            Err(error) => vec![format!("no answer about the fleet: {error:#}")],
         };
-        if missing.is_empty() {
-            let text = accepted(session, revision);
-            return Ok(match session.json {
-                true => text,
-                false => format!("{text} and in force on every node"),
-            });
-        }
         if start.elapsed() >= limit {
             bail!(
                 "revision {revision} is accepted, but after {limit:?} it is not in force on: {}",
@@ -230,15 +231,18 @@
     }
 }
 
-/// Nodes that may accept keys under an older revision.
-fn missing(fleet: &FleetStatus, revision: Revision) -> Vec<String> {
-    let missing = fleet.nodes.iter().filter_map(|row| match (&row.status, &row.error) {
-        // A node without the right accepts no key, whatever its revision is.
-        (Some(status), _) if status.revision >= revision || status.keys_right_left_ms == 0 => None,
-        (Some(status), _) => Some(format!("{} (revision {})", row.instance, status.revision)),
-        (None, error) => {
-            Some(format!("{} ({})", row.instance, error.as_deref().unwrap_or("no answer")))
-        }
-    });
-    missing.collect()
+fn in_force(session: &Session, revision: Revision, without_right: &[String]) -> String {
+    if session.json {
+        let value = json!({ "revision": revision, "without_right": without_right });
+        return value.to_string();
+    }
+    let mut text = format!("revision {revision} is accepted and in force on every node");
+    if !without_right.is_empty() {
+        let _ = write!(
+            text,
+            "; not counted, since they accept no keys any more: {}",
+            without_right.join(", ")
+        );
+    }
+    text
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -251,7 +251,7 @@
 }
 
 /// Runs a task, sends to the actor included, until it ends or the actor stops.
-async fn until(stop: CancellationToken, work: impl Future<Output = ()>) {
+pub async fn until(stop: CancellationToken, work: impl Future<Output = ()>) {
     stop.run_until_cancelled(work).await.unwrap_or(());
 }
 
--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -17,7 +17,7 @@
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
     node::{
-        Shared,
+        Shared, configuration,
         entry::WholeRequest,
         guard::{self, Guarded},
         loans,
@@ -112,9 +112,10 @@
 
     async fn pull_configuration(
         &self,
-        _request: Request<proto::ConfigurationRequest>,
+        request: Request<proto::ConfigurationRequest>,
     ) -> Answered<proto::ConfigurationReply> {
-        Err(Status::unimplemented("configuration"))
+        let revision = request.into_inner().revision;
+        Ok(Response::new(configuration::reply(&self.shared, revision)))
     }
 
     async fn borrow(&self, request: Request<proto::BorrowRequest>) -> Answered<proto::BorrowReply> {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,6 +1,9 @@
 //! State that the listeners and actors of a node share.
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicU8, Ordering},
+};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -9,7 +12,7 @@
 use crate::{
     call::ContextSigner,
     clock,
-    config::{Configuration, KeyHasher},
+    config::{Configuration, Document, KeyHasher},
     membership::{Evidence, Right, View},
     names::Incarnation,
     node::{BoundAddresses, Dispatches, Gate, LoanCounters, Rates, UpstreamLink},
@@ -76,6 +79,7 @@
     /// Notified when the upstream has announced itself, drains or is lost.
     pub announced: Notify,
     lifecycle: AtomicU8,
+    adopting: Mutex<()>,
 }
 
 impl Shared {
@@ -109,10 +113,25 @@
             metrics,
             announced: Notify::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
+            adopting: Mutex::default(),
             settings,
         }
     }
 
+    /// Puts a document in force here where it is newer; a lagging answer never takes the node
+    /// back to an older revision.
+    pub fn adopt_configuration(&self, document: Document) -> bool {
+        let _adopting = self.adopting.lock();
+        if document.revision <= self.configuration.load().revision {
+            return false;
+        }
+        log::info!("configuration revision {} is in force here", document.revision);
+        let configuration = Configuration::compile(document);
+        self.metrics.forget_withdrawn(&configuration);
+        self.configuration.store(Arc::new(configuration));
+        true
+    }
+
     /// Stage of the node's life.
     pub fn lifecycle(&self) -> Lifecycle {
         match self.lifecycle.load(Ordering::Acquire) {
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -21,6 +21,8 @@
     pub delay_ms: AtomicU64,
     /// Number of writes whose answers will be lost.
     pub lose_answers: AtomicU64,
+    /// No watch is answered, while reads and writes are.
+    pub watches_fail: AtomicBool,
     /// Calls so far, a watch counted as one.
     pub calls: AtomicU64,
 }
@@ -96,6 +98,9 @@
         self.enter().await?;
         let listing = self.store.watch(kind, after).await?;
         self.check_up()?;
+        if self.faults.watches_fail.load(Ordering::Relaxed) {
+            return Err(PlatformError::NoAnswer("the stand-in answers no watch".to_owned()));
+        }
         Ok(listing)
     }
 }
--- a/tests/administration.rs
+++ b/tests/administration.rs
@@ -13,7 +13,7 @@
 
 use hibiscusdoor::{
     control::HELP_COMMANDS,
-    platform::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _, serve_objects},
+    platform::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _},
     standin::{FaultyStore, Fleet, NodeOptions},
 };
 use serde_json::{Value, json};
@@ -21,24 +21,17 @@
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
 };
-use tokio_util::sync::CancellationToken;
 
-use crate::support::{WAIT, programs, start_fleet};
+use crate::support::{OwnPlatform, WAIT, own_platform, programs, start_fleet};
 
 /// A fleet whose platform runs in the test, so that the test can make it fail.
 struct Trial {
     fleet: Fleet,
     store: Arc<FaultyStore>,
-    stop: CancellationToken,
+    _platform: OwnPlatform,
     _folder: tempfile::TempDir,
 }
 
-impl Drop for Trial {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
-}
-
 /// What a run of the tool printed.
 #[derive(Debug)]
 struct Printed {
@@ -55,16 +48,13 @@
 
 async fn start(nodes: usize) -> anyhow::Result<Trial> {
     let (mut fleet, folder) = start_fleet();
-    let (store, stop) = (Arc::new(FaultyStore::default()), CancellationToken::new());
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    fleet.platform = listener.local_addr()?;
-    tokio::spawn(serve_objects(listener, store.clone(), stop.clone()));
+    let platform = own_platform(&mut fleet).await?;
     for index in 0..nodes {
         fleet.add_node(NodeOptions { zone: format!("zone-{index}"), ..NodeOptions::default() })?;
     }
     let joined = |state: &Value| state["table"]["rows"].as_array().map(Vec::len) == Some(nodes);
     fleet.wait_for_state("all rows", WAIT, joined).await?;
-    Ok(Trial { fleet, store, stop, _folder: folder })
+    Ok(Trial { fleet, store: platform.store.clone(), _platform: platform, _folder: folder })
 }
 
 async fn run_at(address: SocketAddr, arguments: &[&str]) -> Printed {
@@ -269,7 +259,7 @@
     assert_eq!(printed.errors, expected);
     std::fs::write(&file, trial.done(0, &["get"]).await.output)?;
     let printed = trial.done(0, &["--json", "apply", &file, "--wait"]).await;
-    assert_eq!(printed.json(), json!({ "revision": 3 }));
+    assert_eq!(printed.json(), json!({ "revision": 3, "without_right": [] }));
     trial.fleet.wait_for_state("revision 3", WAIT, |state| state["revision"] == 3).await
 }
 
--- /dev/null
+++ b/tests/distribution.rs
@@ -0,0 +1,231 @@
+//! Distribution of the configuration: differences, whom to ask, when a revision is everywhere.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use hibiscusdoor::{
+    admin::RowRevision,
+    config::{
+        Change, Decision, Document, Edit, KeyHasher, MAX_RECENT_CHANGES, Puller, ResourceKind,
+        Source, decide,
+    },
+    control::{Progress, Spread},
+    membership::{CLOCK_MARGIN, RIGHT_TERM},
+    settings::FleetSecret,
+};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn peer(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, number], 7002))
+}
+
+fn apply(document: &Document, edit: Edit) -> Option<Document> {
+    let hasher = KeyHasher::new(&FleetSecret::new("a secret for tests of the configuration"));
+    let stated_revision = document.revision;
+    let change = Change { change_id: Uuid::now_v7(), stated_revision, edit };
+    match decide(document, &change, &hasher) {
+        Ok(Decision::Write(next)) => Some(*next),
+        _ => None,
+    }
+}
+
+fn service(name: &str) -> Value {
+    json!({ "name": name })
+}
+
+fn organisation(name: &str, burst: u32) -> Value {
+    json!({ "name": name, "rate_per_s": 10.0, "burst": f64::from(burst) })
+}
+
+/// Edits that touch one resource or many.
+fn edit() -> impl Strategy<Value = (u8, u8, u32)> {
+    (0..5_u8, 0..6_u8, 1..100_u32)
+}
+
+fn make(document: &Document, (what, which, burst): (u8, u8, u32)) -> Edit {
+    let name = format!("name-{which}");
+    match what {
+        0 => Edit::Create(ResourceKind::Organisation, organisation(&name, burst)),
+        1 => Edit::Change(
+            format!("organisations/{name}").parse().expect("an id"),
+            organisation(&name, burst),
+        ),
+        2 => Edit::Withdraw(format!("organisations/{name}").parse().expect("an id")),
+        3 => Edit::Create(ResourceKind::Service, service(&name)),
+        _ => {
+            let mut file = document.clone();
+            file.services.truncate(usize::from(which));
+            file.organisations.retain(|organisation| organisation.burst < f64::from(burst));
+            Edit::Replace(Box::new(file))
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(2026),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(60)
+    })]
+
+    /// Guards against a node that has another document than its peer after a difference.
+    #[test]
+    fn difference_between_any_two_revisions_leads_to_the_same_digest(
+        edits in proptest::collection::vec(edit(), 2..40),
+    ) {
+        let mut revisions = vec![Document::default()];
+        for step in edits {
+            let current = revisions.last().expect("one");
+            let edit = make(current, step);
+            revisions.extend(apply(current, edit));
+        }
+        let newest = revisions.last().expect("one");
+        for older in revisions.iter().filter(|document| document.revision > 0) {
+            let difference = newest.difference_since(older.revision);
+            if older.revision == newest.revision {
+                prop_assert!(older.with_difference(difference.expect("an empty one")).is_none());
+                continue;
+            }
+            let sent = serde_json::to_vec(&difference.expect("a difference")).expect("JSON");
+            let received = serde_json::from_slice(&sent).expect("JSON");
+            let made = older.with_difference(received).expect("it fits");
+            prop_assert_eq!(made.digest(), newest.digest());
+            prop_assert_eq!(&made, newest);
+        }
+    }
+}
+
+/// Guards against a difference that is applied to another revision than the one it is from.
+#[test]
+fn difference_does_not_fit_another_revision() {
+    let first = apply(&Document::default(), Edit::Create(ResourceKind::Service, service("a")));
+    let first = first.expect("created");
+    let second = apply(&first, Edit::Create(ResourceKind::Service, service("b"))).expect("made");
+    let third = apply(&second, Edit::Create(ResourceKind::Service, service("c"))).expect("made");
+    let difference = third.difference_since(first.revision).expect("a difference");
+    assert!(second.with_difference(difference.clone()).is_none());
+    assert!(third.with_difference(difference.clone()).is_none());
+    assert_eq!(first.with_difference(difference), Some(third));
+}
+
+/// Guards against a difference that leaves out changes which are no longer remembered.
+#[test]
+fn difference_beyond_the_memory_is_not_offered() {
+    let mut document = Document::default();
+    for number in 0..=MAX_RECENT_CHANGES {
+        let edit = Edit::Create(ResourceKind::Service, service(&format!("s{number}")));
+        document = apply(&document, edit).expect("made");
+    }
+    assert!(document.difference_since(0).is_none());
+    assert!(document.difference_since(1).is_some());
+    let document = apply(&document, Edit::Create(ResourceKind::Service, service("one-more")));
+    assert!(document.expect("made").difference_since(1).is_none());
+}
+
+/// Guards against pulls without need, and against a second one while one runs.
+#[test]
+fn node_pulls_once_from_a_holder_and_only_while_it_is_behind() {
+    let mut puller = Puller::new(1);
+    assert_eq!(puller.next(seconds(0.0), 4, 4, &[]), None);
+    let source = puller.next(seconds(1.0), 4, 5, &[peer(1), peer(2)]);
+    assert!(matches!(source, Some(Source::Peer(address)) if [peer(1), peer(2)].contains(&address)));
+    assert_eq!(puller.next(seconds(1.1), 4, 5, &[peer(1), peer(2)]), None);
+    puller.succeeded();
+    assert_eq!(puller.next(seconds(1.2), 5, 5, &[]), None);
+}
+
+/// Guards against a node that asks a dead peer forever.
+#[test]
+fn failed_peer_is_passed_over_for_a_while() {
+    let mut puller = Puller::new(1);
+    let first = puller.next(seconds(0.0), 4, 5, &[peer(1), peer(2)]).expect("a source");
+    puller.failed(seconds(0.1), first);
+    let second = puller.next(seconds(0.2), 4, 5, &[peer(1), peer(2)]).expect("a source");
+    assert_ne!(first, second);
+    puller.failed(seconds(0.3), second);
+    assert_eq!(puller.next(seconds(0.4), 4, 5, &[peer(1), peer(2)]), None);
+    assert!(puller.next(seconds(2.2), 4, 5, &[peer(1), peer(2)]).is_some());
+}
+
+/// Guards against a node that stays behind since no peer helps, and against one that then calls
+/// the platform in a tight loop.
+#[test]
+fn platform_is_read_after_patience_and_with_spacing() {
+    let mut puller = Puller::new(7);
+    let mut reads = Vec::new();
+    for tick in 0..600 {
+        let now = seconds(f64::from(tick) / 10.0);
+        if let Some(source) = puller.next(now, 4, 5, &[]) {
+            assert_eq!(source, Source::Platform);
+            reads.push(now);
+            puller.failed(now, source);
+        }
+    }
+    assert!(reads[0] >= seconds(3.0), "{reads:?}");
+    assert!(reads.windows(2).all(|pair| pair[1] - pair[0] >= seconds(3.0)), "{reads:?}");
+    assert!((9..=20).contains(&reads.len()), "{reads:?}");
+}
+
+/// Guards against a node without any configuration that waits for evidence it cannot have yet.
+#[test]
+fn fresh_node_reads_the_platform_at_once_or_asks_a_peer() {
+    let mut puller = Puller::new(1);
+    assert_eq!(puller.next(seconds(0.0), 0, 0, &[]), Some(Source::Platform));
+    let mut puller = Puller::new(1);
+    assert_eq!(puller.next(seconds(0.0), 0, 9, &[peer(3)]), Some(Source::Peer(peer(3))));
+}
+
+/// Guards against a node that gets the same unfit difference again and again.
+#[test]
+fn digest_that_does_not_fit_leads_to_the_whole_document() {
+    let mut puller = Puller::new(1);
+    let source = puller.next(seconds(0.0), 4, 5, &[peer(1)]).expect("a source");
+    puller.mismatched(seconds(0.1), source);
+    assert!(puller.wants_whole());
+    let source = puller.next(seconds(0.2), 4, 5, &[peer(1)]).expect("the same peer at once");
+    puller.mismatched(seconds(0.3), source);
+    assert_eq!(puller.next(seconds(0.4), 4, 5, &[peer(1)]), None);
+    let source = puller.next(seconds(2.4), 4, 5, &[peer(1)]);
+    assert!(source.is_some() && puller.wants_whole());
+    puller.succeeded();
+    assert!(!puller.wants_whole());
+}
+
+fn rows(revisions: &[u64]) -> Vec<RowRevision> {
+    let row = |(index, revision): (usize, &u64)| RowRevision {
+        instance: format!("i{index}").into(),
+        revision: *revision,
+        age_ms: Some(100),
+    };
+    revisions.iter().enumerate().map(row).collect()
+}
+
+/// Guards against a wait that ends too early, and against one that a dead node holds up forever.
+#[test]
+fn revision_is_in_force_when_every_node_has_it_or_no_right() {
+    let mut spread = Spread::new(5);
+    let missing = |names: &[&str]| {
+        let names = names.iter().map(|it| format!("{it} (revision 4, heard of 100 ms ago)"));
+        Progress::Missing(names.collect())
+    };
+    let state = rows(&[5, 4, 4, 5]);
+    assert_eq!(spread.check(seconds(0.0), &state), missing(&["i1", "i2"]));
+    assert_eq!(spread.check(seconds(60.0), &state), missing(&["i1", "i2"]));
+    let state = rows(&[5, 6, 4, 5]);
+    assert_eq!(spread.check(seconds(61.0), &state), missing(&["i2"]));
+    let end = seconds(61.0) + RIGHT_TERM + CLOCK_MARGIN;
+    assert_eq!(spread.check(end - Duration::from_millis(1), &state), missing(&["i2"]));
+    let without_right = vec!["i2".to_owned()];
+    assert_eq!(spread.check(end, &state), Progress::InForce { without_right });
+    let mut spread = Spread::new(5);
+    let in_force = Progress::InForce { without_right: Vec::new() };
+    assert_eq!(spread.check(seconds(0.0), &rows(&[5, 5, 9])), in_force);
+    assert!(matches!(spread.check(seconds(0.0), &[]), Progress::Missing(_)));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,9 +1,14 @@
 //! Helpers that several test files share.
 #![allow(dead_code)]
 
-use std::{path::PathBuf, time::Duration};
+use std::{path::PathBuf, sync::Arc, time::Duration};
 
-use hibiscusdoor::standin::{Fleet, FleetOptions};
+use hibiscusdoor::{
+    platform::serve_objects,
+    standin::{FaultyStore, Fleet, FleetOptions},
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// Longest wait for a condition of a fleet.
 pub const WAIT: Duration = Duration::from_secs(60);
@@ -32,3 +37,25 @@
     let options = FleetOptions { programs: programs(), folder: folder.path().to_owned() };
     (Fleet::start(options).expect("the platform stand-in starts"), folder)
 }
+
+/// A platform that runs in the test, so that the test can make it fail.
+pub struct OwnPlatform {
+    /// The store and its faults.
+    pub store: Arc<FaultyStore>,
+    stop: CancellationToken,
+}
+
+impl Drop for OwnPlatform {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Starts a platform in the test for the nodes that the fleet starts later.
+pub async fn own_platform(fleet: &mut Fleet) -> anyhow::Result<OwnPlatform> {
+    let (store, stop) = (Arc::new(FaultyStore::default()), CancellationToken::new());
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    fleet.platform = listener.local_addr()?;
+    tokio::spawn(serve_objects(listener, store.clone(), stop.clone()));
+    Ok(OwnPlatform { store, stop })
+}
--- /dev/null
+++ b/tests/withdrawal.rs
@@ -0,0 +1,205 @@
+//! A withdrawn key stops everywhere, on open connections too.
+
+mod support;
+
+use std::{
+    process::Command,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hibiscusdoor::{
+    membership::{CLOCK_MARGIN, RIGHT_TERM},
+    standin::{Fleet, NodeOptions, http_call, new_client},
+};
+use http::{Method, StatusCode};
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use crate::support::{OwnPlatform, WAIT, own_platform, programs, start_fleet};
+
+const KEY: &str = "bole.sample-secret-of-bole-bars";
+/// Section 1.7 of the design page: a change is in force everywhere within this time.
+const LIMIT: Duration = Duration::from_secs(16);
+const NODES: usize = 9;
+const PACE: Duration = Duration::from_millis(20);
+
+/// What one open connection saw.
+#[derive(Debug, Default)]
+struct Uses {
+    accepted: u64,
+    last_accepted: Option<Instant>,
+    refused: u64,
+}
+
+async fn fleet_of_nine() -> anyhow::Result<(Fleet, tempfile::TempDir, OwnPlatform)> {
+    let (mut fleet, folder) = start_fleet();
+    let platform = own_platform(&mut fleet).await?;
+    for index in 0..NODES {
+        fleet.add_node(NodeOptions {
+            zone: format!("zone-{}", index % 3),
+            service: if index < 3 { "drops".to_owned() } else { String::new() },
+            slots: 32,
+            service_time_ms: 1,
+            ..NodeOptions::default()
+        })?;
+    }
+    let url = fleet.operator_url(0, "/v1/configuration");
+    let mut document: Value = serde_json::from_str(include_str!("../sample/configuration.json"))?;
+    document["organisations"][0]["rate_per_s"] = 100_000.into();
+    document["organisations"][0]["burst"] = 100_000.into();
+    let body = document.to_string();
+    let reply = http_call(&new_client(), Method::PUT, &url, &[], body).await?;
+    assert_eq!(reply.status, 200, "{:?}", reply.body);
+    let ready = |state: &Value| {
+        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
+        state["revision"] == 1
+            && state["settled"] == true
+            && state["keys_right_left_ms"] != 0
+            && rows.len() == NODES
+            && serving == 3
+    };
+    fleet.wait_for_state("revision 1, nine rows and the right", WAIT, ready).await?;
+    Ok((fleet, folder, platform))
+}
+
+async fn ask(fleet_url: &str) -> anyhow::Result<StatusCode> {
+    let key = format!("Bearer {KEY}");
+    let headers = [("authorization", key.as_str())];
+    Ok(http_call(&new_client(), Method::POST, fleet_url, &headers, "use").await?.status)
+}
+
+/// Uses the key on one open connection until `stop`.
+async fn use_key(url: String, stop: CancellationToken) -> Uses {
+    let (client, key) = (new_client(), format!("Bearer {KEY}"));
+    let mut uses = Uses::default();
+    while !stop.is_cancelled() {
+        let headers = [("authorization", key.as_str())];
+        match http_call(&client, Method::POST, &url, &headers, Bytes::from("use")).await {
+            Ok(reply) if reply.status == StatusCode::OK => {
+                uses.accepted += 1;
+                uses.last_accepted = Some(Instant::now());
+            }
+            Ok(reply) if reply.status == StatusCode::UNAUTHORIZED => uses.refused += 1,
+            _ => {}
+        }
+        tokio::time::sleep(PACE).await;
+    }
+    uses
+}
+
+fn tool(fleet: &Fleet, arguments: &[&str]) -> anyhow::Result<std::process::Output> {
+    let node = fleet.nodes[1].addresses.operators.to_string();
+    let program = programs().join("hibiscusctl");
+    Ok(Command::new(program).args(["--node", &node]).args(arguments).output()?)
+}
+
+/// Guards against a key that goes on working after it was withdrawn, the harm of requirement G3.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn withdrawn_key_stops_on_open_connections() -> anyhow::Result<()> {
+    withdraw_under_use(false).await
+}
+
+/// Guards against a withdrawal that spreads only while the platform answers the readers: here
+/// the node that wrote it is the only one that knows of it at first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn withdrawn_key_stops_while_no_watch_is_answered() -> anyhow::Result<()> {
+    withdraw_under_use(true).await
+}
+
+async fn withdraw_under_use(watches_fail: bool) -> anyhow::Result<()> {
+    let (fleet, _folder, platform) = fleet_of_nine().await?;
+    let stop = CancellationToken::new();
+    let users: Vec<_> = (0..NODES)
+        .map(|index| tokio::spawn(use_key(fleet.caller_url(index, "/drops/1"), stop.clone())))
+        .collect();
+    for index in 0..NODES {
+        assert_eq!(ask(&fleet.caller_url(index, "/drops/1")).await?, StatusCode::OK);
+    }
+    platform.store.faults.watches_fail.store(watches_fail, Ordering::Relaxed);
+    let began = Instant::now();
+    let output = tool(&fleet, &["key", "withdraw", "bole"])?;
+    assert!(output.status.success(), "{output:?}");
+    let confirmed = began.elapsed();
+    for index in 0..NODES {
+        let url = fleet.caller_url(index, "/drops/1");
+        while ask(&url).await? != StatusCode::UNAUTHORIZED {
+            assert!(began.elapsed() < LIMIT, "node {index} accepts the key after {LIMIT:?}");
+            tokio::time::sleep(PACE).await;
+        }
+    }
+    let everywhere = began.elapsed();
+    // Uses go on for the time of a right, so that a node that forgets the withdrawal is found.
+    tokio::time::sleep(RIGHT_TERM + CLOCK_MARGIN).await;
+    stop.cancel();
+    let mut last = Duration::ZERO;
+    for (index, user) in users.into_iter().enumerate() {
+        let uses = user.await?;
+        assert!(uses.accepted > 0 && uses.refused > 0, "node {index}: {uses:?}");
+        let accepted = uses.last_accepted.map_or(Duration::ZERO, |at| at - began);
+        last = last.max(accepted);
+    }
+    println!(
+        "withdrawal, watches fail: {watches_fail}: confirmed after {confirmed:?}, refused by all {NODES} nodes after \
+         {everywhere:?}, last accepted use after {last:?}"
+    );
+    assert!(last < LIMIT, "the last accepted use came {last:?} after the withdrawal");
+    Ok(())
+}
+
+/// Waits until the node that the tool asks knows that a row holds a revision.
+async fn wait_for_evidence(fleet: &Fleet, instance: &str, revision: u64) -> anyhow::Result<()> {
+    let url = fleet.operator_url(1, "/v1/revisions");
+    let began = Instant::now();
+    loop {
+        let reply = http_call(&new_client(), Method::GET, &url, &[], Bytes::new()).await?.json();
+        let rows = reply["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
+        if rows.iter().any(|row| row["instance"] == instance && row["revision"] == revision) {
+            return Ok(());
+        }
+        assert!(began.elapsed() < WAIT, "no evidence of {instance} after {WAIT:?}: {reply}");
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+/// Guards against a node that was paused over a withdrawal and acts on what it knew before, and
+/// against a wait that a silent node holds up, or that ends while the node may accept the key.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn node_paused_over_a_withdrawal_accepts_nothing_with_the_key() -> anyhow::Result<()> {
+    let (fleet, folder, _platform) = fleet_of_nine().await?;
+    wait_for_evidence(&fleet, "i05", 1).await?;
+    fleet.freeze_daemon(5)?;
+    let file = folder.path().join("without-bole.json");
+    let mut document: Value = serde_json::from_slice(&tool(&fleet, &["get"])?.stdout)?;
+    document["keys"].as_array_mut().expect("keys").retain(|key| key["id"] != "bole");
+    std::fs::write(&file, document.to_string())?;
+    let file = file.display().to_string();
+    let output = tool(&fleet, &["--json", "apply", &file, "--wait", "--timeout-s", "3"])?;
+    assert_eq!(output.status.code(), Some(1), "{output:?}");
+    let errors = String::from_utf8(output.stderr)?;
+    // On a busy machine, evidence about further nodes may still be under way.
+    let named = errors.split("not in force on: ").nth(1).unwrap_or_default();
+    assert!(named.contains("i05 (revision 1, heard of"), "{errors}");
+    let document = tool(&fleet, &["get"])?.stdout;
+    std::fs::write(&file, document)?;
+    let output = tool(&fleet, &["--json", "apply", &file, "--wait"])?;
+    assert!(output.status.success(), "{output:?}");
+    let printed: Value = serde_json::from_slice(&output.stdout)?;
+    assert_eq!(printed["revision"], 3);
+    // The request waits in the node's socket and is the first that it sees when it goes on.
+    let url = fleet.caller_url(5, "/drops/1");
+    let waiting = tokio::spawn(async move { ask(&url).await });
+    tokio::time::sleep(PACE).await;
+    fleet.thaw_daemon(5)?;
+    let status = waiting.await??;
+    assert!(!status.is_success(), "a paused node accepted a withdrawn key: {status}");
+    let url = fleet.caller_url(5, "/drops/1");
+    let began = Instant::now();
+    while ask(&url).await? != StatusCode::UNAUTHORIZED {
+        assert!(began.elapsed() < WAIT, "the paused node has not caught up after {WAIT:?}");
+        tokio::time::sleep(PACE).await;
+    }
+    Ok(())
+}
