--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     call::ContextSigner,
@@ -15,7 +16,8 @@
     config::{Configuration, Document, KeyHasher},
     membership::{Evidence, Right, View},
     names::Incarnation,
-    node::{BoundAddresses, Dispatches, Gate, LoanCounters, Rates, UpstreamLink},
+    node::{BoundAddresses, Dispatches, Gate, LoanCounters, OnceState, Rates, UpstreamLink},
+    once::RowIdentity,
     peers::PeerPool,
     platform::Platform,
     retry::RetryControl,
@@ -62,6 +64,8 @@
     pub peers: PeerPool,
     /// Requests that the upstream is running.
     pub dispatches: Dispatches,
+    /// Records of idempotency keys and requests that crash upstreams.
+    pub once: OnceState,
     /// Accounts of the organisations' rates.
     pub rates: Rates,
     /// Messages about loans.
@@ -78,6 +82,10 @@
     pub metrics: Metrics,
     /// Notified when the upstream has announced itself, drains or is lost.
     pub announced: Notify,
+    /// The listeners finish their requests and close.
+    pub stop_serving: CancellationToken,
+    /// The time for shutdown is over; connections are cut.
+    pub stop_now: CancellationToken,
     lifecycle: AtomicU8,
     adopting: Mutex<()>,
 }
@@ -90,10 +98,11 @@
             metrics.register_platform_calls(client.calls().clone());
         }
         let signer = ContextSigner::new(&settings.fleet_secret);
+        // The wall clock makes a later process's incarnation the higher one.
+        let incarnation = u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX);
         Self {
             addresses,
-            // The wall clock makes a later process's incarnation the higher one.
-            incarnation: u64::try_from(clock::unix_now().as_micros()).unwrap_or(u64::MAX),
+            incarnation,
             platform,
             key_hasher: KeyHasher::new(&settings.fleet_secret),
             peers: PeerPool::new(signer.peer_token().clone()),
@@ -104,6 +113,7 @@
             evidence: ArcSwap::default(),
             upstream: UpstreamLink::new(settings.limits.max_body_bytes),
             dispatches: Dispatches::default(),
+            once: OnceState::new(RowIdentity { instance: settings.instance.clone(), incarnation }),
             rates: Rates::default(),
             loan_counters: LoanCounters::default(),
             gate: Gate::default(),
@@ -112,6 +122,8 @@
             retries: Mutex::new(RetryControl::new(rand::random())),
             metrics,
             announced: Notify::new(),
+            stop_serving: CancellationToken::new(),
+            stop_now: CancellationToken::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
             adopting: Mutex::default(),
             settings,
