--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -27,6 +27,8 @@
     pub table: Arc<Table>,
     /// The table version is settled.
     pub settled: bool,
+    /// Instances whose rows are believed dead.
+    pub dead: Vec<InstanceName>,
 }
 
 /// What the fleet's status shows of one node.
@@ -61,12 +63,14 @@
 impl StateDump {
     /// Reads the state of a node.
     pub fn of(shared: &Shared) -> Self {
-        let view = shared.view.load();
+        let (view, evidence) = (shared.view.load(), shared.evidence.load());
+        let dead = evidence.rows.iter().filter(|row| !row.alive);
         Self {
             format: STATE_FORMAT,
             node: NodeStatus::of(shared),
             table: view.table.clone(),
             settled: view.settled,
+            dead: dead.map(|row| row.instance.clone()).collect(),
         }
     }
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -82,10 +82,11 @@
         http_call(&client, Method::PUT, &url, &[], Bytes::from(document.to_string())).await?;
     assert_eq!(reply.status, 200, "{:?}", reply.body);
     fleet
-        .wait_for_state("revision 1 and ten rows with a service", WAIT, |state| {
+        // A row has no share of the rate before the version that added it is settled.
+        .wait_for_state("revision 1 and ten rows with a service, settled", WAIT, |state| {
             let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
             let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
-            state["revision"] == 1 && serving == 10
+            state["revision"] == 1 && serving == 10 && state["settled"] == true
         })
         .await?;
     Ok((fleet, folder))
