Prove outcomes, drain and silent connections with real processes

Tests with processes found three faults: a caller on a kept connection was cut when the draining node closed it, connections in the accept queue were reset with the listener, and a body above the limit reset the connection before its refusal was read. A draining node now answers with connection: close, takes the accept queue before it closes the listener, and reads some of a body that is too large. The upstream stand-in logs what it runs and crashes, hangs or answers late on a marked body.

--- a/src/bin/hibiscus-standin.rs
+++ b/src/bin/hibiscus-standin.rs
@@ -23,6 +23,7 @@
   hibiscus-standin platform --listen ADDRESS
   hibiscus-standin upstream --service NAME --listen ADDRESS --node ADDRESS
                             [--slots N] [--service-time-ms N] [--calls PATH]
+                            [--run-log FILE]
 ";
 
 #[tokio::main]
@@ -64,6 +65,7 @@
                     arguments.opt_value_from_str("--service-time-ms")?.unwrap_or(5),
                 ),
                 calls: arguments.opt_value_from_str::<_, String>("--calls")?.map(Arc::from),
+                run_log: arguments.opt_value_from_str("--run-log")?,
             };
             run_upstream(options, shutdown).await
         }
--- a/src/http_server/mod.rs
+++ b/src/http_server/mod.rs
@@ -5,6 +5,7 @@
 use std::{convert::Infallible, future::Future, time::Duration};
 
 use bytes::Bytes;
+use futures::FutureExt as _;
 use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::Full;
 use hyper::{body::Incoming, service::service_fn};
@@ -13,7 +14,10 @@
     server::{conn::auto, graceful::GracefulShutdown},
 };
 use serde::Serialize;
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
 use tokio_util::sync::CancellationToken;
 
 use stalled::StalledWriteTimeout;
@@ -23,6 +27,8 @@
 /// Time in which a client must take some bytes of an answer; a silent one would otherwise hold
 /// its connection, and the answer, for ever.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time at shutdown in which connections without a request stay open.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(200);
 /// Pause after an accept error, which is most often a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -64,23 +70,16 @@
                 continue;
             }
         };
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-        let stream = TokioIo::new(StalledWriteTimeout::new(stream, WRITE_STALL_TIMEOUT));
-        let connection = builder.serve_connection(stream, service).into_owned();
-        let connection = graceful.watch(connection);
-        connections.spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection ended: {error}");
-            }
-        });
+        connections.spawn(serve_stream(stream, &builder, &graceful, &handler));
+    }
+    // Connections that the kernel has taken already would be reset with the listener.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        connections.spawn(serve_stream(stream, &builder, &graceful, &handler));
     }
     drop(listener);
     let finish = async {
+        // A request that is already on its way on an idle connection still gets an answer.
+        tokio::time::sleep(LAST_REQUEST_TIME).await;
         graceful.shutdown().await;
         while connections.join_next().await.is_some() {}
     };
@@ -91,6 +90,32 @@
     connections.shutdown().await;
 }
 
+fn serve_stream<H, F>(
+    stream: TcpStream,
+    builder: &auto::Builder<TokioExecutor>,
+    graceful: &GracefulShutdown,
+    handler: &H,
+) -> impl Future<Output = ()> + Send + use<H, F>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let handler = handler.clone();
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let stream = TokioIo::new(StalledWriteTimeout::new(stream, WRITE_STALL_TIMEOUT));
+    let connection = builder.serve_connection(stream, service).into_owned();
+    let connection = graceful.watch(connection);
+    async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection ended: {error}");
+        }
+    }
+}
+
 /// Makes a JSON response.
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(value).unwrap_or_default();
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header::AUTHORIZATION};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, Version,
+    header::{AUTHORIZATION, CONNECTION},
+};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
@@ -13,7 +16,7 @@
     call::headers,
     http_server,
     node::{
-        Shared,
+        Lifecycle, Shared,
         entry::{self, Origin},
     },
 };
@@ -28,8 +31,15 @@
 }
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let version = request.version();
     let origin = Origin::Caller { key: presented_key(request.headers()) };
-    entry::answer(&shared, origin, request).await
+    let mut response = entry::answer(&shared, origin, request).await;
+    if version == Version::HTTP_11 && shared.lifecycle() != Lifecycle::Serving {
+        // A caller that keeps the connection could send on it just when the node closes it, and
+        // would not learn whether that request ran.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 fn presented_key(map: &HeaderMap) -> Option<Arc<str>> {
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
+use tokio::time::timeout;
 use uuid::Uuid;
 
 use crate::{
@@ -32,6 +33,8 @@
 
 /// Deepest chain that is served; a call below it is taken for a loop.
 const MAX_DEPTH: u32 = 16;
+/// Bytes beyond the limit that are read of a body that is too large.
+const MAX_DROPPED_BYTES: usize = 16 << 20;
 /// Time that a request's body may take to come in.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -365,10 +368,9 @@
     max_body_bytes: usize,
 ) -> Result<WholeRequest, (Reason, String)> {
     let (parts, body) = request.into_parts();
-    let collect = Limited::new(body, max_body_bytes).collect();
-    let body = match tokio::time::timeout(BODY_TIMEOUT, collect).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let body = match timeout(BODY_TIMEOUT, read_body(body, max_body_bytes)).await {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => {
             let detail = format!("the body is larger than {max_body_bytes} bytes");
             return Err((Reason::TooLarge, detail));
         }
@@ -389,6 +391,28 @@
     })
 }
 
+/// Reads a body; `None` stands for one that is larger than the limit.
+///
+/// Some more of a body that is too large is read and dropped: a caller that is still writing
+/// would find the connection reset in place of the refusal.
+async fn read_body(
+    mut body: Incoming,
+    max_body_bytes: usize,
+) -> Result<Option<Bytes>, hyper::Error> {
+    let mut whole = BytesMut::new();
+    let mut size_bytes = 0usize;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        size_bytes = size_bytes.saturating_add(data.len());
+        if size_bytes <= max_body_bytes {
+            whole.extend_from_slice(&data);
+        } else if size_bytes - max_body_bytes > MAX_DROPPED_BYTES {
+            return Ok(None);
+        }
+    }
+    Ok((size_bytes <= max_body_bytes).then(|| whole.freeze()))
+}
+
 fn request_digest(request: &WholeRequest) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(request.method.as_str().as_bytes());
@@ -526,10 +550,21 @@
         headers: request.headers,
         body: request.body,
     };
+    let client = match context.idempotent {
+        true => Ok(Ok(shared.peers.client(row.peer_address))),
+        false => timeout(remaining, shared.peers.live_client(row.peer_address)).await,
+    };
+    let Ok(Ok(mut client)) = client else {
+        let detail = format!("no live connection to the node of {}", row.instance);
+        let not_run = undispatched.refuse(Reason::PeerFailed, detail);
+        return not_forwarded(Outcome::NotRun(not_run), context.retry_budget);
+    };
     let forwarding = Forwarding::begin(undispatched);
-    let mut client = shared.peers.client(row.peer_address);
-    let reply = match tokio::time::timeout(remaining, client.forward(message)).await {
-        Ok(Ok(reply)) => reply.into_inner(),
+    let reply = match timeout(remaining, client.forward(message)).await {
+        Ok(Ok(reply)) => {
+            shared.peers.answered(row.peer_address);
+            reply.into_inner()
+        }
         Ok(Err(status)) => {
             let detail =
                 format!("the node of {} did not answer: {}", row.instance, status.message());
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -77,6 +77,8 @@
     pub nodes: Vec<FleetNode>,
     /// Fields that take the place of those in the settings of nodes started later.
     pub settings: Value,
+    /// Upstreams started later write the bodies that they run to files; see [`Fleet::runs`].
+    pub log_runs: bool,
 }
 
 /// A whole HTTP answer.
@@ -136,6 +138,7 @@
             platform_process: process,
             nodes: Vec::new(),
             settings: json!({}),
+            log_runs: false,
         })
     }
 
@@ -182,6 +185,17 @@
         Ok(())
     }
 
+    /// The bodies that the upstream of an instance ran, also those before it ended.
+    pub fn runs(&self, index: usize) -> Vec<String> {
+        let log = std::fs::read_to_string(self.run_log(&self.nodes[index].instance));
+        log.unwrap_or_default().lines().map(str::to_owned).collect()
+    }
+
+    /// Kills the platform stand-in.
+    pub fn kill_platform(&mut self) -> anyhow::Result<()> {
+        end(&mut self.platform_process)
+    }
+
     /// Sends SIGTERM to a daemon.
     pub fn terminate_daemon(&self, index: usize) -> anyhow::Result<()> {
         signal(&self.nodes[index].daemon, rustix::process::Signal::TERM)
@@ -288,6 +302,10 @@
         Ok(node)
     }
 
+    fn run_log(&self, instance: &str) -> PathBuf {
+        self.options.folder.join(format!("{instance}-runs.log"))
+    }
+
     fn start_upstream(&self, node: &FleetNode) -> anyhow::Result<(Child, SocketAddr)> {
         let options = &node.options;
         let node_address = node.addresses.upstream.to_string();
@@ -299,6 +317,10 @@
         if let Some(path) = &options.calls {
             arguments.extend(["--calls", path]);
         }
+        let run_log = self.run_log(&node.instance).display().to_string();
+        if self.log_runs {
+            arguments.extend(["--run-log", &run_log]);
+        }
         let mut upstream = spawn(
             &self.options.programs.join("hibiscus-standin"),
             &arguments,
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -1,6 +1,6 @@
 //! A stand-in for an upstream: slots, service time, calls to other services, crashes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io::Write as _, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use anyhow::Context as _;
 use bytes::Bytes;
@@ -18,6 +18,12 @@
 use crate::{call::headers, http_server};
 
 const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// A body with this text crashes the stand-in.
+const CRASH_MARK: &str = "standin:crash";
+/// A body with this text is never answered.
+const HANG_MARK: &str = "standin:hang";
+/// The number after this text in a body delays the answer, in milliseconds.
+const LATE_MARK: &str = "standin:late=";
 /// A request with this header crashes the stand-in.
 const CRASH_HEADER: &str = "x-standin-crash";
 
@@ -36,6 +42,8 @@
     pub service_time: Duration,
     /// Path that it calls through its node for each request.
     pub calls: Option<Arc<str>>,
+    /// File that gets one line a request, its body, before the request runs.
+    pub run_log: Option<PathBuf>,
 }
 
 struct Standin {
@@ -103,6 +111,9 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return http_server::text(StatusCode::SERVICE_UNAVAILABLE, "closing");
         };
+        let text = String::from_utf8_lossy(&body);
+        self.log_run(&text);
+        misbehave(&text).await;
         if !self.options.service_time.is_zero() {
             tokio::time::sleep(self.options.service_time).await;
         }
@@ -124,6 +135,16 @@
         http_server::json(StatusCode::OK, &answer)
     }
 
+    /// Writes the line before the request runs, so that a crash cannot hide the run.
+    fn log_run(&self, body: &str) {
+        let Some(path) = &self.options.run_log else { return };
+        let file = std::fs::File::options().create(true).append(true).open(path);
+        let line = format!("{}\n", body.replace('\n', " "));
+        if let Err(error) = file.and_then(|mut file| file.write_all(line.as_bytes())) {
+            log::error!("writing {} failed: {error}", path.display());
+        }
+    }
+
     async fn call(
         &self,
         path: &str,
@@ -143,6 +164,20 @@
     }
 }
 
+/// Does what a mark in the body asks for.
+async fn misbehave(body: &str) {
+    if body.contains(CRASH_MARK) {
+        std::process::abort();
+    }
+    if body.contains(HANG_MARK) {
+        std::future::pending::<()>().await;
+    }
+    if let Some((_, rest)) = body.split_once(LATE_MARK) {
+        let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+        tokio::time::sleep(Duration::from_millis(digits.parse().unwrap_or(0))).await;
+    }
+}
+
 fn header(map: &http::HeaderMap, name: http::HeaderName) -> Option<&str> {
     map.get(name).and_then(|value| value.to_str().ok())
 }
