--- a/src/node/peer_service.rs
+++ b/src/node/peer_service.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    admin::NodeStatus,
     call::{Outcome, Undispatched, answer_digest, headers},
     clock,
     node::{
@@ -138,6 +139,15 @@
         self.shared.once.merge_quarantine(&request.into_inner().entries);
         Ok(Response::new(proto::CrashReply {}))
     }
+
+    async fn pull_status(
+        &self,
+        _request: Request<proto::StatusRequest>,
+    ) -> Answered<proto::StatusReply> {
+        let status = serde_json::to_vec(&NodeStatus::of(&self.shared))
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(proto::StatusReply { status: status.into() }))
+    }
 }
 
 fn reply(guarded: Guarded, request_id: &[u8]) -> proto::ForwardReply {
