Count one crash for all requests that were in flight at it

Two equal requests in flight at one crash counted as two crashes and were quarantined at once. A crash now has the id of the upstream's run. Requests that were given up in the last 10 s count as in flight, since their upstream may still run them. A suspect waits at most 1 s for its turn, because everything else waits behind it.

--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -6,7 +6,6 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
-use uuid::Uuid;
 
 use crate::{
     admission::Refusal,
@@ -25,6 +24,8 @@
 /// Time in which an upstream that crashed may announce itself again before its row gives up the
 /// service.
 const RESTART_ALLOWANCE: Duration = Duration::from_secs(2);
+/// Time that a suspect waits until it can run alone. All other requests wait behind it meanwhile.
+const SUSPECT_WAIT: Duration = Duration::from_secs(1);
 
 /// The end of a request at the node beside the upstream.
 #[derive(Debug)]
@@ -168,9 +169,14 @@
     };
     let turn = match turn {
         Ok(Ok(turn)) => turn,
-        Ok(Err(wait)) => {
+        Ok(Err(NoTurn::Quarantined { remaining })) => {
             let detail = "the request crashed upstreams and is quarantined";
-            return Err(undispatched.refuse(Reason::Quarantined, detail).retry_after(wait));
+            return Err(undispatched.refuse(Reason::Quarantined, detail).retry_after(remaining));
+        }
+        Ok(Err(NoTurn::Busy)) => {
+            let detail = "the request may crash its upstream and must run alone, which is busy";
+            let refused = undispatched.refuse(Reason::Overload, detail);
+            return Err(refused.retry_after(SUSPECT_WAIT));
         }
         Err(_) => {
             let detail = "the deadline passed before the request could run";
@@ -220,19 +226,28 @@
     undispatched.refuse(reason, detail)
 }
 
-/// Waits until the request may run, or returns the time that its quarantine lasts.
+/// Why a request does not get its turn.
+enum NoTurn {
+    Quarantined { remaining: Duration },
+    Busy,
+}
+
+/// Waits until the request may run.
 async fn take_turn<'a>(
     shared: &'a Shared,
     context: &CallContext,
     fingerprint: &Fingerprint,
-) -> Result<Turn<'a>, Duration> {
+) -> Result<Turn<'a>, NoTurn> {
     loop {
         let wanted = shared.once.standing(fingerprint);
         let turn = match wanted {
-            Standing::Quarantined { remaining } => return Err(remaining),
+            Standing::Quarantined { remaining } => return Err(NoTurn::Quarantined { remaining }),
             _ if context.depth > 0 && shared.dispatches.runs_chain(context.root_id) => Turn::Nested,
             Standing::Clear => Turn::Shared { _permit: shared.once.alone.read().await },
-            Standing::Suspect => Turn::Alone { _permit: shared.once.alone.write().await },
+            Standing::Suspect => match timeout(SUSPECT_WAIT, shared.once.alone.write()).await {
+                Ok(permit) => Turn::Alone { _permit: permit },
+                Err(_) => return Err(NoTurn::Busy),
+            },
         };
         // An equal request may have crashed the upstream, or run well, in the meantime.
         if std::mem::discriminant(&shared.once.standing(fingerprint))
@@ -319,7 +334,8 @@
             dispatch.unknown(Reason::UpstreamFailed, detail)
         }
         None => {
-            look_for_crash(shared, &announced, fingerprint).await;
+            // The upstream may still be running it, and crash by it later.
+            shared.once.abandoned(announced.run_id, fingerprint);
             dispatch.unknown(Reason::DeadlinePassed, "no answer before the deadline")
         }
     };
@@ -343,7 +359,8 @@
         return;
     }
     upstream_lost(shared, announced);
-    let crash = Uuid::now_v7();
+    // All requests that were in flight at one crash report it under the same id.
+    let crash = announced.run_id;
     shared.once.report_crash(shared, &announced.service, fingerprint, crash).await;
 }
 
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -1,6 +1,7 @@
 //! The node's records of idempotency keys, its quarantine and the tasks that outlive a caller.
 
 use std::{
+    collections::VecDeque,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -41,6 +42,9 @@
 const HANDOVER_BATCH_RECORDS: usize = 1000;
 /// Entries in one message; a reply to a pull of evidence must stay small.
 const MAX_SENT_ENTRIES: usize = 64;
+/// Time for which a request that was given up may still run in the upstream.
+const ABANDONED_TIME: Duration = Duration::from_secs(10);
+const MAX_ABANDONED: usize = 256;
 /// When a caller may send a key again whose owner is changing or leaving.
 const OWNER_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -49,12 +53,21 @@
 pub struct OnceState {
     records: Mutex<KeyRecords>,
     quarantine: Mutex<Quarantine>,
+    abandoned: Mutex<VecDeque<Abandoned>>,
     /// Held shared by each running request and exclusively by a suspect.
     pub alone: RwLock<()>,
     /// Dispatches and crash reports.
     pub tasks: TaskTracker,
 }
 
+/// A request whose answer the node no longer waits for.
+#[derive(Debug)]
+struct Abandoned {
+    at: Timestamp,
+    run_id: Uuid,
+    fingerprint: Fingerprint,
+}
+
 /// An open record; it ends as unknown where it is dropped after the dispatch began.
 #[derive(Debug)]
 pub struct OpenRecord<'a> {
@@ -69,6 +82,7 @@
         Self {
             records: Mutex::new(KeyRecords::new(identity, RecordLimits::default())),
             quarantine: Mutex::default(),
+            abandoned: Mutex::default(),
             alone: RwLock::default(),
             tasks: TaskTracker::new(),
         }
@@ -147,6 +161,26 @@
         self.quarantine.lock().ran_alone(fingerprint);
     }
 
+    /// A request was given up while the upstream was running it.
+    pub fn abandoned(&self, run_id: Uuid, fingerprint: Fingerprint) {
+        let now = clock::now();
+        let mut abandoned = self.abandoned.lock();
+        let is_old = |entry: &Abandoned| now.saturating_sub(entry.at) > ABANDONED_TIME;
+        while abandoned.len() >= MAX_ABANDONED || abandoned.front().is_some_and(is_old) {
+            abandoned.pop_front();
+        }
+        abandoned.push_back(Abandoned { at: now, run_id, fingerprint });
+    }
+
+    /// Takes the requests that a run of the upstream may still have been running.
+    fn take_abandoned(&self, run_id: Uuid, now: Timestamp) -> Vec<Fingerprint> {
+        let entries = std::mem::take(&mut *self.abandoned.lock());
+        let recent = entries.into_iter().filter(|entry| {
+            entry.run_id == run_id && now.saturating_sub(entry.at) <= ABANDONED_TIME
+        });
+        recent.map(|entry| entry.fingerprint).collect()
+    }
+
     /// Notes a crash and tells it to the rows of the service.
     pub async fn report_crash(
         &self,
@@ -156,13 +190,17 @@
         crash: CrashId,
     ) {
         let now = clock::now();
-        let entry = {
+        let mut fingerprints = self.take_abandoned(crash, now);
+        fingerprints.push(fingerprint);
+        let entries = {
             let mut quarantine = self.quarantine.lock();
-            quarantine.crashed(fingerprint, crash, now);
-            quarantine.entry(&fingerprint, now)
+            for fingerprint in &fingerprints {
+                quarantine.crashed(*fingerprint, crash, now);
+            }
+            let entries = fingerprints.iter().filter_map(|it| quarantine.entry(it, now));
+            entries.map(|entry| entry_to_proto(&entry)).collect()
         };
-        let Some(entry) = entry else { return };
-        let report = proto::CrashReport { entries: vec![entry_to_proto(&entry)] };
+        let report = proto::CrashReport { entries };
         let view = shared.view.load_full();
         let others = view.table.rows.iter().filter(|row| {
             row.service.as_ref() == Some(service) && row.instance != shared.settings.instance
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -27,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::task::AbortOnDropHandle;
+use uuid::Uuid;
 
 use crate::{
     call::{Answer, Unsent, headers},
@@ -57,6 +58,10 @@
     /// Requests that it can run at once; a hint.
     #[schemars(range(min = 1, max = 100_000))]
     pub slots: u32,
+    /// Names the run of the upstream that began with this announcement; set by the node.
+    #[serde(skip)]
+    #[schemars(skip)]
+    pub run_id: Uuid,
 }
 
 /// What an upstream says of its load; a hint that may lag or be false.
@@ -122,6 +127,7 @@
 
     /// Takes a new upstream.
     pub fn announce(&self, announcement: Announcement) {
+        let announcement = Announcement { run_id: Uuid::now_v7(), ..announcement };
         self.idle.lock().clear();
         self.announced.store(Some(announcement.into()));
         self.draining.store(false, Ordering::Release);
