Measure requests, hops, gate, rights and loans, and show the fleet at a glance

Cause: metrics knew only outcomes and reasons, so nobody could see who is served how well; figures of admission, rates, retries and records were not shown; a task paused between reading the configuration and checking the right could pair a newer right with older keys.

Change: requests count by origin, class, organisation, outcome and reason, with names outside the configuration as other and withdrawn ones dropped; hop times as histograms; the other figures are read from the node's status when asked, in metrics, state dump and hibiscusctl status alike. docs/metrics.md names each metric. The key is checked under the configuration read after the right.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use configuration::{ApplyResult, ResourceList, ResourceRead};
-pub use state::{NodeStatus, STATE_FORMAT, StateDump};
+pub use state::{AccountFigures, LoanFigures, NodeStatus, RetryFigures, STATE_FORMAT, StateDump};
 pub use status::{FleetRevisions, FleetStatus, RowRevision, RowStatus};
 
 use crate::{http_server, node::Shared};
@@ -27,7 +27,10 @@
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => http_server::text(StatusCode::OK, "ok"),
-        (&Method::GET, "/metrics") => http_server::text(StatusCode::OK, &shared.metrics.render()),
+        (&Method::GET, "/metrics") => {
+            let text = shared.metrics.render(&NodeStatus::of(&shared));
+            http_server::text(StatusCode::OK, text.trim_end())
+        }
         (&Method::GET, "/state") => http_server::json(StatusCode::OK, &StateDump::of(&shared)),
         (&Method::GET, "/v1/status") => {
             http_server::json(StatusCode::OK, &status::collect(&shared).await)
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -1,14 +1,17 @@
 //! The state dump of the process.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::{self, Timestamp},
     membership::Table,
-    names::{Incarnation, InstanceName, Revision, TableVersion, ZoneName},
-    node::{Announcement, Lifecycle, LoadReport, Shared},
+    names::{Incarnation, InstanceName, OrganisationName, Revision, TableVersion, ZoneName},
+    node::{Announcement, GateFigures, Lifecycle, LoadReport, Shared},
     telemetry::RequestCount,
 };
 
@@ -54,10 +57,71 @@
     pub upstream_report: Option<LoadReport>,
     /// Requests that the upstream is running.
     pub running: usize,
+    /// The gate before the upstream, once one has announced itself.
+    pub gate: Option<GateFigures>,
+    /// Newest configuration revision that evidence shows.
+    pub newest_revision: Revision,
+    /// Age of the oldest evidence about a live row, in milliseconds.
+    pub evidence_age_ms: Option<u64>,
+    /// Rows of the membership table.
+    pub rows: usize,
+    /// Rows believed dead.
+    pub silent_rows: usize,
+    /// The node holds watches at the platform for its availability zone.
+    pub is_reader: bool,
+    /// The node's accounts of the organisations' rates.
+    pub accounts: Vec<AccountFigures>,
+    /// Messages about loans since the start.
+    pub loans: LoanFigures,
+    /// Attempts of calls made here since the start.
+    pub retries: RetryFigures,
+    /// Records of idempotency keys held here.
+    pub idempotency_records: usize,
+    /// Fingerprints that are suspect or in quarantine.
+    pub quarantined: usize,
     /// Requests answered here to callers and to the upstream since the start.
     pub requests: Vec<RequestCount>,
 }
 
+/// The node's account of one organisation's rate.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AccountFigures {
+    /// Name of the organisation.
+    pub organisation: OrganisationName,
+    /// The row's share before loans.
+    pub share_per_s: f64,
+    /// Rate lent to other rows.
+    pub lent_per_s: f64,
+    /// Rate borrowed from other rows.
+    pub borrowed_per_s: f64,
+    /// Predicted demand at this node.
+    pub demand_per_s: f64,
+    /// Requests that may be admitted at once.
+    pub tokens: f64,
+    /// Requests that wait for a token.
+    pub waiting: u32,
+}
+
+/// Messages about loans.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct LoanFigures {
+    /// Asks sent.
+    pub asks_sent: u64,
+    /// Asks answered.
+    pub asks_answered: u64,
+    /// Bytes of the messages.
+    pub message_bytes: u64,
+}
+
+/// Attempts of calls.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct RetryFigures {
+    /// Calls, each with its first attempt.
+    pub requests: u64,
+    /// Retries.
+    pub retries: u64,
+}
+
 impl StateDump {
     /// Reads the state of a node.
     pub fn of(shared: &Shared) -> Self {
@@ -75,6 +139,10 @@
     /// Reads the status of a node.
     pub fn of(shared: &Shared) -> Self {
         let now = clock::now();
+        let evidence = shared.evidence.load();
+        let live = evidence.rows.iter().filter(|row| row.alive);
+        let oldest = live.filter_map(|row| row.at).min();
+        let (requests, retries) = shared.retries.lock().counts();
         Self {
             instance: shared.settings.instance.clone(),
             incarnation: shared.incarnation,
@@ -87,11 +155,40 @@
             upstream: shared.upstream.serving(),
             upstream_report: shared.upstream.last_report(),
             running: shared.dispatches.len(),
+            gate: shared.gate.figures(),
+            newest_revision: evidence.newest_revision,
+            evidence_age_ms: oldest.map(|at| left_ms(now, at)),
+            rows: evidence.rows.len(),
+            silent_rows: evidence.rows.iter().filter(|row| !row.alive).count(),
+            is_reader: evidence.is_reader,
+            accounts: accounts(shared),
+            loans: LoanFigures {
+                asks_sent: shared.loan_counters.asks_sent.load(Ordering::Relaxed),
+                asks_answered: shared.loan_counters.asks_answered.load(Ordering::Relaxed),
+                message_bytes: shared.loan_counters.bytes.load(Ordering::Relaxed),
+            },
+            retries: RetryFigures { requests, retries },
+            idempotency_records: shared.once.record_count(),
+            quarantined: shared.once.quarantine_count(),
             requests: shared.metrics.request_counts(),
         }
     }
 }
 
+fn accounts(shared: &Shared) -> Vec<AccountFigures> {
+    let snapshots = shared.rates.snapshot(shared).into_iter();
+    let figures = snapshots.map(|(organisation, account)| AccountFigures {
+        organisation,
+        share_per_s: account.base.rate_per_s,
+        lent_per_s: account.lent.rate_per_s,
+        borrowed_per_s: account.borrowed.rate_per_s,
+        demand_per_s: account.predicted_per_s,
+        tokens: account.tokens,
+        waiting: account.waiting,
+    });
+    figures.collect()
+}
+
 fn left_ms(until: Timestamp, now: Timestamp) -> u64 {
     let left: Duration = until.saturating_sub(now);
     u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -18,6 +18,7 @@
         table::Table,
     },
     names::Revision,
+    node::GateFigures,
 };
 
 const STATUS_PATH: &str = "/v1/status";
@@ -77,9 +78,35 @@
         table.row(std::iter::once(name.clone()).chain(served.cells()));
     }
     let _ = write!(text, "\nOrganisations:\n{table}");
+    let _ = write!(text, "\nServices:\n{}", services(&fleet, document.as_ref()));
     Ok(text)
 }
 
+/// Load of each service, and the classes that one of its upstreams refuses at present.
+fn services(fleet: &FleetStatus, document: Option<&Document>) -> Table {
+    let mut services: BTreeMap<&str, Vec<&NodeStatus>> = BTreeMap::new();
+    for row in &fleet.nodes {
+        if let (Some(service), Some(status)) = (&row.service, &row.status) {
+            services.entry(service).or_default().push(status);
+        }
+    }
+    let mut table = Table::new(&["service", "upstreams", "running", "limit", "waiting", "sheds"]);
+    for (service, nodes) in services {
+        let serving = nodes.iter().filter(|status| status.upstream.is_some());
+        let gates: Vec<GateFigures> = serving.filter_map(|status| status.gate).collect();
+        let shed_below = gates.iter().map(|gate| gate.shed_below).max().unwrap_or(0);
+        table.row([
+            service.to_owned(),
+            gates.len().to_string(),
+            gates.iter().map(|gate| u64::from(gate.in_flight)).sum::<u64>().to_string(),
+            gates.iter().map(|gate| u64::from(gate.limit)).sum::<u64>().to_string(),
+            gates.iter().map(|gate| gate.waiting).sum::<usize>().to_string(),
+            sheds_below(document, shed_below),
+        ]);
+    }
+    table
+}
+
 fn summary(fleet: &FleetStatus) -> String {
     let count =
         |test: &dyn Fn(&RowStatus) -> bool| fleet.nodes.iter().filter(|it| test(it)).count();
@@ -112,7 +139,9 @@
 fn served(fleet: &FleetStatus) -> (BTreeMap<String, Served>, BTreeMap<String, Served>) {
     let (mut classes, mut organisations) = (BTreeMap::new(), BTreeMap::new());
     let counts = fleet.nodes.iter().filter_map(|row| row.status.as_ref());
-    for count in counts.flat_map(|status| &status.requests) {
+    let counts = counts.flat_map(|status| &status.requests);
+    // A call that an upstream makes belongs to a request that is counted already.
+    for count in counts.filter(|count| count.from == "caller") {
         for served in [
             classes.entry(count.class.to_string()).or_insert_with(Served::default),
             organisations.entry(count.organisation.to_string()).or_insert_with(Served::default),
@@ -169,6 +198,7 @@
 /// Shows the upstreams, their load and limits.
 pub async fn upstreams(session: &Session) -> anyhow::Result<String> {
     let fleet: FleetStatus = session.client.read(STATUS_PATH).await?;
+    let document: Option<Document> = session.client.read("/v1/configuration").await.ok();
     let serving = fleet.nodes.into_iter().filter(|row| row.service.is_some());
     let mut rows: Vec<RowStatus> = serving.collect();
     rows.sort_by(|a, b| (&a.service, &a.instance).cmp(&(&b.service, &b.instance)));
@@ -176,22 +206,24 @@
         return Ok(serde_json::to_string_pretty(&rows)?);
     }
     let columns =
-        ["service", "instance", "zone", "address", "slots", "running", "reported", "queued"];
+        ["service", "instance", "zone", "address", "slots", "limit", "running", "waiting", "sheds"];
     let mut table = Table::new(&columns);
     for row in &rows {
         let service = row.service.as_deref().unwrap_or_default().to_owned();
         let mut cells = vec![service, row.instance.to_string(), row.zone.to_string()];
         match row.status.as_ref().map(|status| (status, &status.upstream)) {
             Some((status, Some(upstream))) => {
-                let report = status.upstream_report;
-                let number =
-                    |value: Option<u32>| value.map_or("–".to_owned(), |it| it.to_string());
+                let gate = status.gate;
+                let number = |value: Option<String>| value.unwrap_or_else(|| "–".to_owned());
                 cells.extend([
                     upstream.address.to_string(),
                     upstream.slots.to_string(),
-                    status.running.to_string(),
-                    number(report.map(|report| report.in_flight)),
-                    number(report.map(|report| report.queued)),
+                    number(gate.map(|gate| gate.limit.to_string())),
+                    number(gate.map(|gate| gate.in_flight.to_string())),
+                    number(gate.map(|gate| gate.waiting.to_string())),
+                    gate.map_or(String::new(), |gate| {
+                        sheds_below(document.as_ref(), gate.shed_below)
+                    }),
                 ]);
             }
             Some((_, None)) => cells.push("not announced or draining".to_owned()),
@@ -202,6 +234,17 @@
     Ok(table.to_string())
 }
 
+/// Names the classes that an upstream refuses at present.
+fn sheds_below(document: Option<&Document>, shed_below: u32) -> String {
+    let classes = document.map(|it| it.classes.as_slice()).unwrap_or_default();
+    let shed = classes.iter().filter(|it| Importance::of(&it.target).0 < shed_below);
+    let names: Vec<&str> = shed.map(|class| &*class.name).collect();
+    match names.is_empty() {
+        true => "nothing".to_owned(),
+        false => names.join(", "),
+    }
+}
+
 /// Waits until a revision is in force on every node that accepts keys.
 pub async fn wait_for_revision(
     session: &Session,
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -28,6 +28,7 @@
     peers::{self, proto},
     retry::{AttemptEnd, HopBudget, ROOT_RETRY_BUDGET, may_retry},
     routing::{AttemptResult, Candidate, Pressure, Verdict},
+    telemetry::{Hop, RequestOrigin, Side},
 };
 
 /// Deepest chain that is served; a call below it is taken for a loop.
@@ -70,8 +71,13 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let request_id = Uuid::now_v7();
-    let outcome = run(shared, origin, request, request_id).await;
-    shared.metrics.count_outcome(&outcome);
+    let _timer = shared.metrics.start(Hop::Entry);
+    let mut counted = RequestOrigin::new(match &origin {
+        Origin::Caller { .. } => Side::Caller,
+        Origin::Upstream { .. } => Side::Upstream,
+    });
+    let outcome = run(shared, origin, request, request_id, &mut counted).await;
+    shared.metrics.count_request(&shared.configuration.load(), &counted, &outcome);
     response(outcome, request_id)
 }
 
@@ -80,6 +86,7 @@
     origin: Origin,
     request: Request<Incoming>,
     request_id: Uuid,
+    counted: &mut RequestOrigin,
 ) -> Outcome {
     let configuration = shared.configuration.load_full();
     let key_header = request.headers().get(headers::IDEMPOTENCY_KEY).cloned();
@@ -88,19 +95,24 @@
         let detail = format!("no route for the path {}", request.uri().path());
         return Outcome::NotRun(undispatched.refuse(Reason::NoRoute, detail));
     };
+    counted.class = Some(match &origin {
+        Origin::Caller { .. } => route.class.clone(),
+        Origin::Upstream { call } => call.context.class.clone(),
+    });
     let idempotent = route.is_idempotent(request.method());
     let idempotency_key = match idempotency_key(key_header.as_ref(), idempotent) {
         Ok(key) => key,
         Err(detail) => return Outcome::NotRun(undispatched.refuse(Reason::BadRequest, detail)),
     };
     let admitted = match &origin {
-        Origin::Caller { key } => admit_caller(shared, &configuration, route, key.as_deref()),
+        Origin::Caller { key } => admit_caller(shared, route, key.as_deref()),
         Origin::Upstream { call } => Ok(call.context.organisation.clone()),
     };
     let organisation = match admitted {
         Ok(organisation) => organisation,
         Err((reason, detail)) => return Outcome::NotRun(undispatched.refuse(reason, detail)),
     };
+    counted.organisation = Some(organisation.clone());
     let whole = match read_whole(request, shared.settings.limits.max_body_bytes).await {
         Ok(whole) => whole,
         Err((reason, detail)) => return Outcome::NotRun(undispatched.refuse(reason, detail)),
@@ -282,7 +294,6 @@
 
 fn admit_caller(
     shared: &Shared,
-    configuration: &Configuration,
     route: &Route,
     key: Option<&str>,
 ) -> Result<Option<OrganisationName>, (Reason, String)> {
@@ -300,6 +311,9 @@
         let detail = "the node cannot show that its table and configuration are current";
         return Err((Reason::NoRight, detail.to_owned()));
     }
+    // Read after the right: a task that was paused before it would otherwise pair the right under
+    // a newer revision with the keys of an older one.
+    let configuration = shared.configuration.load();
     match configuration.check_key(&shared.key_hasher, key) {
         KeyCheck::Organisation(name) => Ok(Some(name)),
         KeyCheck::Unknown => Err((Reason::UnknownKey, "the key is not in force".to_owned())),
@@ -527,6 +541,7 @@
         body: request.body,
     };
     let forwarding = Forwarding::begin(undispatched);
+    let _timer = shared.metrics.start(Hop::Forward);
     let mut client = shared.peers.client(row.peer_address);
     let reply = match tokio::time::timeout(remaining, client.forward(message)).await {
         Ok(Ok(reply)) => reply.into_inner(),
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -6,6 +6,7 @@
 };
 
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -33,6 +34,19 @@
     last_ticket: AtomicU64,
 }
 
+/// Figures of the gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GateFigures {
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Requests that the upstream runs.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Importance below which requests are refused at present; 0 while none is.
+    pub shed_below: u32,
+}
+
 /// A started request; it is taken for aborted when this is dropped without an answer.
 #[derive(Debug)]
 pub struct Slot<'a> {
@@ -125,6 +139,18 @@
         state.admission.as_ref().map_or(Importance(0), |admission| admission.shed_below(now))
     }
 
+    /// Figures for people and programs; none before an upstream has announced itself.
+    pub fn figures(&self) -> Option<GateFigures> {
+        let state = self.state.lock();
+        let (now, admission) = (clock::now(), state.admission.as_ref()?);
+        Some(GateFigures {
+            limit: admission.limit(now),
+            in_flight: admission.in_flight(),
+            waiting: admission.waiting(),
+            shed_below: admission.shed_below(now).0,
+        })
+    }
+
     fn arrive(&self, arrival: Arrival) -> Result<(), Wait<'_>> {
         let own = arrival.ticket;
         let mut state = self.state.lock();
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -20,6 +20,7 @@
     },
     once::{Fingerprint, Standing, fingerprint},
     routing::Pressure,
+    telemetry::Hop,
 };
 
 /// Time in which an upstream that crashed may announce itself again before its row gives up the
@@ -295,11 +296,13 @@
         message.headers_mut().insert(http::header::HOST, host);
     }
     let dispatch = Dispatch::begin(undispatched);
+    let timer = shared.metrics.start(Hop::Upstream);
     let send = shared.upstream.send(connection, message, &request_id);
     let sent = tokio::select! {
         sent = timeout(remaining, send) => sent.ok(),
         () = cancelled.cancelled() => None,
     };
+    drop(timer);
     let outcome = match sent {
         Some(Ok(answer)) => {
             if let Turn::Alone { .. } = turn {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -28,7 +28,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 pub use dispatches::{DispatchId, Dispatches};
-pub use gate::Gate;
+pub use gate::{Gate, GateFigures};
 pub use loans::LoanCounters;
 pub use once::OnceState;
 pub use rates::{AccountCell, Rates};
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,19 +1,24 @@
 //! Metrics of the process, in the OpenMetrics text format.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Instant};
 
 use parking_lot::RwLock;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
-    metrics::{counter::Counter, family::Family},
-    registry::Registry,
+    encoding::{
+        EncodeLabelSet,
+        text::{encode_eof, encode_registry},
+    },
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    registry::{Registry, Unit},
 };
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admin::NodeStatus,
     call::Outcome,
     config::Configuration,
     names::{ClassName, OrganisationName},
+    telemetry::figures::status_registry,
 };
 
 /// Label of what is not in the configuration.
@@ -21,9 +26,35 @@
 /// Label of requests on open routes.
 const NO_ORGANISATION: &str = "none";
 
+/// Bounds of the buckets of hop times, in seconds. The goal for the time added to a call is
+/// 1.9 ms, so the buckets are dense around it.
+const HOP_BUCKETS: [f64; 14] =
+    [0.0005, 0.001, 0.0015, 0.002, 0.003, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
+
+/// Where a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// A caller.
+    Caller,
+    /// The upstream, for a request that it is running.
+    Upstream,
+}
+
+/// A part of a request's way whose time is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Hop {
+    /// From the head of the request to its outcome, at the node that it came to.
+    Entry,
+    /// From the sending to another node to its reply.
+    Forward,
+    /// From the sending to the upstream to its whole answer.
+    Upstream,
+}
+
 /// Labels of a finished request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
+    from: &'static str,
     class: ClassName,
     organisation: OrganisationName,
     outcome: &'static str,
@@ -33,6 +64,8 @@
 /// Requests that ended in one way, for the state dump.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestCount {
+    /// `caller`, or `upstream` for calls that upstreams make.
+    pub from: String,
     /// Class, or `other`.
     pub class: ClassName,
     /// Organisation, `none` on open routes, or `other`.
@@ -46,12 +79,40 @@
 }
 
 /// What a request was of, as far as the node found out.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct RequestOrigin<'a> {
+#[derive(Debug, Clone)]
+pub struct RequestOrigin {
+    /// Where the request came from.
+    pub side: Side,
     /// Class of the request.
-    pub class: Option<&'a str>,
+    pub class: Option<ClassName>,
     /// Organisation whose key it carried; the outer option is empty before the key is checked.
-    pub organisation: Option<Option<&'a str>>,
+    pub organisation: Option<Option<OrganisationName>>,
+}
+
+impl RequestOrigin {
+    /// A request of which nothing else is known yet.
+    pub fn new(side: Side) -> Self {
+        Self { side, class: None, organisation: None }
+    }
+}
+
+/// Measures the time of a hop until it is dropped.
+#[derive(Debug)]
+pub struct HopTimer {
+    started: Instant,
+    histogram: Histogram,
+}
+
+impl Drop for HopTimer {
+    fn drop(&mut self) {
+        self.histogram.observe(self.started.elapsed().as_secs_f64());
+    }
+}
+
+/// Labels of a hop.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HopLabels {
+    hop: &'static str,
 }
 
 /// Labels of an evidence pull: `asked` or `answered` by this node.
@@ -73,6 +134,8 @@
     requests: Family<RequestLabels, Counter>,
     // The metrics library does not list the members of a family.
     counted: RwLock<HashMap<RequestLabels, Counter>>,
+    // Looked up once, so that the request path takes no lock of the family.
+    hops: [Histogram; 3],
     evidence_pulls: Family<PullLabels, Counter>,
     evidence_bytes: Family<BytesLabels, Counter>,
 }
@@ -83,10 +146,19 @@
         let requests = Family::default();
         registry.register(
             "requests",
-            "Requests answered to callers and to the upstream, by class, organisation, outcome \
-             and reason",
+            "Requests answered, by origin, class, organisation, outcome and reason",
             requests.clone(),
         );
+        let hop_seconds: Family<HopLabels, Histogram, fn() -> Histogram> =
+            Family::new_with_constructor(|| Histogram::new(HOP_BUCKETS));
+        registry.register_with_unit(
+            "hop",
+            "Time of a part of a request's way: entry, forward or upstream",
+            Unit::Seconds,
+            hop_seconds.clone(),
+        );
+        let hops = ["entry", "forward", "upstream"]
+            .map(|hop| hop_seconds.get_or_create(&HopLabels { hop }).clone());
         let evidence_pulls = Family::default();
         registry.register(
             "evidence_pulls",
@@ -99,14 +171,21 @@
             "Bytes of evidence messages, without framing",
             evidence_bytes.clone(),
         );
-        Self { registry, requests, counted: RwLock::default(), evidence_pulls, evidence_bytes }
+        Self {
+            registry,
+            requests,
+            counted: RwLock::default(),
+            hops,
+            evidence_pulls,
+            evidence_bytes,
+        }
     }
 }
 
 impl Metrics {
-    /// Counts a finished request of which nothing else is known.
-    pub fn count_outcome(&self, outcome: &Outcome) {
-        self.count_request(&Configuration::default(), RequestOrigin::default(), outcome);
+    /// Starts to measure a hop.
+    pub fn start(&self, hop: Hop) -> HopTimer {
+        HopTimer { started: Instant::now(), histogram: self.hops[hop as usize].clone() }
     }
 
     /// Counts a finished request.
@@ -116,7 +195,7 @@
     pub fn count_request(
         &self,
         configuration: &Configuration,
-        origin: RequestOrigin<'_>,
+        origin: &RequestOrigin,
         outcome: &Outcome,
     ) {
         let (outcome, reason) = match outcome {
@@ -124,15 +203,19 @@
             Outcome::NotRun(not_run) => ("not-run", not_run.reason.as_str()),
             Outcome::Unknown(unknown) => ("unknown", unknown.reason.as_str()),
         };
-        let class = origin.class.filter(|name| configuration.class(name).is_some());
-        let organisation = match origin.organisation {
-            Some(None) => NO_ORGANISATION,
-            Some(Some(name)) if configuration.organisation(name).is_some() => name,
-            _ => OTHER,
+        let class = origin.class.as_ref().filter(|name| configuration.class(name).is_some());
+        let organisation = match &origin.organisation {
+            Some(None) => NO_ORGANISATION.into(),
+            Some(Some(name)) if configuration.organisation(name).is_some() => name.clone(),
+            _ => OTHER.into(),
         };
         let labels = RequestLabels {
-            class: class.unwrap_or(OTHER).into(),
-            organisation: organisation.into(),
+            from: match origin.side {
+                Side::Caller => "caller",
+                Side::Upstream => "upstream",
+            },
+            class: class.cloned().unwrap_or_else(|| OTHER.into()),
+            organisation,
             outcome,
             reason,
         };
@@ -167,6 +250,7 @@
     pub fn request_counts(&self) -> Vec<RequestCount> {
         let counted = self.counted.read();
         let counts = counted.iter().map(|(labels, counter)| RequestCount {
+            from: labels.from.to_owned(),
             class: labels.class.clone(),
             organisation: labels.organisation.clone(),
             outcome: labels.outcome.to_owned(),
@@ -176,7 +260,8 @@
         let mut counts: Vec<RequestCount> = counts.collect();
         counts.sort_by(|a, b| {
             let key = |it: &RequestCount| {
-                (it.class.clone(), it.organisation.clone(), it.outcome.clone(), it.reason.clone())
+                let names = (it.from.clone(), it.class.clone(), it.organisation.clone());
+                (names, it.outcome.clone(), it.reason.clone())
             };
             key(a).cmp(&key(b))
         });
@@ -201,10 +286,13 @@
         );
     }
 
-    /// Renders all metrics.
-    pub fn render(&self) -> String {
+    /// Renders all metrics: those counted here, and the figures of the node's status.
+    pub fn render(&self, status: &NodeStatus) -> String {
         let mut text = String::new();
-        if let Err(error) = encode(&mut text, &self.registry) {
+        let rendered = encode_registry(&mut text, &self.registry)
+            .and_then(|()| encode_registry(&mut text, &status_registry(status)))
+            .and_then(|()| encode_eof(&mut text));
+        if let Err(error) = rendered {
             log::error!("rendering metrics failed: {error}");
         }
         text
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,7 +1,8 @@
 //! Metrics and logging.
 
+mod figures;
 mod logging;
 mod metrics;
 
 pub use logging::{OWN_MODULES, start_logging};
-pub use metrics::{Metrics, RequestCount, RequestOrigin};
+pub use metrics::{Hop, HopTimer, Metrics, RequestCount, RequestOrigin, Side};
--- /dev/null
+++ b/tests/observability.rs
@@ -0,0 +1,194 @@
+//! Metrics, state dump and status: what they name, and that they stay bounded.
+
+mod support;
+
+use std::{collections::BTreeSet, process::Command};
+
+use bytes::Bytes;
+use hibiscusdoor::{
+    call::{Answer, Outcome, Reason, Undispatched},
+    config::{Configuration, Document},
+    standin::{Fleet, NodeOptions, http_call, new_client},
+    telemetry::{Metrics, RequestOrigin, Side},
+};
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::support::{WAIT, programs, start_fleet};
+
+const KEY: &str = "Bearer bole.sample-secret-of-bole-bars";
+
+async fn fleet_of_three() -> anyhow::Result<(Fleet, tempfile::TempDir)> {
+    let (mut fleet, folder) = start_fleet();
+    for index in 0..3 {
+        fleet.add_node(NodeOptions {
+            zone: format!("zone-{index}"),
+            service: "drops".to_owned(),
+            slots: 8,
+            service_time_ms: 1,
+            ..NodeOptions::default()
+        })?;
+    }
+    let url = fleet.operator_url(0, "/v1/configuration");
+    let document = include_str!("../sample/configuration.json");
+    let reply = http_call(&new_client(), Method::PUT, &url, &[], document).await?;
+    assert_eq!(reply.status, 200, "{:?}", reply.body);
+    let ready = |state: &Value| {
+        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
+        state["revision"] == 1 && state["keys_right_left_ms"] != 0 && serving == 3
+    };
+    fleet.wait_for_state("revision 1 and three rows with a service", WAIT, ready).await?;
+    Ok((fleet, folder))
+}
+
+async fn get(fleet: &Fleet, index: usize, path: &str) -> anyhow::Result<String> {
+    let url = fleet.operator_url(index, path);
+    let reply = http_call(&new_client(), Method::GET, &url, &[], Bytes::new()).await?;
+    assert_eq!(reply.status, 200, "{path}: {:?}", reply.body);
+    Ok(String::from_utf8(reply.body.to_vec())?)
+}
+
+async fn requests(fleet: &Fleet) -> anyhow::Result<()> {
+    for number in 0..30 {
+        let url = fleet.caller_url(number % 3, "/drops/1");
+        let headers = [("authorization", KEY)];
+        let reply = http_call(&new_client(), Method::POST, &url, &headers, "x").await?;
+        assert_eq!(reply.status, 200, "{:?}", reply.body);
+    }
+    Ok(())
+}
+
+/// Guards against a metric that nobody can interpret, and a page that names one that is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn metrics_page_names_exactly_what_nodes_serve() -> anyhow::Result<()> {
+    let (fleet, _folder) = fleet_of_three().await?;
+    requests(&fleet).await?;
+    let page = include_str!("../docs/metrics.md");
+    let named: BTreeSet<String> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split('`').next())
+        .map(|name| name.trim_end_matches("_total").to_owned())
+        .collect();
+    let mut served = BTreeSet::new();
+    let mut text = String::new();
+    // Evidence comes within a second or two; until then its age is absent.
+    for _ in 0..100 {
+        text = get(&fleet, 0, "/metrics").await?;
+        let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+        served = help.filter_map(|line| line.split(' ').next()).map(str::to_owned).collect();
+        if served == named {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(served, named);
+    assert_eq!(text.lines().last(), Some("# EOF"), "{text}");
+    let whole = "hibiscusdoor_requests_total{from=\"caller\",class=\"confirmation\",\
+                 organisation=\"bole-bars\",outcome=\"whole\",reason=\"\"} 10";
+    assert!(text.lines().any(|line| line == whole), "{text}");
+    Ok(())
+}
+
+/// Guards against callers who can make a node hold more and more series.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_cannot_add_series() -> anyhow::Result<()> {
+    let (fleet, _folder) = fleet_of_three().await?;
+    for number in 0..100 {
+        let url = fleet.caller_url(0, &format!("/path-{number}"));
+        let key = format!("Bearer id-{number}.secret-{number}");
+        let headers = [("authorization", key.as_str()), ("hibiscus-organisation", "invented")];
+        http_call(&new_client(), Method::GET, &url, &headers, "").await?;
+        let url = fleet.caller_url(0, &format!("/drops/{number}"));
+        http_call(&new_client(), Method::GET, &url, &headers, "").await?;
+    }
+    let text = get(&fleet, 0, "/metrics").await?;
+    let series: Vec<&str> =
+        text.lines().filter(|line| line.starts_with("hibiscusdoor_requests_total")).collect();
+    let expected = [
+        "hibiscusdoor_requests_total{from=\"caller\",class=\"other\",organisation=\"other\",\
+         outcome=\"not-run\",reason=\"no_route\"} 100",
+        "hibiscusdoor_requests_total{from=\"caller\",class=\"confirmation\",\
+         organisation=\"other\",outcome=\"not-run\",reason=\"unknown_key\"} 100",
+    ];
+    assert_eq!(series.len(), 2, "{series:?}");
+    assert!(expected.iter().all(|line| series.contains(line)), "{series:?}");
+    Ok(())
+}
+
+fn configuration(names: &[&str]) -> Configuration {
+    let organisations: Vec<Value> =
+        names.iter().map(|name| json!({ "name": name, "rate_per_s": 1.0, "burst": 1.0 })).collect();
+    let document: Document =
+        serde_json::from_value(json!({ "organisations": organisations })).expect("a document");
+    Configuration::compile(document)
+}
+
+/// Guards against series that stay after their organisation was withdrawn.
+#[test]
+fn series_of_withdrawn_organisations_go() {
+    let metrics = Metrics::default();
+    let outcome = Outcome::NotRun(Undispatched::new(true).refuse(Reason::OverRate, "over"));
+    let before = configuration(&["bole", "piazza"]);
+    for name in ["bole", "piazza", "unknown"] {
+        let organisation = Some(Some(name.into()));
+        let origin = RequestOrigin { side: Side::Caller, class: None, organisation };
+        metrics.count_request(&before, &origin, &outcome);
+    }
+    let names = |metrics: &Metrics| -> Vec<String> {
+        let counts = metrics.request_counts();
+        counts.iter().map(|count| count.organisation.to_string()).collect()
+    };
+    assert_eq!(names(&metrics), ["bole", "other", "piazza"]);
+    metrics.forget_withdrawn(&configuration(&["piazza"]));
+    assert_eq!(names(&metrics), ["other", "piazza"]);
+}
+
+/// Guards against a status that does not say who is served, what is refused and why.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_shows_the_fleet_at_a_glance() -> anyhow::Result<()> {
+    let (fleet, _folder) = fleet_of_three().await?;
+    requests(&fleet).await?;
+    for index in 0..3 {
+        let url = fleet.caller_url(index, "/drops/1");
+        http_call(&new_client(), Method::POST, &url, &[], "no key").await?;
+    }
+    let node = fleet.nodes[2].addresses.operators.to_string();
+    let output =
+        Command::new(programs().join("hibiscusctl")).args(["--node", &node, "status"]).output()?;
+    let text = String::from_utf8(output.stdout)?;
+    let lines: Vec<String> =
+        text.lines().map(|line| line.split_whitespace().collect::<Vec<_>>().join(" ")).collect();
+    for expected in [
+        "3 nodes in 3 availability zones: 3 answer, 3 have an upstream, 3 accept keys",
+        "confirmation 33 90.91% 0 3: unknown_key 3",
+        "bole-bars 30 100.00% 0 0",
+        "other 3 0.00% 0 3: unknown_key 3",
+    ] {
+        assert!(lines.iter().any(|line| line == expected), "{expected} is missing in\n{text}");
+    }
+    assert!(lines.iter().any(|line| line.starts_with("drops 3 0 ")), "{text}");
+    let state: Value = serde_json::from_str(&get(&fleet, 1, "/state").await?)?;
+    assert_eq!(state["format"], 2);
+    assert_eq!(state["gate"]["in_flight"], 0);
+    Ok(())
+}
+
+/// Guards against whole answers that are counted under a reason of refusals.
+#[test]
+fn whole_answers_count_without_a_reason() {
+    let metrics = Metrics::default();
+    let answer = Answer {
+        status: http::StatusCode::OK,
+        headers: http::HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let origin = RequestOrigin::new(Side::Upstream);
+    metrics.count_request(&configuration(&[]), &origin, &Outcome::Whole(answer));
+    let counts = metrics.request_counts();
+    assert_eq!(
+        (&*counts[0].from, &*counts[0].outcome, &*counts[0].reason),
+        ("upstream", "whole", "")
+    );
+}
