--- a/src/membership/evidence.rs
+++ b/src/membership/evidence.rs
@@ -117,6 +117,9 @@
         for row in &table.rows {
             self.supersede(&id_of(row));
         }
+        // This process replaces the older one of its own instance.
+        let own = self.own.clone();
+        self.supersede(&own);
     }
 
     fn supersede(&mut self, newer: &RowId) {
