Delay a gained share until the loans of its old owner have ended

Cause: membership now adopts a version at once, while loans that the node gave under the old one may exceed its new share. The nodes that gain could then use what is still lent.

Change: a node uses a larger share 2.03 s after the version settled, longer than any loan; loans last 2 s at most, and loans beyond a share that shrank are not renewed. Lenders keep room for two tokens beside rate that they keep, and renew loans even where requests wait.

--- a/src/node/rates.rs
+++ b/src/node/rates.rs
@@ -9,7 +9,6 @@
 use crate::{
     clock::{self, Timestamp},
     config::Configuration,
-    membership::View,
     names::{OrganisationName, Revision, TableVersion},
     node::Shared,
     rate::{Account, AccountSnapshot, Allowance, Charge, jittered},
@@ -136,21 +135,6 @@
         self.accounts.store(Arc::new(accounts));
     }
 
-    /// Limits every account to the shares of a table version that is not adopted yet.
-    ///
-    /// Returns whether all outstanding loans fit; until then the version must not be reported as
-    /// adopted (design, section 5).
-    pub fn prepare(&self, shared: &Shared, view: &View) -> bool {
-        let now = clock::now();
-        let share = view.share(&shared.settings.instance, shared.incarnation);
-        let accounts = self.accounts.load();
-        // Every account must be limited, so this does not stop at the first that does not fit.
-        let fitting = accounts.iter().filter(|(name, cell)| {
-            cell.with(shared, name, now, |account| account.prepare_share(share, now))
-        });
-        fitting.count() == accounts.len()
-    }
-
     /// State of all accounts for people and programs.
     pub fn snapshot(&self, shared: &Shared) -> Vec<(OrganisationName, AccountSnapshot)> {
         let now = clock::now();
--- a/src/rate/account.rs
+++ b/src/rate/account.rs
@@ -9,7 +9,7 @@
     names::{Incarnation, InstanceName},
     rate::{
         Ask, Demand, Loan, LoanId,
-        loan::{CLOCK_DRIFT, terms},
+        loan::{CLOCK_DRIFT, GROWTH_DELAY, terms},
     },
 };
 
@@ -20,6 +20,8 @@
 const MAX_LOANS_PER_PEER: usize = 8;
 /// Part of its share below which a node's spare rate or burst is not worth a loan.
 const MIN_LOAN_FRACTION: f64 = 0.01;
+/// Burst capacity that a lender keeps beside rate that it keeps.
+const MIN_ROOM: f64 = 2.0;
 /// Part of the predicted demand that is held beyond it, for its variation.
 const RATE_HEADROOM: f64 = 1.1;
 /// Time of the predicted demand that a bucket should hold.
@@ -125,7 +127,8 @@
 pub struct Account {
     pub(super) whole: Allowance,
     share: f64,
-    coming_share: Option<f64>,
+    /// A larger share and when it comes into force.
+    growth: Option<(f64, Timestamp)>,
     pub(super) tokens: f64,
     held: u32,
     updated: Timestamp,
@@ -179,24 +182,20 @@
         self.clip();
     }
 
-    /// Sets the node's share of the organisation's figures.
-    pub fn set_share(&mut self, share: f64, now: Timestamp) {
-        self.accrue(now);
-        self.share = share;
-        self.coming_share = None;
-        self.clip();
-    }
-
-    /// Limits the node to the share that a table version gives it before the version is adopted.
+    /// Sets the node's share of the organisation's figures by the table in force.
     ///
-    /// Returns whether the outstanding loans fit into it. The node may report the version as
-    /// adopted only then, since other nodes take over what it lost once all have adopted it.
-    pub fn prepare_share(&mut self, share: f64, now: Timestamp) -> bool {
+    /// A smaller share holds at once; while loans exceed it, the node itself admits nothing. A
+    /// larger share holds after [`GROWTH_DELAY`]: what it gains may be lent by nodes that had it
+    /// before the version settled, and those loans have ended by then.
+    pub fn set_share(&mut self, share: f64, now: Timestamp) {
         self.accrue(now);
-        self.coming_share = Some(share);
-        self.clip();
-        let (base, lent) = (self.base(), self.lent());
-        lent.rate_per_s <= base.rate_per_s + ROUNDING && lent.burst <= base.burst + ROUNDING
+        if share <= self.share {
+            self.share = share;
+            self.growth = None;
+            self.clip();
+        } else if self.growth.is_none_or(|(coming, _)| coming != share) {
+            self.growth = Some((share, now + GROWTH_DELAY));
+        }
     }
 
     /// Charges a request, or tries again for one that waited.
@@ -387,7 +386,7 @@
     }
 
     pub(super) fn base(&self) -> Allowance {
-        self.whole.part(self.coming_share.map_or(self.share, |coming| coming.min(self.share)))
+        self.whole.part(self.share)
     }
 
     pub(super) fn lent(&self) -> Allowance {
@@ -441,9 +440,22 @@
     }
 
     fn renew(&mut self, borrower: &Peer, ask: &Ask, until: Timestamp, loan: &mut Loan) {
+        // Loans beyond a share that shrank must end, since other nodes count on that.
+        let (base, lent) = (self.base(), self.lent());
+        if lent.rate_per_s > base.rate_per_s + ROUNDING || lent.burst > base.burst + ROUNDING {
+            return;
+        }
         // A loan is renewed even where requests wait: at its end the rate would lie idle for the
         // allowance, and the borrower gives back what it does not need.
+        // Rate that came back without room for its tokens would be wasted.
+        let usable = self.usable();
+        let wastes = base.burst >= MIN_ROOM
+            && usable.burst < MIN_ROOM
+            && usable.rate_per_s > base.rate_per_s * MIN_LOAN_FRACTION;
         for lent in &mut self.lent {
+            if wastes && lent.amount.burst > 0.0 {
+                continue;
+            }
             if lent.peer == *borrower && ask.renew.contains(&lent.id) {
                 lent.until = lent.until.max(until);
                 loan.renewed.push(lent.id);
@@ -492,11 +504,12 @@
             return;
         }
         let keeps_rate = self.own().rate_per_s - rate_per_s > base.rate_per_s * MIN_LOAN_FRACTION;
-        let (burst, tokens) = match keeps_rate && base.burst >= 1.0 {
-            // The rate that stays needs room for a whole token.
-            true => (burst.min((own_burst - 1.0).max(0.0)), tokens.min((own_burst - 1.0).max(0.0))),
-            false => (burst, tokens),
+        // The rate that stays needs room, or tokens are dropped before a request takes them.
+        let room = match keeps_rate && base.burst >= MIN_ROOM {
+            true => (own_burst - MIN_ROOM).max(0.0),
+            false => own_burst,
         };
+        let (burst, tokens) = (burst.min(room), tokens.min(room));
         self.tokens -= tokens;
         let amount = Allowance { rate_per_s, burst };
         let (peer, id) = (borrower.clone(), ask.sequence);
@@ -535,6 +548,10 @@
     pub(super) fn accrue(&mut self, now: Timestamp) {
         while let Some(end) = self.next_end().filter(|end| *end <= now) {
             self.accrue_until(end);
+            if let Some((share, _)) = self.growth.filter(|(_, from)| *from <= end) {
+                self.share = share;
+                self.growth = None;
+            }
             self.lent.retain(|lent| lent.until > end);
             self.borrowed.retain(|borrowed| borrowed.until > end);
             self.clip();
@@ -543,7 +560,8 @@
     }
 
     fn next_end(&self) -> Option<Timestamp> {
-        self.lent.iter().chain(&self.borrowed).map(|moved| moved.until).min()
+        let loans = self.lent.iter().chain(&self.borrowed).map(|moved| moved.until);
+        loans.chain(self.growth.map(|(_, from)| from)).min()
     }
 
     fn accrue_until(&mut self, until: Timestamp) {
--- a/src/rate/loan.rs
+++ b/src/rate/loan.rs
@@ -11,8 +11,13 @@
 
 /// Largest fault of a node's clock rate: 500 ppm, the most by which NTP slews a clock.
 pub(super) const CLOCK_DRIFT: f64 = 0.000_5;
-/// Covers rounding to whole milliseconds on both sides.
-const TERM_ALLOWANCE: Duration = Duration::from_millis(5);
+/// Covers what the drift does not: rounding of times. Terms are rounded down on the wire.
+const TERM_ALLOWANCE: Duration = Duration::from_millis(1);
+/// Longest term of a loan. A jump of demand to a node whose share is lent waits for it at worst.
+pub(super) const MAX_TERM: Duration = Duration::from_secs(2);
+/// Time after which a node uses a larger share: every loan that was given before the table version
+/// settled has ended at its lender, with the drift of both clocks and the allowance.
+pub(super) const GROWTH_DELAY: Duration = Duration::from_millis(2030);
 /// A shorter loan is not worth its message.
 const MIN_TERM: Duration = Duration::from_millis(50);
 
@@ -91,6 +96,7 @@
     wanted: Duration,
     right_until: Timestamp,
 ) -> Option<(Timestamp, Duration)> {
+    let wanted = wanted.min(MAX_TERM);
     let longest = wanted.mul_f64(1.0 + 2.0 * CLOCK_DRIFT) + TERM_ALLOWANCE;
     let until = now.saturating_add(longest).min(right_until);
     let usable = until.saturating_sub(now).saturating_sub(TERM_ALLOWANCE);
--- a/src/rate/planning.rs
+++ b/src/rate/planning.rs
@@ -9,13 +9,12 @@
     rate::{
         Account, Ask, Loan, LoanId, OutgoingAsk, Peer, Returned,
         account::{Hint, Pending},
+        loan::MAX_TERM,
     },
 };
 
-/// Term that is asked for; a jump of demand to a node whose share is lent waits for it at worst.
-const TERM: Duration = Duration::from_secs(3);
-/// Time before its end at which a loan is renewed; two lost messages leave time for a third.
-const RENEW_BEFORE: Duration = Duration::from_secs(1);
+/// Time before its end at which a loan is renewed; it leaves time for all tries of an ask.
+const RENEW_BEFORE: Duration = Duration::from_millis(700);
 /// Time after which an ask is forgotten of which the node was told neither answer nor loss.
 const FORGET_ASK: Duration = Duration::from_secs(1);
 /// Peers asked at once while no request waits.
@@ -125,7 +124,7 @@
     fn next_ask(&mut self, now: Timestamp) -> Ask {
         let micros = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
         self.next_sequence = micros.max(self.next_sequence + 1);
-        Ask { sequence: self.next_sequence, term: TERM, ..Ask::default() }
+        Ask { sequence: self.next_sequence, term: MAX_TERM, ..Ask::default() }
     }
 
     /// Gives loans back that the demand no longer needs.
