--- a/tests/rate_accounts.rs
+++ b/tests/rate_accounts.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
-use hibiscusdoor::rate::{Account, Allowance, Ask, Charge, Loan, OutgoingAsk, Peer};
+use hibiscusdoor::{
+    peers::proto,
+    rate::{Account, Allowance, Ask, Charge, Loan, OutgoingAsk, Peer},
+};
+use prost::Message as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
@@ -242,3 +246,34 @@
     account.give_back(later);
     assert_eq!(account.snapshot(later).tokens, WHOLE.burst * 0.5);
 }
+
+/// Guards against messages that outgrow the 6 KB a second that a node may spend on control.
+#[test]
+fn messages_about_loans_are_small() {
+    let request = proto::BorrowRequest {
+        organisation: "kirkos-grocers".to_owned(),
+        instance: "drops-zone-a-03".to_owned(),
+        incarnation: 1_760_000_000_000_000,
+        table_version: 300,
+        tokens: 12.5,
+        rate_per_s: 80.0,
+        term_ms: 2000,
+        sequence: 86_400_000_000,
+        burst: 20.0,
+        renew: vec![86_400_000_000, 86_400_000_001],
+        returned: Vec::new(),
+    };
+    let reply = proto::BorrowReply {
+        tokens: 12.5,
+        rate_per_s: 80.0,
+        burst: 20.0,
+        term_ms: 1990,
+        renewed: request.renew.clone(),
+        renewed_term_ms: 1990,
+        spare_tokens: 1.0,
+        spare_rate_per_s: 1.0,
+    };
+    let (request, reply) = (request.encoded_len(), reply.encoded_len());
+    println!("an ask takes {request} bytes, its answer {reply} bytes");
+    assert!(request + reply <= 200);
+}
