--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -121,10 +121,10 @@
         fleet.nodes.iter().filter_map(|row| Some(row.status.as_ref()?.revision)).collect();
     let revisions: Vec<String> = revisions.iter().map(Revision::to_string).collect();
     let mut text = format!(
-        "{} nodes in {} availability zones: {answered} answer, {serving} have an upstream, \
+        "{} in {}: {answered} answer, {serving} have an upstream, \
          {rights} accept keys\ntable version {}, revision in force {}\n",
-        fleet.nodes.len(),
-        zones.len(),
+        counted(fleet.nodes.len(), "node"),
+        counted(zones.len(), "availability zone"),
         fleet.table_version,
         revisions.join(" and "),
     );
@@ -136,6 +136,11 @@
     text
 }
 
+fn counted(number: usize, noun: &str) -> String {
+    let plural = if number == 1 { "" } else { "s" };
+    format!("{number} {noun}{plural}")
+}
+
 fn served(fleet: &FleetStatus) -> (BTreeMap<String, Served>, BTreeMap<String, Served>) {
     let (mut classes, mut organisations) = (BTreeMap::new(), BTreeMap::new());
     let counts = fleet.nodes.iter().filter_map(|row| row.status.as_ref());
