--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -1,20 +1,31 @@
 //! Runs the overload scenarios on both deployments for hibiscusdoor and two baselines, and prints
 //! a table for each scenario: `cargo run --release --example overload [-- NAME-PART]`.
 //!
-//! `--seeds N` sets the number of seeds (5), `--only CONTROL` leaves out the other controls.
+//! `--seeds N` sets the number of seeds (5), `--only CONTROL` leaves out the other controls, and
+//! `--policies` runs hibiscusdoor without one of its policies in place of the baselines.
 
 use std::{path::Path, sync::Mutex, time::Instant};
 
 use anyhow::Context as _;
-use hibiscusdoor::experiment::{Control, Deployment, Figures, Scenario, median, run};
+use hibiscusdoor::experiment::{Control, Deployment, Figures, Policy, Scenario, median, run};
 
 const FOLDER: &str = "tests/scenarios";
 const FIRST_SEED: u64 = 1;
 const DEFAULT_SEEDS: u64 = 5;
 const MAX_THREADS: usize = 6;
 const DEPLOYMENTS: [&str; 2] = ["tesfaye", "swanleigh"];
-const CONTROLS: [(&str, Control); 3] =
-    [("none", Control::None), ("fixed", Control::Fixed), ("hibiscusdoor", Control::Hibiscusdoor)];
+const CONTROLS: [(&str, Control); 10] = [
+    ("none", Control::None),
+    ("fixed", Control::Fixed),
+    ("hibiscusdoor", Control::Hibiscusdoor),
+    ("without first hop", Control::Without(Policy::FirstHop)),
+    ("without pressure", Control::Without(Policy::Pressure)),
+    ("without proportion", Control::Without(Policy::Proportion)),
+    ("without adaptive limit", Control::Without(Policy::AdaptiveLimit)),
+    ("without own time", Control::Without(Policy::OwnTime)),
+    ("without routing", Control::Without(Policy::Routing)),
+    ("without cancellation", Control::Without(Policy::Cancellation)),
+];
 
 struct Job {
     deployment: usize,
@@ -26,6 +37,7 @@
 fn main() -> anyhow::Result<()> {
     let mut arguments = pico_args::Arguments::from_env();
     let seeds: u64 = arguments.opt_value_from_str("--seeds")?.unwrap_or(DEFAULT_SEEDS);
+    let policies = arguments.contains("--policies");
     let only: Option<String> = arguments.opt_value_from_str("--only")?;
     let part: String = arguments.opt_free_from_str()?.unwrap_or_default();
     let mut deployments = Vec::new();
@@ -38,7 +50,11 @@
     for scenario in 0..scenarios.len() {
         for deployment in 0..deployments.len() {
             for (control, (name, _)) in CONTROLS.iter().enumerate() {
-                if only.as_ref().is_none_or(|only| only == name) {
+                let wanted = match &only {
+                    Some(only) => only == name,
+                    None => policies == name.starts_with("without"),
+                };
+                if wanted {
                     let seeds = FIRST_SEED..FIRST_SEED + seeds;
                     jobs.extend(seeds.map(|seed| Job { deployment, scenario, control, seed }));
                 }
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -10,4 +10,4 @@
 
 pub use figures::{ClassFigures, Figures, median};
 pub use plan::{Bound, Class, Deployment, Fault, Scenario, Service};
-pub use world::{Control, run};
+pub use world::{Control, Policy, run};
--- a/src/experiment/world.rs
+++ b/src/experiment/world.rs
@@ -51,6 +51,37 @@
     Fixed,
     /// The decision modules of the daemon.
     Hibiscusdoor,
+    /// The same without one policy, which shows what that policy is good for.
+    Without(Policy),
+}
+
+/// A policy that an experiment can leave out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Refusal at the first hop, both rules.
+    FirstHop,
+    /// Refusal at the first hop by the importance that a deep service sheds.
+    Pressure,
+    /// Refusal at the first hop in proportion to what the chain accepts.
+    Proportion,
+    /// Adaptation of the concurrency limit; it stays at the announced slots.
+    AdaptiveLimit,
+    /// Leaving out the time in calls when the limit adapts.
+    OwnTime,
+    /// Choice of a target; it is random.
+    Routing,
+    /// Cancellation down the chain at the deadline.
+    Cancellation,
+}
+
+impl Control {
+    fn has_decisions(self) -> bool {
+        matches!(self, Self::Hibiscusdoor | Self::Without(_))
+    }
+
+    fn is_without(self, policy: Policy) -> bool {
+        self == Self::Without(policy)
+    }
 }
 
 /// Runs an experiment.
@@ -541,7 +572,7 @@
             return;
         }
         let (class, organisation) = (root.class, root.organisation);
-        if root.excess && self.control == Control::Hibiscusdoor {
+        if root.excess && self.control.has_decisions() {
             let reply =
                 Event::CallerReply(id, sending, End::NotRun(Reason::OverRate), OVER_RATE_DELAY);
             self.schedule(self.deployment.clients, reply);
@@ -551,7 +582,7 @@
             (0..self.nodes.len()).filter(|node| self.nodes[*node].alive).collect();
         let node = alive[self.random.random_range(0..alive.len())];
         let spec = &self.deployment.classes[class];
-        if self.control == Control::Hibiscusdoor {
+        if self.control.has_decisions() {
             let organisation = Some(self.organisations[organisation].clone());
             let entry = &mut self.nodes[node];
             let verdict = entry.first_hop.check(
@@ -560,7 +591,7 @@
                 spec.importance,
                 &organisation,
             );
-            if verdict == Verdict::Refuse {
+            if verdict == Verdict::Refuse && !self.control.is_without(Policy::FirstHop) {
                 entry.retries.ended(self.now, true);
                 let delay = entry.retries.retry_after();
                 let reply = Event::CallerReply(id, sending, End::NotRun(Reason::Overload), delay);
@@ -609,7 +640,8 @@
         }
         let origin = hop.node;
         let target = match self.control {
-            Control::Hibiscusdoor => {
+            Control::Hibiscusdoor | Control::Without(_) => {
+                let random = self.control.is_without(Policy::Routing);
                 let names: Vec<(InstanceName, bool)> = listed
                     .iter()
                     .map(|node| {
@@ -622,7 +654,10 @@
                     .map(|(instance, same_zone)| Candidate { instance, same_zone: *same_zone })
                     .collect();
                 let targets = &mut self.nodes[origin].targets;
-                let chosen = targets.choose(self.now, &candidates, &hop.tried).unwrap_or(0);
+                let chosen = match random {
+                    true => self.random.random_range(0..candidates.len()),
+                    false => targets.choose(self.now, &candidates, &hop.tried).unwrap_or(0),
+                };
                 targets.started(self.now, candidates[chosen].instance);
                 listed[chosen]
             }
@@ -688,7 +723,7 @@
         let (class, organisation) = (root.class, root.organisation);
         let node = &mut self.nodes[index];
         match self.control {
-            Control::Hibiscusdoor => {
+            Control::Hibiscusdoor | Control::Without(_) => {
                 node.tickets += 1;
                 // The visit is found again from the low half.
                 let ticket = Ticket((node.tickets << 32) | u64::from(id.0));
@@ -844,6 +879,11 @@
     fn leave_upstream(&mut self, id: Id, end: End) {
         let Some(visit) = self.visits.get(id) else { return };
         let completion = match end {
+            _ if self.control.is_without(Policy::AdaptiveLimit) => Completion::Aborted,
+            End::Whole if self.control.is_without(Policy::OwnTime) => Completion::Answered {
+                own_time: visit.own_time.total(self.now),
+                total_time: visit.own_time.total(self.now),
+            },
             End::Whole => Completion::Answered {
                 own_time: visit.own_time.own(self.now),
                 total_time: visit.own_time.total(self.now),
@@ -868,7 +908,7 @@
     fn leave_gate(&mut self, index: usize, completion: Completion) {
         let node = &mut self.nodes[index];
         node.in_flight -= 1;
-        if self.control == Control::Hibiscusdoor {
+        if self.control.has_decisions() {
             let actions = node.admission.finish(self.now, completion);
             self.carry_out(index, &actions);
         }
@@ -879,7 +919,7 @@
         visit.stage = Stage::Replying;
         visit.end = end;
         let node = &self.nodes[visit.node];
-        if self.control == Control::Hibiscusdoor {
+        if self.control.has_decisions() {
             visit.load = Some(u32::from(node.admission.load(self.now)));
             visit.pressures.push(Pressure {
                 service: self.deployment.services[node.service].name.clone(),
@@ -911,7 +951,7 @@
             }
         };
         let again = match self.control {
-            Control::Hibiscusdoor => {
+            Control::Hibiscusdoor | Control::Without(_) => {
                 let latency = self.now.saturating_sub(visit.begun_at);
                 self.nodes[origin]
                     .targets
@@ -983,13 +1023,16 @@
         root.hop = None;
         let (sending, class, organisation) = (root.sending, root.class, root.organisation);
         let mut delay = Duration::ZERO;
-        if self.control == Control::Hibiscusdoor {
+        if self.control.has_decisions() {
             let refused = end != End::Whole;
+            let counted = refused && !self.control.is_without(Policy::Proportion);
             let node = &mut self.nodes[hop.node];
             let organisation = Some(self.organisations[organisation].clone());
             let importance = self.deployment.classes[class].importance;
-            node.first_hop.learn(self.now, &self.routes[class], pressures);
-            node.first_hop.ended(self.now, &self.routes[class], importance, &organisation, refused);
+            if !self.control.is_without(Policy::Pressure) {
+                node.first_hop.learn(self.now, &self.routes[class], pressures);
+            }
+            node.first_hop.ended(self.now, &self.routes[class], importance, &organisation, counted);
             node.retries.ended(self.now, refused);
             delay = node.retries.retry_after();
         }
@@ -1025,7 +1068,8 @@
             return;
         }
         let hop = root.hop.take();
-        if self.control == Control::Hibiscusdoor
+        if self.control.has_decisions()
+            && !self.control.is_without(Policy::Cancellation)
             && let Some(hop) = hop
         {
             self.cancel_hop(hop);
@@ -1062,7 +1106,8 @@
             let organisation = Some(self.organisations[root.organisation].clone());
             let node = &mut self.nodes[hop.node];
             let route = &self.routes[root.class];
-            node.first_hop.ended(self.now, route, importance, &organisation, true);
+            let counted = !self.control.is_without(Policy::Proportion);
+            node.first_hop.ended(self.now, route, importance, &organisation, counted);
             node.retries.ended(self.now, true);
         }
         let Some(visit_id) = hop.visit else { return };
