--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,6 +1,9 @@
 //! State that the listeners and actors of a node share.
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicU8, Ordering},
+};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -10,7 +13,7 @@
 use crate::{
     call::ContextSigner,
     clock,
-    config::{Configuration, KeyHasher},
+    config::{Configuration, Document, KeyHasher},
     membership::{Evidence, Right, View},
     names::Incarnation,
     node::{BoundAddresses, Dispatches, Gate, LoanCounters, OnceState, Rates, UpstreamLink},
@@ -84,6 +87,7 @@
     /// The time for shutdown is over; connections are cut.
     pub stop_now: CancellationToken,
     lifecycle: AtomicU8,
+    adopting: Mutex<()>,
 }
 
 impl Shared {
@@ -121,10 +125,25 @@
             stop_serving: CancellationToken::new(),
             stop_now: CancellationToken::new(),
             lifecycle: AtomicU8::new(Lifecycle::Serving as u8),
+            adopting: Mutex::default(),
             settings,
         }
     }
 
+    /// Puts a document in force here where it is newer; a lagging answer never takes the node
+    /// back to an older revision.
+    pub fn adopt_configuration(&self, document: Document) -> bool {
+        let _adopting = self.adopting.lock();
+        if document.revision <= self.configuration.load().revision {
+            return false;
+        }
+        log::info!("configuration revision {} is in force here", document.revision);
+        let configuration = Configuration::compile(document);
+        self.metrics.forget_withdrawn(&configuration);
+        self.configuration.store(Arc::new(configuration));
+        true
+    }
+
     /// Stage of the node's life.
     pub fn lifecycle(&self) -> Lifecycle {
         match self.lifecycle.load(Ordering::Acquire) {
