Test the bounds of records and the write ban of a leaver

Two mutations were not caught: a leaver that goes on running keys after its handover, and an owner that runs keys without a check of right and ownership. Further tests hold the memory bound, the window, the stamps and the counting of crashes.

--- a/tests/once_properties.rs
+++ b/tests/once_properties.rs
@@ -249,7 +249,7 @@
 
 /// Runs one scenario file.
 ///
-/// Verbs: `node NAME`; `send KEY via=NAME` (the first sending stamps the key); `other KEY
+/// Verbs: `node NAME`; `key KEY` stamps a key; `send KEY via=NAME` (stamps a key that is new); `other KEY
 /// via=NAME`, where `via=other` is the newest node that does not own the key; `kill`, `leave`, `freeze`, `cut` with `NAME` or `owner:KEY`; `join NAME`;
 /// `platform-down`; `expect runs KEY N`; `expect outcome KEY WORD`.
 fn run_scenario(file: &str, text: &str, seed: u64) -> Result<(), String> {
@@ -289,6 +289,9 @@
         "node" | "join" => {
             world.join(&word);
         }
+        "key" => {
+            keys.insert(word, world.new_key());
+        }
         "send" | "other" => {
             let via = statement.arguments.get("via").ok_or(format!("line {line}: via=NAME"))?;
             let key = *keys.entry(word).or_insert_with(|| world.new_key());
--- /dev/null
+++ b/tests/once_records.rs
@@ -0,0 +1,154 @@
+//! Bounds of the records of idempotency keys, and the counting of crashes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hibiscusdoor::{
+    call::Answer,
+    membership::{Row, RowState, Table, View},
+    once::{
+        Claim, ClaimRefusal, KEY_WINDOW, KeyRecords, KeyedRequest, Quarantine, RecordLimits,
+        RecordedOutcome, RowIdentity, Situation, Standing,
+    },
+};
+use http::{HeaderMap, StatusCode};
+use uuid::Uuid;
+
+const START: Duration = Duration::from_secs(1_800_000_000);
+
+fn only_row() -> View {
+    let row = Row {
+        instance: "i00".into(),
+        incarnation: 1,
+        zone: "zone-a".into(),
+        service: Some("drops".into()),
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        weight: 1,
+        state: RowState::Active,
+    };
+    View { table: Arc::new(Table::default().next(vec![row])), settled: true }
+}
+
+fn request(unix: Duration, number: u8) -> KeyedRequest {
+    let ms = u64::try_from(unix.as_millis()).expect("a time in range");
+    KeyedRequest {
+        idempotency_key: uuid::Builder::from_unix_timestamp_millis(ms, &[number; 10]).into_uuid(),
+        organisation: Some("bole-bars".into()),
+        digest: [number; 32],
+    }
+}
+
+struct Owner {
+    records: KeyRecords,
+    view: View,
+}
+
+impl Owner {
+    fn new(limits: RecordLimits) -> Self {
+        let identity = RowIdentity { instance: "i00".into(), incarnation: 1 };
+        let view = only_row();
+        let mut records = KeyRecords::new(identity, limits);
+        records.observe(&view, Duration::ZERO, START);
+        Self { records, view }
+    }
+
+    fn claim(&mut self, request: &KeyedRequest, now: Duration, unix_now: Duration) -> Claim {
+        let situation = Situation { now, unix_now, view: &self.view, right_is_valid: true };
+        self.records.claim(request, &situation)
+    }
+
+    fn run(&mut self, request: &KeyedRequest, now: Duration, body: &'static [u8]) {
+        let Claim::Run(token) = self.claim(request, now, START + now) else {
+            panic!("the request does not run");
+        };
+        let (headers, body) = (HeaderMap::new(), Bytes::from_static(body));
+        let answer = Answer { status: StatusCode::OK, headers, body };
+        self.records.finish(token, RecordedOutcome::Answer(Arc::new(answer)), now);
+    }
+}
+
+/// Guards against a record that is forgotten early to make room for a new key.
+#[test]
+fn full_records_refuse_new_keys_and_keep_old_ones() {
+    let mut owner = Owner::new(RecordLimits { max_records: 3, max_bytes: 1 << 20 });
+    let now = Duration::from_secs(10);
+    let requests: Vec<KeyedRequest> = (0..4).map(|number| request(START + now, number)).collect();
+    for request in &requests[..3] {
+        owner.run(request, now, b"answer");
+    }
+    let refused = owner.claim(&requests[3], now, START + now);
+    assert!(matches!(refused, Claim::Refused(ClaimRefusal::Full)), "{refused:?}");
+    for request in &requests[..3] {
+        let again = owner.claim(request, now, START + now);
+        assert!(matches!(again, Claim::Recorded(RecordedOutcome::Answer(_))), "{again:?}");
+    }
+    assert_eq!(owner.records.len(), 3);
+}
+
+/// Guards against an answer that takes more memory than is left, and against a second run of
+/// the key whose answer was not kept.
+#[test]
+fn answer_without_room_is_known_to_have_run() {
+    let mut owner = Owner::new(RecordLimits { max_records: 10, max_bytes: 600 });
+    let now = Duration::from_secs(10);
+    let first = request(START + now, 1);
+    owner.run(&first, now, &[7; 500]);
+    assert!(owner.records.bytes() <= 600);
+    let again = owner.claim(&first, now, START + now);
+    assert!(matches!(again, Claim::Recorded(RecordedOutcome::AnswerNotKept)), "{again:?}");
+}
+
+/// Guards against a forgotten key that looks new because the wall clock was set back.
+#[test]
+fn forgotten_key_never_runs_again() {
+    let mut owner = Owner::new(RecordLimits::default());
+    let now = Duration::from_secs(10);
+    let first = request(START + now, 1);
+    owner.run(&first, now, b"answer");
+    let later = now + KEY_WINDOW + Duration::from_secs(1);
+    for unix_now in [START + later, START + now] {
+        let again = owner.claim(&first, later, unix_now);
+        assert!(matches!(again, Claim::HistoryUnknown), "{again:?}");
+    }
+    assert!(owner.records.is_empty());
+}
+
+/// Guards against keys from the future and against keys from before the settlement.
+#[test]
+fn stamp_outside_the_allowance_does_not_run() {
+    let mut owner = Owner::new(RecordLimits::default());
+    let now = Duration::from_secs(10);
+    let future = request(START + now + Duration::from_millis(2100), 1);
+    let refused = owner.claim(&future, now, START + now);
+    assert!(matches!(refused, Claim::Refused(ClaimRefusal::Future)), "{refused:?}");
+    let early = request(START + Duration::from_secs(2), 2);
+    let unknown = owner.claim(&early, now, START + now);
+    assert!(matches!(unknown, Claim::HistoryUnknown), "{unknown:?}");
+    let late = request(START + Duration::from_millis(2001), 3);
+    assert!(matches!(owner.claim(&late, now, START + now), Claim::Run(_)));
+}
+
+/// Guards against one crash that counts twice, and against two that count once.
+#[test]
+fn crash_reports_add_up_by_crash() {
+    let (now, print) = (Duration::from_secs(10), [1; 32]);
+    let (first, second) = (Uuid::from_u128(1), Uuid::from_u128(2));
+    let mut here = Quarantine::default();
+    let mut there = Quarantine::default();
+    here.crashed(print, first, now);
+    here.crashed(print, first, now);
+    let report = here.entry(&print, now).expect("an entry");
+    there.merge(&report, now);
+    there.merge(&report, now);
+    assert_eq!(there.standing(&print, now), Standing::Suspect);
+    there.ran_alone(&print);
+    there.merge(&report, now);
+    assert_eq!(there.standing(&print, now), Standing::Clear);
+    there.crashed(print, second, now);
+    here.merge(&there.entry(&print, now).expect("an entry"), now);
+    for quarantine in [&here, &there] {
+        assert!(matches!(quarantine.standing(&print, now), Standing::Quarantined { .. }));
+    }
+    let end = now + Duration::from_secs(300);
+    assert_eq!(here.standing(&print, end), Standing::Clear);
+}
