--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -124,6 +124,7 @@
 /// Labels of message bytes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BytesLabels {
+    message: &'static str,
     direction: &'static str,
 }
 
@@ -137,7 +138,7 @@
     // Looked up once, so that the request path takes no lock of the family.
     hops: [Histogram; 3],
     evidence_pulls: Family<PullLabels, Counter>,
-    evidence_bytes: Family<BytesLabels, Counter>,
+    peer_bytes: Family<BytesLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -165,20 +166,13 @@
             "Evidence pulls that were answered, by this node's part in them",
             evidence_pulls.clone(),
         );
-        let evidence_bytes = Family::default();
+        let peer_bytes = Family::default();
         registry.register(
-            "evidence_message_bytes",
-            "Bytes of evidence messages, without framing",
-            evidence_bytes.clone(),
+            "peer_bytes",
+            "Bytes of messages between nodes, without framing, by kind of message",
+            peer_bytes.clone(),
         );
-        Self {
-            registry,
-            requests,
-            counted: RwLock::default(),
-            hops,
-            evidence_pulls,
-            evidence_bytes,
-        }
+        Self { registry, requests, counted: RwLock::default(), hops, evidence_pulls, peer_bytes }
     }
 }
 
@@ -273,7 +267,9 @@
         self.evidence_pulls.get_or_create(&PullLabels { part }).inc();
         for (direction, bytes) in [("received", received_bytes), ("sent", sent_bytes)] {
             let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-            self.evidence_bytes.get_or_create(&BytesLabels { direction }).inc_by(bytes);
+            self.peer_bytes
+                .get_or_create(&BytesLabels { message: "evidence", direction })
+                .inc_by(bytes);
         }
     }
 
--- a/tests/membership_decisions.rs
+++ b/tests/membership_decisions.rs
@@ -24,9 +24,14 @@
 
 /// Node `i0`, which has adopted a table of `current` rows after one of `previous` rows.
 fn node(previous: u16, current: u16, at: Duration) -> Membership {
+    process(1, previous, current, at)
+}
+
+/// The same, for a process of `i0` that may be a later one than its row's.
+fn process(incarnation: u64, previous: u16, current: u16, at: Duration) -> Membership {
     let identity = Identity {
         instance: "i0".into(),
-        incarnation: 1,
+        incarnation,
         zone: "zone".into(),
         shard: "main".into(),
         peer_address: row(0).peer_address,
@@ -141,6 +146,18 @@
     assert!(membership.is_settled());
 }
 
+/// Guards against a table that no restarted process can ever change: the last node of a shrunken
+/// table was the only one to know that its version is settled.
+#[test]
+fn restarted_process_counts_its_older_one_as_replaced() {
+    let start = 100 * SECOND;
+    let mut membership = process(2, 1, 1, start);
+    membership.handle(start + RIGHT_TERM, Event::Tick);
+    assert!(!membership.is_settled(), "the older process may be paused with a valid right");
+    membership.handle(start + RIGHT_TERM + CLOCK_MARGIN, Event::Tick);
+    assert!(membership.is_settled());
+}
+
 /// Guards against a right under a version that rows are known to have left.
 #[test]
 fn rows_that_hold_a_newer_version_support_no_right() {
