Test that a rolling restart cuts no request

Change: three nodes are ended by SIGTERM and restarted one after another under the traffic of six callers; a refusal as not run or a refused connection is allowed, a cut or unknown request is not.

--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,132 @@
+//! Restarting one node after another, as an upgrade does.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hibiscusdoor::standin::{Fleet, NodeOptions, http_call, new_client};
+use http::Method;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+use crate::support::{WAIT, start_fleet};
+
+const NODES: usize = 3;
+const USERS: usize = 6;
+const KEY: &str = "Bearer bole.sample-secret-of-bole-bars";
+const PACE: Duration = Duration::from_millis(10);
+
+/// What callers saw.
+#[derive(Debug, Default)]
+struct Seen {
+    whole: u64,
+    refused: u64,
+    /// Requests whose outcome a caller cannot know, with what it saw.
+    cut: Vec<String>,
+}
+
+/// Sends requests to whatever node takes them, until `stop`.
+async fn call(urls: Arc<Mutex<Vec<String>>>, stop: Arc<AtomicBool>) -> Seen {
+    let (client, mut seen, mut number) = (new_client(), Seen::default(), 0);
+    while !stop.load(Ordering::Relaxed) {
+        let url = {
+            let urls = urls.lock();
+            urls[number % urls.len()].clone()
+        };
+        number += 1;
+        let headers = [("authorization", KEY)];
+        match http_call(&client, Method::POST, &url, &headers, format!("crate {number}")).await {
+            Ok(reply) if reply.header("hibiscus-outcome") == "whole" => seen.whole += 1,
+            Ok(reply) if reply.header("hibiscus-outcome") == "not-run" => seen.refused += 1,
+            Ok(reply) => seen.cut.push(format!("{}: {:?}", reply.status, reply.body)),
+            // A node that has stopped refuses connections; nothing was sent.
+            Err(error) if is_connect(&error) => seen.refused += 1,
+            Err(error) => seen.cut.push(format!("{error:#}")),
+        }
+        tokio::time::sleep(PACE).await;
+    }
+    seen
+}
+
+fn is_connect(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<hyper_util::client::legacy::Error>();
+    error.is_some_and(hyper_util::client::legacy::Error::is_connect)
+}
+
+async fn wait_until_whole(fleet: &Fleet) -> anyhow::Result<()> {
+    let ready = |state: &Value| {
+        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
+        state["revision"] == 1
+            && state["settled"] == true
+            && state["keys_right_left_ms"] != 0
+            && rows.len() == NODES
+            && serving == NODES
+    };
+    fleet.wait_for_state("all rows with a service and the right", WAIT, ready).await
+}
+
+/// Guards against an upgrade that cuts requests off or leaves their outcome unknown, the harm of
+/// requirement G9.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolling_restart_cuts_no_request() -> anyhow::Result<()> {
+    let (mut fleet, _folder) = start_fleet();
+    for index in 0..NODES {
+        fleet.add_node(NodeOptions {
+            zone: format!("zone-{index}"),
+            service: "drops".to_owned(),
+            slots: 16,
+            service_time_ms: 20,
+            ..NodeOptions::default()
+        })?;
+    }
+    let mut document: Value = serde_json::from_str(include_str!("../sample/configuration.json"))?;
+    document["organisations"][0]["rate_per_s"] = json!(100_000);
+    document["organisations"][0]["burst"] = json!(100_000);
+    let url = fleet.operator_url(0, "/v1/configuration");
+    let body = document.to_string();
+    let reply = http_call(&new_client(), Method::PUT, &url, &[], body).await?;
+    assert_eq!(reply.status, 200, "{:?}", reply.body);
+    wait_until_whole(&fleet).await?;
+
+    let all = |fleet: &Fleet| (0..NODES).map(|index| fleet.caller_url(index, "/drops/1")).collect();
+    let urls = Arc::new(Mutex::new(all(&fleet)));
+    let stop = Arc::new(AtomicBool::new(false));
+    let users: Vec<_> =
+        (0..USERS).map(|_| tokio::spawn(call(urls.clone(), stop.clone()))).collect();
+    for index in 0..NODES {
+        fleet.terminate_daemon(index)?;
+        let began = Instant::now();
+        while fleet.nodes[index].daemon.try_wait()?.is_none() {
+            assert!(began.elapsed() < WAIT, "node {index} has not ended after {WAIT:?}");
+            tokio::time::sleep(PACE).await;
+        }
+        fleet.restart_node(index)?;
+        *urls.lock() = all(&fleet);
+        wait_until_whole(&fleet).await?;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut total = Seen::default();
+    for user in users {
+        let seen = user.await?;
+        total.whole += seen.whole;
+        total.refused += seen.refused;
+        total.cut.extend(seen.cut);
+    }
+    println!("rolling restart: {} whole, {} refused as not run", total.whole, total.refused);
+    assert!(
+        total.cut.is_empty(),
+        "{} of {} requests: {:?}",
+        total.cut.len(),
+        total.whole,
+        total.cut
+    );
+    assert!(total.whole > 100, "{total:?}");
+    Ok(())
+}
