--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -63,7 +63,13 @@
     let ready = |state: &Value| {
         let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
         let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
+        // A row that has just joined has no tokens before it gets its share.
+        let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let has_tokens = accounts.iter().any(|account| {
+            account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(10.0)
+        });
         state["revision"] == 1
+            && has_tokens
             && state["settled"] == true
             && state["keys_right_left_ms"] != 0
             && rows.len() == NODES
