Adopt a table version only once outstanding loans fit into its shares

Cause: a version settles at once when all rows have adopted it, while a lender that lost share could still have it lent. Holding a gained share back for 2.03 s closed that gap, but left a fleet without tokens after each settlement: whole_path, observability, withdrawal and others met 429 over_rate.

Change: membership offers a newer table and adopts it after consent, which the rate accounts give when their loans fit; loans beyond a share that shrinks are not renewed. A gained share counts at once. The right is read before the view, so that a newer right is never used with older shares.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 pub use evidence::{Evidence, RowEvidence};
-pub use state::{Action, Event, Identity, Membership};
+pub use state::{Action, Adoption, Event, Identity, Membership};
 pub use table::{Row, RowState, Table};
 pub use view::{Right, View};
 
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -121,6 +121,11 @@
         /// The revision returned.
         revision: Revision,
     },
+    /// The table of [`Membership::offered`] may be adopted.
+    Consented {
+        /// Its version.
+        version: TableVersion,
+    },
     /// An [`Action::ReadConfiguration`] failed.
     ConfigurationFailed,
 }
@@ -148,6 +153,24 @@
     ReadConfiguration,
 }
 
+/// When a newer table is adopted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adoption {
+    /// As soon as it is known.
+    Immediate,
+    /// After [`Event::Consented`]. A lender's outstanding loans must fit into its smaller share
+    /// first, since the others may use the rest as soon as all rows have adopted the version.
+    OnConsent,
+}
+
+/// A newer table that waits for consent.
+#[derive(Debug)]
+struct Offered {
+    table: Arc<Table>,
+    /// When the latest platform read that returned it began.
+    read_began: Option<Timestamp>,
+}
+
 /// Spaces calls to the platform and keeps one of a kind running at a time.
 #[derive(Debug, Default)]
 struct Calls {
@@ -186,6 +209,8 @@
     random: ChaCha8Rng,
     table: Arc<Table>,
     settled: bool,
+    adoption: Adoption,
+    offered: Option<Offered>,
     adopted_at: Timestamp,
     /// Since when a majority of the previous version is known to have adopted this one.
     majority_adopted_at: Option<Timestamp>,
@@ -212,7 +237,7 @@
 
 impl Membership {
     /// Makes the state of a process that has just started.
-    pub fn new(identity: Identity, seed: u64) -> Self {
+    pub fn new(identity: Identity, adoption: Adoption, seed: u64) -> Self {
         let own = (identity.instance.clone(), identity.incarnation);
         Self {
             book: Book::new(own.clone()),
@@ -221,6 +246,8 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             table: Arc::default(),
             settled: true,
+            adoption,
+            offered: None,
             adopted_at: Timestamp::ZERO,
             majority_adopted_at: None,
             revision: 0,
@@ -390,6 +417,7 @@
             Event::ConfigurationSeen { began, revision } => {
                 self.configuration_seen(began, revision);
             }
+            Event::Consented { version } => self.consented(now, version),
             Event::ConfigurationFailed => self.configuration_calls.failed(now, &mut self.random),
         }
         self.settle(now);
@@ -445,7 +473,38 @@
         known.is_superseded || now.saturating_sub(known.heard()) > SUSPECT_AFTER
     }
 
+    /// A newer table that waits for consent; see [`Adoption::OnConsent`].
+    pub fn offered(&self) -> Option<View> {
+        let offered = self.offered.as_ref()?;
+        Some(View { table: offered.table.clone(), settled: false })
+    }
+
     fn adopt(&mut self, now: Timestamp, table: Table) {
+        if table.version <= self.table.version {
+            return;
+        }
+        match self.adoption {
+            Adoption::Immediate => self.adopt_now(now, table.into()),
+            Adoption::OnConsent => self.offer(table),
+        }
+    }
+
+    fn offer(&mut self, table: Table) {
+        let newest = self.offered.as_ref().map_or(0, |offered| offered.table.version);
+        if table.version > newest {
+            self.offered = Some(Offered { table: table.into(), read_began: None });
+        }
+    }
+
+    fn consented(&mut self, now: Timestamp, version: TableVersion) {
+        let Some(offered) = self.offered.take_if(|it| it.table.version == version) else { return };
+        self.adopt_now(now, offered.table);
+        if let Some(began) = offered.read_began {
+            self.row_until = self.row_until.max(began + RIGHT_TERM);
+        }
+    }
+
+    fn adopt_now(&mut self, now: Timestamp, table: Arc<Table>) {
         if table.version <= self.table.version {
             return;
         }
@@ -454,7 +513,7 @@
         }
         self.unconfirmed = None;
         self.book.follow(now, &table);
-        self.table = Arc::new(table);
+        self.table = table;
         self.settled = false;
         self.adopted_at = now;
         self.majority_adopted_at = None;
@@ -657,6 +716,9 @@
         if version == self.table.version {
             self.row_until = self.row_until.max(began + RIGHT_TERM);
         }
+        if let Some(offered) = self.offered.as_mut().filter(|it| it.table.version == version) {
+            offered.read_began = offered.read_began.max(Some(began));
+        }
     }
 
     fn configuration_seen(&mut self, began: Timestamp, revision: Revision) {
--- a/src/node/loans.rs
+++ b/src/node/loans.rs
@@ -93,9 +93,9 @@
         for (name, cell) in shared.rates.all().iter() {
             let now = clock::now();
             let available = self.budget.available(now);
+            let right_until = shared.right.row_until();
             let asks = cell.with(shared, name, now, |account| {
                 account.retain_peers(|peer| peers.contains(peer));
-                let right_until = shared.right.row_until();
                 account.plan(&peers, now, right_until, available, &mut rand::rng())
             });
             self.budget.spend(asks.len());
@@ -189,8 +189,9 @@
     let organisation = message.organisation.clone();
     let ask = asked(message);
     let returned = !ask.returned.is_empty();
+    let right_until = shared.right.row_until();
     let (loan, contested) = cell.with(shared, &organisation, now, |account| {
-        let loan = account.lend(&borrower, &ask, now, shared.right.row_until());
+        let loan = account.lend(&borrower, &ask, now, right_until);
         (loan, account.is_contested(now))
     });
     shared.loan_counters.asks_answered.fetch_add(1, Ordering::Relaxed);
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -19,7 +19,9 @@
 
 use crate::{
     clock,
-    membership::{Action, Event, Identity, Membership, Row, RowState, TICK_INTERVAL, Table},
+    membership::{
+        Action, Adoption, Event, Identity, Membership, Row, RowState, TICK_INTERVAL, Table,
+    },
     names::ServiceName,
     node::{Lifecycle, Shared},
     peers::proto::{EvidenceReply, EvidenceRequest},
@@ -92,7 +94,7 @@
             shard: shared.settings.shard.clone(),
             peer_address: shared.addresses.peers,
         };
-        let membership = Membership::new(identity, rand::random());
+        let membership = Membership::new(identity, Adoption::OnConsent, rand::random());
         Ok(Self { shared, membership, actor, service: None, left: None, stop, tasks })
     }
 
@@ -204,7 +206,13 @@
 
     fn handle_event(&mut self, event: Event) {
         self.state_own();
-        let actions = self.membership.handle(clock::now(), event);
+        let mut actions = self.membership.handle(clock::now(), event);
+        if let Some(offered) = self.membership.offered()
+            && self.shared.rates.prepare(&self.shared, &offered)
+        {
+            let version = offered.table.version;
+            actions.extend(self.membership.handle(clock::now(), Event::Consented { version }));
+        }
         self.publish();
         self.act(actions);
     }
--- a/src/node/rates.rs
+++ b/src/node/rates.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock::{self, Timestamp},
     config::Configuration,
+    membership::View,
     names::{OrganisationName, Revision, TableVersion},
     node::Shared,
     rate::{Account, AccountSnapshot, Allowance, Charge, jittered},
@@ -135,6 +136,20 @@
         self.accounts.store(Arc::new(accounts));
     }
 
+    /// Limits every account to the shares of a table version that is not adopted yet.
+    ///
+    /// Returns whether all outstanding loans fit, so that the version may be adopted.
+    pub fn prepare(&self, shared: &Shared, view: &View) -> bool {
+        let now = clock::now();
+        let share = view.share(&shared.settings.instance, shared.incarnation);
+        let accounts = self.accounts.load();
+        // Every account must be limited, so this does not stop at the first that does not fit.
+        let fitting = accounts.iter().filter(|(name, cell)| {
+            cell.with(shared, name, now, |account| account.prepare_share(share, now))
+        });
+        fitting.count() == accounts.len()
+    }
+
     /// State of all accounts for people and programs.
     pub fn snapshot(&self, shared: &Shared) -> Vec<(OrganisationName, AccountSnapshot)> {
         let now = clock::now();
@@ -166,14 +181,19 @@
             table_version: view.table.version,
             settled: view.settled,
         };
-        if current != state.applied {
+        let applied = state.applied;
+        if current != applied {
             state.applied = current;
             let whole = configuration.organisation(name).map_or(Allowance::default(), |it| {
                 Allowance { rate_per_s: it.rate_per_s, burst: it.burst }
             });
             state.account.set_whole(whole, now);
-            let share = view.share(&shared.settings.instance, shared.incarnation);
-            state.account.set_share(share, now);
+            // A new revision alone must not lift the limit of a table version that is prepared.
+            if current.table_version != applied.table_version || current.settled != applied.settled
+            {
+                let share = view.share(&shared.settings.instance, shared.incarnation);
+                state.account.set_share(share, now);
+            }
         }
         action(&mut state.account)
     }
@@ -204,8 +224,11 @@
         refilled.as_mut().enable();
         let now = clock::now();
         let again = waiting.is_some();
+        // Read before the view: a right that was published with a newer table must not be used
+        // with the shares of an older one.
+        let right_until = shared.right.row_until();
         let charge = cell.with(shared, organisation, now, |account| {
-            let charge = account.charge(now, shared.right.row_until(), again);
+            let charge = account.charge(now, right_until, again);
             let empty = matches!(charge, Charge::Empty { may_wait: true, .. });
             if empty && !again && now < give_up {
                 account.begin_wait();
--- a/src/rate/account.rs
+++ b/src/rate/account.rs
@@ -9,7 +9,7 @@
     names::{Incarnation, InstanceName},
     rate::{
         Ask, Demand, Loan, LoanId,
-        loan::{CLOCK_DRIFT, GROWTH_DELAY, terms},
+        loan::{CLOCK_DRIFT, terms},
     },
 };
 
@@ -131,8 +131,8 @@
 pub struct Account {
     pub(super) whole: Allowance,
     share: f64,
-    /// A larger share and when it comes into force.
-    growth: Option<(f64, Timestamp)>,
+    /// Share under a table version that is not adopted yet.
+    coming_share: Option<f64>,
     pub(super) tokens: f64,
     held: u32,
     updated: Timestamp,
@@ -187,19 +187,22 @@
     }
 
     /// Sets the node's share of the organisation's figures by the table in force.
-    ///
-    /// A smaller share holds at once; while loans exceed it, the node itself admits nothing. A
-    /// larger share holds after [`GROWTH_DELAY`]: what it gains may be lent by nodes that had it
-    /// before the version settled, and those loans have ended by then.
     pub fn set_share(&mut self, share: f64, now: Timestamp) {
         self.accrue(now);
-        if share <= self.share {
-            self.share = share;
-            self.growth = None;
-            self.clip();
-        } else if self.growth.is_none_or(|(coming, _)| coming != share) {
-            self.growth = Some((share, now + GROWTH_DELAY));
-        }
+        self.share = share;
+        self.coming_share = None;
+        self.clip();
+    }
+
+    /// Limits the node to the share that a table version gives it before the version is adopted.
+    ///
+    /// Returns whether the outstanding loans fit into it. The node may adopt the version only
+    /// then, since other nodes take over what it lost once all have adopted it.
+    pub fn prepare_share(&mut self, share: f64, now: Timestamp) -> bool {
+        self.accrue(now);
+        self.coming_share = Some(share);
+        self.clip();
+        self.loans_fit()
     }
 
     /// Charges a request, or tries again for one that waited.
@@ -390,7 +393,7 @@
     }
 
     pub(super) fn base(&self) -> Allowance {
-        self.whole.part(self.share)
+        self.whole.part(self.coming_share.map_or(self.share, |coming| coming.min(self.share)))
     }
 
     pub(super) fn lent(&self) -> Allowance {
@@ -445,12 +448,17 @@
         Duration::from_secs_f64(seconds.min(longest).clamp(0.001, 60.0))
     }
 
+    fn loans_fit(&self) -> bool {
+        let (base, lent) = (self.base(), self.lent());
+        lent.rate_per_s <= base.rate_per_s + ROUNDING && lent.burst <= base.burst + ROUNDING
+    }
+
     fn renew(&mut self, borrower: &Peer, ask: &Ask, until: Timestamp, loan: &mut Loan) {
         // Loans beyond a share that shrank must end, since other nodes count on that.
-        let (base, lent) = (self.base(), self.lent());
-        if lent.rate_per_s > base.rate_per_s + ROUNDING || lent.burst > base.burst + ROUNDING {
+        if !self.loans_fit() {
             return;
         }
+        let base = self.base();
         // A loan is renewed even where requests wait: at its end the rate would lie idle for the
         // allowance, and the borrower gives back what it does not need.
         // Rate that came back without room for its tokens would be wasted.
@@ -554,10 +562,6 @@
     pub(super) fn accrue(&mut self, now: Timestamp) {
         while let Some(end) = self.next_end().filter(|end| *end <= now) {
             self.accrue_until(end);
-            if let Some((share, _)) = self.growth.filter(|(_, from)| *from <= end) {
-                self.share = share;
-                self.growth = None;
-            }
             self.lent.retain(|lent| lent.until > end);
             self.borrowed.retain(|borrowed| borrowed.until > end);
             self.clip();
@@ -566,8 +570,7 @@
     }
 
     fn next_end(&self) -> Option<Timestamp> {
-        let loans = self.lent.iter().chain(&self.borrowed).map(|moved| moved.until);
-        loans.chain(self.growth.map(|(_, from)| from)).min()
+        self.lent.iter().chain(&self.borrowed).map(|moved| moved.until).min()
     }
 
     fn accrue_until(&mut self, until: Timestamp) {
--- a/src/rate/loan.rs
+++ b/src/rate/loan.rs
@@ -15,9 +15,6 @@
 const TERM_ALLOWANCE: Duration = Duration::from_millis(1);
 /// Longest term of a loan. A jump of demand to a node whose share is lent waits for it at worst.
 pub(super) const MAX_TERM: Duration = Duration::from_secs(2);
-/// Time after which a node uses a larger share: every loan that was given before the table version
-/// settled has ended at its lender, with the drift of both clocks and the allowance.
-pub(super) const GROWTH_DELAY: Duration = Duration::from_millis(2030);
 /// A shorter loan is not worth its message.
 const MIN_TERM: Duration = Duration::from_millis(50);
 
--- a/tests/support/rate_world.rs
+++ b/tests/support/rate_world.rs
@@ -653,7 +653,16 @@
                 }
                 continue;
             }
-            self.adopt(node, view);
+            let state = &mut self.nodes[node];
+            let local = state.local(self.now);
+            let share = view.share(&state.name, state.incarnation);
+            let mut fits = true;
+            for account in &mut state.accounts {
+                fits &= account.prepare_share(share, local);
+            }
+            if fits {
+                self.adopt(node, view);
+            }
         }
     }
 
