--- a/src/load/slopes.rs
+++ b/src/load/slopes.rs
@@ -2,15 +2,18 @@
 
 use std::{fmt, time::Duration};
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use bytes::Bytes;
 use http::Method;
+use serde_json::json;
 
 use crate::standin::{Fleet, FleetOptions, HttpClient, NodeOptions, http_call, new_client};
 
 const READY_TIMEOUT: Duration = Duration::from_secs(120);
 const SETTLE: Duration = Duration::from_secs(8);
 const ZONES: usize = 3;
+/// Organisations that the changes add one by one and then remove.
+const ORGANISATIONS: u64 = 8;
 /// Unit of the processor times in `/proc/<id>/stat`; Linux fixes it at 100 for user space.
 const TICKS_PER_S: f64 = 100.0;
 
@@ -19,12 +22,14 @@
 pub struct Sample {
     /// Nodes of the fleet.
     pub nodes: usize,
+    /// Changes of the configuration, a second.
+    pub changes_per_s: f64,
     /// Processor time, in percent of one core.
     pub core_percent: f64,
     /// Resident memory, in MB.
     pub memory_mb: f64,
-    /// Bytes sent and received between nodes, a second.
-    pub peer_bytes_per_s: f64,
+    /// Bytes sent and received, headers of TCP and IP included, a second.
+    pub wire_bytes_per_s: f64,
     /// Calls from the whole fleet to the platform, a second.
     pub platform_calls_per_s: f64,
 }
@@ -40,7 +45,7 @@
 struct Counters {
     cpu_ticks: f64,
     memory_mb: f64,
-    peer_bytes: f64,
+    loopback_bytes: f64,
     platform_calls: f64,
 }
 
@@ -57,16 +62,60 @@
         let fleet = start_fleet(options.clone(), size).await?;
         tokio::time::sleep(SETTLE).await;
         let client = new_client();
-        let before = read_counters(&fleet, &client).await?;
-        tokio::time::sleep(interval).await;
-        let after = read_counters(&fleet, &client).await?;
-        let sample = difference(size, before, after, interval);
-        progress(&format!("{sample}"));
-        samples.push(sample);
+        for changes in [false, true] {
+            let before = read_counters(&fleet, &client).await?;
+            let changes = match changes {
+                true => change_configuration(&fleet, &client, interval).await?,
+                false => {
+                    tokio::time::sleep(interval).await;
+                    0
+                }
+            };
+            // Read before the other counters, whose reading is traffic itself.
+            let loopback_bytes = loopback_bytes()?;
+            let after = Counters { loopback_bytes, ..read_counters(&fleet, &client).await? };
+            let sample = difference(size, changes, before, after, interval);
+            progress(&format!("{sample}"));
+            samples.push(sample);
+        }
     }
     Ok(SlopeReport { samples })
 }
 
+/// Changes the configuration once a second; returns the number of changes.
+async fn change_configuration(
+    fleet: &Fleet,
+    client: &HttpClient,
+    interval: Duration,
+) -> anyhow::Result<u64> {
+    let url = fleet.operator_url(0, "/v1/configuration");
+    let changes = interval.as_secs();
+    let mut ticks = tokio::time::interval(Duration::from_secs(1));
+    for number in 0..changes {
+        ticks.tick().await;
+        let reply = http_call(client, Method::GET, &url, &[], Bytes::new()).await?;
+        let organisations: Vec<_> = (0..=number % ORGANISATIONS)
+            .map(|index| json!({ "name": format!("o{index}"), "rate_per_s": 100, "burst": 100 }))
+            .collect();
+        let document = json!({
+            "revision": reply.json()["revision"],
+            "organisations": organisations,
+        });
+        let body = Bytes::from(document.to_string());
+        let reply = http_call(client, Method::PUT, &url, &[], body).await?;
+        ensure!(reply.status.is_success(), "a change was refused: {:?}", reply.body);
+    }
+    Ok(changes)
+}
+
+/// Bytes that the loopback interface has carried.
+fn loopback_bytes() -> anyhow::Result<f64> {
+    let text = std::fs::read_to_string("/proc/net/dev")?;
+    let line = text.lines().find_map(|line| line.trim_start().strip_prefix("lo:"));
+    let received = line.and_then(|line| line.split_whitespace().next());
+    Ok(received.context("no loopback interface")?.parse()?)
+}
+
 async fn start_fleet(options: FleetOptions, size: usize) -> anyhow::Result<Fleet> {
     let mut fleet = Fleet::start(options)?;
     for index in 0..size {
@@ -89,9 +138,9 @@
         let url = fleet.operator_url(index, "/metrics");
         let reply = http_call(client, Method::GET, &url, &[], Bytes::new()).await?;
         let text = String::from_utf8_lossy(&reply.body);
-        sum.peer_bytes += metric(&text, "hibiscusdoor_peer_bytes_total");
         sum.platform_calls += metric(&text, "hibiscusdoor_platform_calls_total");
     }
+    sum.loopback_bytes = loopback_bytes()?;
     Ok(sum)
 }
 
@@ -116,14 +165,22 @@
     Ok(kb.parse::<f64>()? / 1000.0)
 }
 
-fn difference(nodes: usize, before: Counters, after: Counters, interval: Duration) -> Sample {
+fn difference(
+    nodes: usize,
+    changes: u64,
+    before: Counters,
+    after: Counters,
+    interval: Duration,
+) -> Sample {
     let count = nodes as f64;
     let seconds = interval.as_secs_f64();
     Sample {
         nodes,
+        changes_per_s: changes as f64 / seconds,
         core_percent: (after.cpu_ticks - before.cpu_ticks) / TICKS_PER_S / seconds / count * 100.0,
         memory_mb: after.memory_mb / count,
-        peer_bytes_per_s: (after.peer_bytes - before.peer_bytes) / seconds / count,
+        // A byte on the loopback interface is sent by one process and received by another.
+        wire_bytes_per_s: 2.0 * (after.loopback_bytes - before.loopback_bytes) / seconds / count,
         platform_calls_per_s: (after.platform_calls - before.platform_calls) / seconds,
     }
 }
@@ -132,11 +189,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:>6} {:>10.3} {:>10.2} {:>14.0} {:>16.3}",
+            "{:>6} {:>10.2} {:>10.3} {:>10.2} {:>14.0} {:>16.3}",
             self.nodes,
+            self.changes_per_s,
             self.core_percent,
             self.memory_mb,
-            self.peer_bytes_per_s,
+            self.wire_bytes_per_s,
             self.platform_calls_per_s,
         )
     }
@@ -146,8 +204,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:>6} {:>10} {:>10} {:>14} {:>16}",
-            "nodes", "core %", "MB", "peer bytes/s", "platform calls/s"
+            "{:>6} {:>10} {:>10} {:>10} {:>14} {:>16}",
+            "nodes", "changes/s", "core %", "MB", "wire bytes/s", "platform calls/s"
         )?;
         for sample in &self.samples {
             writeln!(f, "{sample}")?;
@@ -155,23 +213,34 @@
         for (name, value) in [
             ("core % a node", (|sample| sample.core_percent) as fn(&Sample) -> f64),
             ("MB a node", |sample| sample.memory_mb),
-            ("peer bytes/s a node", |sample| sample.peer_bytes_per_s),
+            ("wire bytes/s a node", |sample| sample.wire_bytes_per_s),
             ("platform calls/s of the fleet", |sample| sample.platform_calls_per_s),
         ] {
-            let (intercept, slope) = self.fit(value);
-            writeln!(f, "{name}: {intercept:.4} + {slope:.6} x nodes")?;
+            let (intercept, slope) = self.fit(|sample| sample.changes_per_s == 0.0, value);
+            let (busy, busy_slope) = self.fit(|sample| sample.changes_per_s > 0.0, value);
+            writeln!(
+                f,
+                "{name}: idle {intercept:.4} + {slope:.6} x nodes, with changes {busy:.4} + \
+                 {busy_slope:.6} x nodes"
+            )?;
         }
         Ok(())
     }
 }
 
 impl SlopeReport {
-    /// Least-squares line through a value over the number of nodes: intercept and slope.
-    pub fn fit(&self, value: impl Fn(&Sample) -> f64) -> (f64, f64) {
-        let count = self.samples.len().max(1) as f64;
-        let mean_nodes = self.samples.iter().map(|it| it.nodes as f64).sum::<f64>() / count;
-        let mean_value = self.samples.iter().map(&value).sum::<f64>() / count;
-        let deviations = self.samples.iter().map(|it| (it.nodes as f64 - mean_nodes, value(it)));
+    /// Least-squares line through a value over the number of nodes, of the samples that `chosen`
+    /// takes: intercept and slope.
+    pub fn fit(
+        &self,
+        chosen: impl Fn(&Sample) -> bool,
+        value: impl Fn(&Sample) -> f64,
+    ) -> (f64, f64) {
+        let samples: Vec<&Sample> = self.samples.iter().filter(|it| chosen(it)).collect();
+        let count = samples.len().max(1) as f64;
+        let mean_nodes = samples.iter().map(|it| it.nodes as f64).sum::<f64>() / count;
+        let mean_value = samples.iter().map(|it| value(it)).sum::<f64>() / count;
+        let deviations = samples.iter().map(|it| (it.nodes as f64 - mean_nodes, value(it)));
         let (mut covariance, mut variance) = (0.0, 0.0);
         for (nodes, value) in deviations {
             covariance += nodes * (value - mean_value);
