Share the wait for a serving fleet between tests, and measure an idle fleet with a configuration

Five tests repeated the condition that a fleet serves; it stands once in tests/support now, with the union of their conditions. The slopes measured idle fleets without a configuration, in which each node asks the platform for one: 0.23 platform calls a second for each node.

--- a/src/load/slopes.rs
+++ b/src/load/slopes.rs
@@ -60,8 +60,10 @@
     for &size in sizes {
         progress(&format!("starting {size} nodes"));
         let fleet = start_fleet(options.clone(), size).await?;
-        tokio::time::sleep(SETTLE).await;
         let client = new_client();
+        // A node without any configuration asks the platform for one, which an idle fleet does not.
+        change_configuration(&fleet, &client, Duration::from_secs(1)).await?;
+        tokio::time::sleep(SETTLE).await;
         for changes in [false, true] {
             let before = read_counters(&fleet, &client).await?;
             let changes = match changes {
--- a/tests/observability.rs
+++ b/tests/observability.rs
@@ -14,7 +14,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use crate::support::{WAIT, programs, start_fleet};
+use crate::support::{programs, start_fleet, wait_until_serving};
 
 const KEY: &str = "Bearer bole.sample-secret-of-bole-bars";
 
@@ -36,21 +36,7 @@
     let body = document.to_string();
     let reply = http_call(&new_client(), Method::PUT, &url, &[], body).await?;
     assert_eq!(reply.status, 200, "{:?}", reply.body);
-    let ready = |state: &Value| {
-        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
-        // A row that has just joined has no tokens before it gets its share.
-        let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let has_tokens = accounts.iter().any(|account| {
-            account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(10.0)
-        });
-        state["revision"] == 1
-            && has_tokens
-            && state["settled"] == true
-            && state["keys_right_left_ms"] != 0
-            && serving == 3
-    };
-    fleet.wait_for_state("revision 1 and three rows with a service", WAIT, ready).await?;
+    wait_until_serving(&fleet, 3, 10.0).await?;
     Ok((fleet, folder))
 }
 
--- a/tests/private_data.rs
+++ b/tests/private_data.rs
@@ -13,7 +13,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use crate::support::{WAIT, start_fleet};
+use crate::support::{start_fleet, wait_until_serving};
 
 const SECRET: &str = "kJ3mPq8sVt2xZa5cEf7h";
 const REFUSED_SECRET: &str = "Zz9yXw8vUt7sRq6pOn5m";
@@ -56,19 +56,7 @@
     let url = fleet.operator_url(0, "/v1/configuration");
     let reply = http_call(&new_client(), Method::PUT, &url, &[], document(SECRET)).await?;
     assert_eq!(reply.status, 200, "{:?}", reply.body);
-    let ready = |state: &Value| {
-        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
-        // A row that has just joined has no tokens before it gets its share.
-        let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let has_tokens = accounts.iter().any(|account| {
-            account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(10.0)
-        });
-        state["revision"] == 1
-            && has_tokens
-            && state["settled"] == true
-            && rows.iter().filter(|row| !row["service"].is_null()).count() == 3
-    };
-    fleet.wait_for_state("revision 1 and three rows with a service", WAIT, ready).await
+    wait_until_serving(fleet, 3, 10.0).await
 }
 
 fn document(secret: &str) -> String {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
     platform::serve_objects,
     standin::{FaultyStore, Fleet, FleetOptions},
 };
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -59,3 +60,24 @@
     tokio::spawn(serve_objects(listener, store.clone(), stop.clone()));
     Ok(OwnPlatform { store, stop })
 }
+
+/// Waits until every node of a fleet serves the sample's first organisation: revision 1, a settled
+/// table with all nodes and `serving` of them with a service, the right to accept keys, and more
+/// than `tokens` tokens. A row that has just joined has no tokens before it gets its share.
+pub async fn wait_until_serving(fleet: &Fleet, serving: usize, tokens: f64) -> anyhow::Result<()> {
+    let ready = |state: &Value| {
+        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let with_service = rows.iter().filter(|row| !row["service"].is_null()).count();
+        let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let has_tokens = accounts.iter().any(|account| {
+            account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(tokens)
+        });
+        state["revision"] == 1
+            && state["settled"] == true
+            && state["keys_right_left_ms"] != 0
+            && rows.len() == fleet.nodes.len()
+            && with_service == serving
+            && has_tokens
+    };
+    fleet.wait_for_state("settled, with the right and tokens", WAIT, ready).await
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 
-use crate::support::{WAIT, start_fleet};
+use crate::support::{WAIT, start_fleet, wait_until_serving};
 
 const NODES: usize = 3;
 const USERS: usize = 6;
@@ -59,25 +59,6 @@
     error.is_some_and(hyper_util::client::legacy::Error::is_connect)
 }
 
-async fn wait_until_whole(fleet: &Fleet) -> anyhow::Result<()> {
-    let ready = |state: &Value| {
-        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
-        // A row that has just joined has no tokens before it gets its share.
-        let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let has_tokens = accounts.iter().any(|account| {
-            account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(10.0)
-        });
-        state["revision"] == 1
-            && has_tokens
-            && state["settled"] == true
-            && state["keys_right_left_ms"] != 0
-            && rows.len() == NODES
-            && serving == NODES
-    };
-    fleet.wait_for_state("all rows with a service and the right", WAIT, ready).await
-}
-
 /// Guards against an upgrade that cuts requests off or leaves their outcome unknown, the harm of
 /// requirement G9.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -99,7 +80,7 @@
     let body = document.to_string();
     let reply = http_call(&new_client(), Method::PUT, &url, &[], body).await?;
     assert_eq!(reply.status, 200, "{:?}", reply.body);
-    wait_until_whole(&fleet).await?;
+    wait_until_serving(&fleet, NODES, 10.0).await?;
 
     let all = |fleet: &Fleet| (0..NODES).map(|index| fleet.caller_url(index, "/drops/1")).collect();
     let urls = Arc::new(Mutex::new(all(&fleet)));
@@ -115,7 +96,7 @@
         }
         fleet.restart_node(index)?;
         *urls.lock() = all(&fleet);
-        wait_until_whole(&fleet).await?;
+        wait_until_serving(&fleet, NODES, 10.0).await?;
     }
     stop.store(true, Ordering::Relaxed);
     let mut total = Seen::default();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use serde_json::json;
 
-use crate::support::{WAIT, start_fleet};
+use crate::support::{start_fleet, wait_until_serving};
 
 const REQUESTS: usize = 1000;
 const CONCURRENCY: usize = 50;
@@ -81,17 +81,6 @@
     let reply =
         http_call(&client, Method::PUT, &url, &[], Bytes::from(document.to_string())).await?;
     assert_eq!(reply.status, 200, "{:?}", reply.body);
-    fleet
-        // A row has no share of the rate before the version that added it is settled.
-        .wait_for_state("revision 1 and ten rows with a service, settled", WAIT, |state| {
-            let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
-            let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
-            let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
-            let has_tokens = accounts.iter().any(|account| {
-                account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(200.0)
-            });
-            state["revision"] == 1 && serving == 10 && state["settled"] == true && has_tokens
-        })
-        .await?;
+    wait_until_serving(&fleet, 10, 200.0).await?;
     Ok((fleet, folder))
 }
--- a/tests/withdrawal.rs
+++ b/tests/withdrawal.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
-use crate::support::{OwnPlatform, WAIT, own_platform, programs, start_fleet};
+use crate::support::{OwnPlatform, WAIT, own_platform, programs, start_fleet, wait_until_serving};
 
 const KEY: &str = "bole.sample-secret-of-bole-bars";
 /// Section 1.7 of the design page: a change is in force everywhere within this time.
@@ -52,22 +52,7 @@
     let body = document.to_string();
     let reply = http_call(&new_client(), Method::PUT, &url, &[], body).await?;
     assert_eq!(reply.status, 200, "{:?}", reply.body);
-    let ready = |state: &Value| {
-        let rows = state["table"]["rows"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let serving = rows.iter().filter(|row| !row["service"].is_null()).count();
-        // A row that has just joined has no tokens before it gets its share.
-        let accounts = state["accounts"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let has_tokens = accounts.iter().any(|account| {
-            account["organisation"] == "bole-bars" && account["tokens"].as_f64() > Some(10.0)
-        });
-        state["revision"] == 1
-            && has_tokens
-            && state["settled"] == true
-            && state["keys_right_left_ms"] != 0
-            && rows.len() == NODES
-            && serving == 3
-    };
-    fleet.wait_for_state("revision 1, nine rows and the right", WAIT, ready).await?;
+    wait_until_serving(&fleet, 3, 10.0).await?;
     Ok((fleet, folder, platform))
 }
 
