Move the object store out of platform/ into store/

The folder platform/ is to hold only what translates between the operators' platform and the project. The trait, the store in memory, the HTTP form and its server are the project's own. The HTTP call itself is now a type of its own, so that another form of the object API can use the same client, and the errors tell a call that did nothing from one that may have been done.

--- a/src/admin/configuration.rs
+++ b/src/admin/configuration.rs
@@ -16,9 +16,9 @@
     http_server,
     names::Revision,
     node::Shared,
-    platform::{
+    store::{
         KIND_CONFIGURATION, MAX_VALUE_BYTES, NAME_CURRENT, ObjectApi as _, ObjectVersion,
-        PlatformError,
+        StoreError,
     },
 };
 
@@ -57,12 +57,12 @@
 /// Why a request of an operator has no result.
 enum Failure {
     Refused(ChangeError),
-    Platform(PlatformError),
+    Platform(StoreError),
     TooLarge,
 }
 
-impl From<PlatformError> for Failure {
-    fn from(error: PlatformError) -> Self {
+impl From<StoreError> for Failure {
+    fn from(error: StoreError) -> Self {
         Self::Platform(error)
     }
 }
@@ -167,7 +167,7 @@
 
 /// Writes a change; repeats it while other writers are ahead and it conflicts with none of them.
 async fn apply(shared: &Shared, change: Change) -> Result<Response<Full<Bytes>>, Failure> {
-    let mut last_error = PlatformError::NoAnswer("other writers were ahead".to_owned());
+    let mut last_error = StoreError::NoAnswer("other writers were ahead".to_owned());
     for _ in 0..MAX_ATTEMPTS {
         let (current, version) = load(shared).await?;
         let document = match decide(&current, &change, &shared.key_hasher)? {
@@ -178,7 +178,7 @@
             Decision::Write(document) => document,
         };
         let value = serde_json::to_value(&document)
-            .map_err(|error| PlatformError::Refused(error.to_string()))?;
+            .map_err(|error| StoreError::Refused(error.to_string()))?;
         match shared.platform.put(KIND_CONFIGURATION, NAME_CURRENT, value, version).await {
             Ok(_) => {
                 let revision = document.revision;
@@ -187,8 +187,8 @@
                 shared.adopt_configuration(*document);
                 return Ok(http_server::json(StatusCode::OK, &ApplyResult { revision }));
             }
-            Err(PlatformError::Refused(reason)) => {
-                return Err(PlatformError::Refused(reason).into());
+            Err(StoreError::Refused(reason)) => {
+                return Err(StoreError::Refused(reason).into());
             }
             // After a lost answer, the next read shows by the change id whether the write won.
             Err(error) => last_error = error,
@@ -229,14 +229,14 @@
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
 
-async fn load(shared: &Shared) -> Result<(Document, ObjectVersion), PlatformError> {
+async fn load(shared: &Shared) -> Result<(Document, ObjectVersion), StoreError> {
     let object = shared.platform.get(KIND_CONFIGURATION, NAME_CURRENT).await?;
     let Some(object) = object else {
         return Ok((Document::default(), 0));
     };
     let document = serde_json::from_value(object.value.unwrap_or_default())
         // The library's message may repeat a value.
-        .map_err(|_| PlatformError::Refused("the accepted document is unreadable".to_owned()))?;
+        .map_err(|_| StoreError::Refused("the accepted document is unreadable".to_owned()))?;
     Ok((document, object.version))
 }
 
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -19,7 +19,7 @@
     },
     names::{Incarnation, InstanceName, Revision, TableVersion, ZoneName},
     peers::proto::{EvidenceReply, EvidenceRequest},
-    platform::ObjectVersion,
+    store::ObjectVersion,
 };
 
 /// Silence after which a row is no longer asked first; several rounds of pulls.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -19,7 +19,7 @@
         members::{ConfigurationWasRead, MembersActor, until},
     },
     peers::proto::{ConfigurationReply, ConfigurationRequest, configuration_reply::Content},
-    platform::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _, Platform},
+    store::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _, Store, WATCH_TIMEOUT},
 };
 
 /// Pause after a watch failed. The platform counts every call, and pulls go on meanwhile.
@@ -65,13 +65,13 @@
 async fn watch(shared: Arc<Shared>, members: ActorRef<MembersActor>) {
     let mut after = 0;
     loop {
-        let is_alone = matches!(shared.platform, Platform::Embedded(_));
+        let is_alone = matches!(shared.platform, Store::Embedded(_));
         if !is_alone && !shared.evidence.load().is_reader {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
         let began = clock::now();
-        let listing = match shared.platform.watch(KIND_CONFIGURATION, after).await {
+        let listing = match shared.platform.watch(KIND_CONFIGURATION, after, WATCH_TIMEOUT).await {
             Ok(listing) => listing,
             Err(error) => {
                 log::warn!("watching the configuration failed: {error}");
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -25,8 +25,9 @@
     names::ServiceName,
     node::{Lifecycle, Shared},
     peers::proto::{EvidenceReply, EvidenceRequest},
-    platform::{
-        KIND_CONFIGURATION, KIND_TABLES, NAME_CURRENT, ObjectApi as _, ObjectVersion, PlatformError,
+    store::{
+        KIND_CONFIGURATION, KIND_TABLES, NAME_CURRENT, ObjectApi as _, ObjectVersion, StoreError,
+        WATCH_TIMEOUT,
     },
 };
 
@@ -317,12 +318,12 @@
     }
 }
 
-async fn read_table(shared: &Shared) -> Result<Option<(ObjectVersion, Table)>, PlatformError> {
+async fn read_table(shared: &Shared) -> Result<Option<(ObjectVersion, Table)>, StoreError> {
     let object = shared.platform.get(KIND_TABLES, &shared.settings.shard).await?;
     let Some(object) = object else { return Ok(None) };
     let Some(value) = object.value else { return Ok(None) };
     let table = serde_json::from_value(value)
-        .map_err(|error| PlatformError::Refused(format!("the table is unreadable: {error}")))?;
+        .map_err(|error| StoreError::Refused(format!("the table is unreadable: {error}")))?;
     Ok(Some((object.version, table)))
 }
 
@@ -330,27 +331,27 @@
     shared: &Shared,
     table: &Table,
     if_version: ObjectVersion,
-) -> Result<(), PlatformError> {
+) -> Result<(), StoreError> {
     let value = serde_json::to_value(table)
-        .map_err(|error| PlatformError::Refused(format!("the table has no JSON form: {error}")))?;
+        .map_err(|error| StoreError::Refused(format!("the table has no JSON form: {error}")))?;
     shared.platform.put(KIND_TABLES, &shared.settings.shard, value, if_version).await.map(drop)
 }
 
-fn write_failure(error: &PlatformError, change_id: Uuid) -> Event {
+fn write_failure(error: &StoreError, change_id: Uuid) -> Event {
     match error {
-        PlatformError::Conflict { .. } => Event::WriteConflict,
-        PlatformError::NoAnswer(reason) => {
+        StoreError::Conflict { .. } => Event::WriteConflict,
+        StoreError::NoAnswer(reason) => {
             log::warn!("writing the membership table has no answer: {reason}");
             Event::WriteLost { change_id }
         }
-        PlatformError::Refused(reason) => {
-            log::error!("the platform refused the membership table: {reason}");
+        StoreError::Unavailable(_) | StoreError::Refused(_) | StoreError::Expired => {
+            log::error!("the membership table was not written: {error}");
             Event::TableFailed
         }
     }
 }
 
-async fn read_revision(shared: &Shared) -> Result<crate::names::Revision, PlatformError> {
+async fn read_revision(shared: &Shared) -> Result<crate::names::Revision, StoreError> {
     let object = shared.platform.get(KIND_CONFIGURATION, NAME_CURRENT).await?;
     let value = object.and_then(|object| object.value);
     let revision = value.as_ref().and_then(|value| value.get("revision")?.as_u64());
@@ -383,7 +384,7 @@
             continue;
         }
         let began = clock::now();
-        let listing = match shared.platform.watch(KIND_TABLES, after).await {
+        let listing = match shared.platform.watch(KIND_TABLES, after, WATCH_TIMEOUT).await {
             Ok(listing) => listing,
             Err(error) => {
                 log::warn!("watching the membership table failed: {error}");
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,10 +39,8 @@
     admin,
     config::Document,
     findings::{self, Collector, Findings},
-    platform::{
-        HttpPlatform, KIND_CONFIGURATION, MemoryStore, NAME_CURRENT, ObjectApi as _, Platform,
-    },
     settings::{PlatformSettings, Settings},
+    store::{HttpStore, KIND_CONFIGURATION, MemoryStore, NAME_CURRENT, ObjectApi as _, Store},
 };
 use configuration::ConfigurationActor;
 use loans::LoansActor;
@@ -222,17 +220,17 @@
     actor.wait_for_shutdown().await;
 }
 
-async fn connect_platform(settings: &Settings) -> anyhow::Result<Platform> {
+async fn connect_platform(settings: &Settings) -> anyhow::Result<Store> {
     match &settings.platform {
         PlatformSettings::Http { address, timeout } => {
-            Ok(Platform::Http(Box::new(HttpPlatform::new(*address, *timeout))))
+            Ok(Store::Http(Box::new(HttpStore::new(*address, *timeout))))
         }
         PlatformSettings::Embedded { configuration } => {
             let store = Arc::new(MemoryStore::default());
             if let Some(path) = configuration {
                 load_configuration(&store, path, settings).await?;
             }
-            Ok(Platform::Embedded(store))
+            Ok(Store::Embedded(store))
         }
     }
 }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -19,10 +19,10 @@
     node::{BoundAddresses, Dispatches, Gate, LoanCounters, OnceState, Rates, UpstreamLink},
     once::RowIdentity,
     peers::PeerPool,
-    platform::Platform,
     retry::RetryControl,
     routing::{FirstHop, Targets},
     settings::Settings,
+    store::Store,
     telemetry::Metrics,
 };
 
@@ -45,7 +45,7 @@
     /// This process among those that ran under the instance's name.
     pub incarnation: Incarnation,
     /// The object API.
-    pub platform: Platform,
+    pub platform: Store,
     /// Hashes presented keys.
     pub key_hasher: KeyHasher,
     /// Authenticates contexts.
@@ -92,9 +92,9 @@
 
 impl Shared {
     /// Makes the state of a node that has just started.
-    pub fn new(settings: Settings, platform: Platform, addresses: BoundAddresses) -> Self {
+    pub fn new(settings: Settings, platform: Store, addresses: BoundAddresses) -> Self {
         let mut metrics = Metrics::default();
-        if let Platform::Http(client) = &platform {
+        if let Store::Http(client) = &platform {
             metrics.register_platform_calls(client.calls().clone());
         }
         let signer = ContextSigner::new(&settings.fleet_secret);
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::platform::{Listing, MemoryStore, Object, ObjectApi, ObjectVersion, PlatformError};
+use crate::store::{Listing, MemoryStore, Object, ObjectApi, ObjectVersion, StoreError};
 
 /// Faults that a test switches on and off.
 #[derive(Debug, Default)]
@@ -62,39 +62,39 @@
 }
 
 impl FaultyStore {
-    async fn enter(&self) -> Result<(), PlatformError> {
+    async fn enter(&self) -> Result<(), StoreError> {
         self.faults.calls.fetch_add(1, Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(self.faults.delay_ms.load(Ordering::Relaxed)))
             .await;
         self.check_up()
     }
 
-    fn check_up(&self) -> Result<(), PlatformError> {
+    fn check_up(&self) -> Result<(), StoreError> {
         if self.faults.down.load(Ordering::Relaxed) {
-            return Err(PlatformError::NoAnswer("the stand-in is down".to_owned()));
+            return Err(StoreError::NoAnswer("the stand-in is down".to_owned()));
         }
         Ok(())
     }
 
-    fn written<T>(&self, result: Result<T, PlatformError>) -> Result<T, PlatformError> {
+    fn written<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
         self.faults.writes.fetch_add(1, Ordering::Relaxed);
         let take = |left: u64| left.checked_sub(1);
         let lost =
             self.faults.lose_answers.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
         if result.is_ok() && lost.is_ok() {
-            return Err(PlatformError::NoAnswer("the stand-in lost the answer".to_owned()));
+            return Err(StoreError::NoAnswer("the stand-in lost the answer".to_owned()));
         }
         result
     }
 }
 
 impl ObjectApi for FaultyStore {
-    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
         self.enter().await?;
         self.store.get(kind, name).await
     }
 
-    async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         self.enter().await?;
         self.store.list(kind).await
     }
@@ -105,7 +105,7 @@
         name: &str,
         value: Value,
         if_version: ObjectVersion,
-    ) -> Result<ObjectVersion, PlatformError> {
+    ) -> Result<ObjectVersion, StoreError> {
         self.enter().await?;
         self.written(self.store.put(kind, name, value, if_version).await)
     }
@@ -115,17 +115,22 @@
         kind: &str,
         name: &str,
         if_version: ObjectVersion,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StoreError> {
         self.enter().await?;
         self.written(self.store.delete(kind, name, if_version).await)
     }
 
-    async fn watch(&self, kind: &str, after: ObjectVersion) -> Result<Listing, PlatformError> {
+    async fn watch(
+        &self,
+        kind: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Listing, StoreError> {
         self.enter().await?;
-        let listing = self.store.watch(kind, after).await?;
+        let listing = self.store.watch(kind, after, wait).await?;
         self.check_up()?;
         if self.faults.watches_fail.load(Ordering::Relaxed) {
-            return Err(PlatformError::NoAnswer("the stand-in answers no watch".to_owned()));
+            return Err(StoreError::NoAnswer("the stand-in answers no watch".to_owned()));
         }
         Ok(listing)
     }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     http_server,
-    platform::ObjectService,
     standin::{FaultSettings, Faults, FaultyStore},
+    store::ObjectService,
 };
 
 /// Serves the object API and `GET/PUT /faults` until `shutdown`.
--- a/src/platform/memory.rs
+++ b/src/store/memory.rs
@@ -1,14 +1,12 @@
 //! An object store in memory: the embedded store, and the state of the platform stand-in.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 use serde_json::Value;
 use tokio::{sync::watch, time::timeout};
 
-use crate::platform::{
-    Listing, MAX_VALUE_BYTES, Object, ObjectApi, ObjectVersion, PlatformError, WATCH_TIMEOUT,
-};
+use crate::store::{Listing, MAX_VALUE_BYTES, Object, ObjectApi, ObjectVersion, StoreError};
 
 type ObjectId = (Arc<str>, Arc<str>);
 
@@ -39,13 +37,13 @@
         name: &str,
         value: Option<Value>,
         if_version: ObjectVersion,
-    ) -> Result<ObjectVersion, PlatformError> {
+    ) -> Result<ObjectVersion, StoreError> {
         let mut objects = self.objects.lock();
         let id = (Arc::from(kind), Arc::from(name));
         let existing = objects.by_id.get(&id).filter(|object| object.value.is_some());
         let current = existing.map_or(0, |object| object.version);
         if current != if_version {
-            return Err(PlatformError::Conflict { current });
+            return Err(StoreError::Conflict { current });
         }
         objects.version += 1;
         let version = objects.version;
@@ -66,13 +64,13 @@
 }
 
 impl ObjectApi for MemoryStore {
-    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
         let objects = self.objects.lock();
         let object = objects.by_id.get(&(Arc::from(kind), Arc::from(name)));
         Ok(object.filter(|object| object.value.is_some()).cloned())
     }
 
-    async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         Ok(self.changes(kind, 0, false))
     }
 
@@ -82,10 +80,10 @@
         name: &str,
         value: Value,
         if_version: ObjectVersion,
-    ) -> Result<ObjectVersion, PlatformError> {
+    ) -> Result<ObjectVersion, StoreError> {
         let size_bytes = value.to_string().len();
         if size_bytes > MAX_VALUE_BYTES {
-            return Err(PlatformError::Refused(format!(
+            return Err(StoreError::Refused(format!(
                 "the value has {size_bytes} bytes, more than {MAX_VALUE_BYTES}"
             )));
         }
@@ -97,11 +95,16 @@
         kind: &str,
         name: &str,
         if_version: ObjectVersion,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StoreError> {
         self.write(kind, name, None, if_version).map(drop)
     }
 
-    async fn watch(&self, kind: &str, after: ObjectVersion) -> Result<Listing, PlatformError> {
+    async fn watch(
+        &self,
+        kind: &str,
+        after: ObjectVersion,
+        limit: Duration,
+    ) -> Result<Listing, StoreError> {
         let mut changed = self.changed.subscribe();
         let wait = async {
             loop {
@@ -112,6 +115,6 @@
                 }
             }
         };
-        Ok(timeout(WATCH_TIMEOUT, wait).await.unwrap_or_else(|_| self.changes(kind, after, true)))
+        Ok(timeout(limit, wait).await.unwrap_or_else(|_| self.changes(kind, after, true)))
     }
 }
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,10 @@
-//! The platform's object API: versioned objects, conditional updates, watches.
+//! The object store that the platform offers: versioned objects, conditional updates, watches.
+//!
+//! [`ObjectApi`] is what the rest of the project uses. Behind it stand the store in memory, the
+//! project's own HTTP form of it, and the adapters in `platform/`.
 
 mod client;
+mod exchange;
 mod memory;
 mod server;
 
@@ -9,13 +13,15 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-pub use client::HttpPlatform;
+pub use client::HttpStore;
+pub use exchange::HttpExchange;
 pub use memory::MemoryStore;
 pub use server::{ObjectService, serve_objects};
 
 /// Largest value of one object.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
-/// Longest time that the service holds a watch open.
+/// Time for which the nodes hold a watch open; a longer one saves calls, but a connection that has
+/// gone silent is found only when it ends.
 pub const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Kind of the operators' configuration.
 pub const KIND_CONFIGURATION: &str = "configuration";
@@ -51,19 +57,25 @@
 
 /// Why a call to the platform failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum PlatformError {
+pub enum StoreError {
     /// The object has another version than the caller stated.
     #[error("the object has version {current}, not the version stated")]
     Conflict {
         /// Version of the object now; 0 where there is none.
         current: ObjectVersion,
     },
-    /// No answer came; a write may have taken effect.
+    /// No answer came; a write may have taken effect, or may still take effect.
     #[error("no answer from the platform: {0}")]
     NoAnswer(String),
+    /// The platform did nothing for now: it is overloaded, or the call came too often.
+    #[error("the platform is unavailable: {0}")]
+    Unavailable(String),
     /// The platform refused the call.
     #[error("the platform refused the call: {0}")]
     Refused(String),
+    /// The changes after the stated version are no longer kept; the kind must be listed again.
+    #[error("the platform no longer keeps the changes after the stated version")]
+    Expired,
 }
 
 /// The platform's object API as the project uses it.
@@ -73,10 +85,10 @@
         &self,
         kind: &str,
         name: &str,
-    ) -> impl Future<Output = Result<Option<Object>, PlatformError>> + Send;
+    ) -> impl Future<Output = Result<Option<Object>, StoreError>> + Send;
 
     /// Lists the objects of a kind.
-    fn list(&self, kind: &str) -> impl Future<Output = Result<Listing, PlatformError>> + Send;
+    fn list(&self, kind: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
     /// Writes an object that has the stated version; version 0 means it must not exist.
     fn put(
@@ -85,7 +97,7 @@
         name: &str,
         value: Value,
         if_version: ObjectVersion,
-    ) -> impl Future<Output = Result<ObjectVersion, PlatformError>> + Send;
+    ) -> impl Future<Output = Result<ObjectVersion, StoreError>> + Send;
 
     /// Deletes an object that has the stated version.
     fn delete(
@@ -93,34 +105,35 @@
         kind: &str,
         name: &str,
         if_version: ObjectVersion,
-    ) -> impl Future<Output = Result<(), PlatformError>> + Send;
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Waits for changes of a kind after a version, at most [`WATCH_TIMEOUT`].
+    /// Waits for changes of a kind after a version, at most for `wait`.
     fn watch(
         &self,
         kind: &str,
         after: ObjectVersion,
-    ) -> impl Future<Output = Result<Listing, PlatformError>> + Send;
+        wait: Duration,
+    ) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 }
 
 /// The object API that the settings name.
 #[derive(Debug, Clone)]
-pub enum Platform {
+pub enum Store {
     /// A store inside the process.
     Embedded(Arc<MemoryStore>),
     /// The platform's service.
-    Http(Box<HttpPlatform>),
+    Http(Box<HttpStore>),
 }
 
-impl ObjectApi for Platform {
-    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+impl ObjectApi for Store {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
         match self {
             Self::Embedded(store) => store.get(kind, name).await,
             Self::Http(client) => client.get(kind, name).await,
         }
     }
 
-    async fn list(&self, kind: &str) -> Result<Listing, PlatformError> {
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         match self {
             Self::Embedded(store) => store.list(kind).await,
             Self::Http(client) => client.list(kind).await,
@@ -133,7 +146,7 @@
         name: &str,
         value: Value,
         if_version: ObjectVersion,
-    ) -> Result<ObjectVersion, PlatformError> {
+    ) -> Result<ObjectVersion, StoreError> {
         match self {
             Self::Embedded(store) => store.put(kind, name, value, if_version).await,
             Self::Http(client) => client.put(kind, name, value, if_version).await,
@@ -145,17 +158,22 @@
         kind: &str,
         name: &str,
         if_version: ObjectVersion,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StoreError> {
         match self {
             Self::Embedded(store) => store.delete(kind, name, if_version).await,
             Self::Http(client) => client.delete(kind, name, if_version).await,
         }
     }
 
-    async fn watch(&self, kind: &str, after: ObjectVersion) -> Result<Listing, PlatformError> {
+    async fn watch(
+        &self,
+        kind: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Listing, StoreError> {
         match self {
-            Self::Embedded(store) => store.watch(kind, after).await,
-            Self::Http(client) => client.watch(kind, after).await,
+            Self::Embedded(store) => store.watch(kind, after, wait).await,
+            Self::Http(client) => client.watch(kind, after, wait).await,
         }
     }
 }
--- a/src/platform/server.rs
+++ b/src/store/server.rs
@@ -1,6 +1,6 @@
 //! The object API over HTTP, in front of any [`ObjectApi`].
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -13,9 +13,12 @@
 use super::client::WriteAnswer;
 use crate::{
     http_server,
-    platform::{MAX_VALUE_BYTES, ObjectApi, PlatformError},
+    store::{MAX_VALUE_BYTES, ObjectApi, StoreError},
 };
 
+/// Longest time that the service holds a watch open.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
+
 /// Serves the object API.
 #[derive(Debug)]
 pub struct ObjectService<P> {
@@ -65,7 +68,8 @@
             }
             (&Method::GET, ["watch", kind]) => {
                 let after = number(&query, "after");
-                let listing = self.objects.watch(kind, after).await;
+                let wait = Duration::from_millis(number(&query, "wait-ms")).min(MAX_WATCH_WAIT);
+                let listing = self.objects.watch(kind, after, wait).await;
                 listing.map(|listing| json(StatusCode::OK, &listing))
             }
             (&Method::PUT, ["objects", kind, name]) => {
@@ -88,17 +92,20 @@
     }
 }
 
-fn written(result: Result<u64, PlatformError>) -> Result<Response<Full<Bytes>>, PlatformError> {
+fn written(result: Result<u64, StoreError>) -> Result<Response<Full<Bytes>>, StoreError> {
     result.map(|version| json(StatusCode::OK, &WriteAnswer { version }))
 }
 
-fn failure(error: &PlatformError) -> Response<Full<Bytes>> {
+fn failure(error: &StoreError) -> Response<Full<Bytes>> {
     match error {
-        PlatformError::Conflict { current } => {
+        StoreError::Conflict { current } => {
             json(StatusCode::CONFLICT, &WriteAnswer { version: *current })
         }
-        PlatformError::Refused(reason) => text(StatusCode::BAD_REQUEST, reason),
-        PlatformError::NoAnswer(reason) => text(StatusCode::SERVICE_UNAVAILABLE, reason),
+        StoreError::Refused(reason) => text(StatusCode::BAD_REQUEST, reason),
+        StoreError::Expired => text(StatusCode::GONE, &error.to_string()),
+        StoreError::Unavailable(reason) => text(StatusCode::SERVICE_UNAVAILABLE, reason),
+        // Unlike 503, this does not say that nothing was done.
+        StoreError::NoAnswer(reason) => text(StatusCode::GATEWAY_TIMEOUT, reason),
     }
 }
 
--- a/tests/administration.rs
+++ b/tests/administration.rs
@@ -13,8 +13,8 @@
 
 use hibiscusdoor::{
     control::HELP_COMMANDS,
-    platform::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _},
     standin::{FaultyStore, Fleet, NodeOptions},
+    store::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _},
 };
 use serde_json::{Value, json};
 use tokio::{
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use hibiscusdoor::{
-    platform::serve_objects,
     standin::{FaultyStore, Fleet, FleetOptions},
+    store::serve_objects,
 };
 use serde_json::Value;
 use tokio::net::TcpListener;
