--- a/src/bin/hibiscus-standin.rs
+++ b/src/bin/hibiscus-standin.rs
@@ -42,7 +42,7 @@
 }
 
 async fn run(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
-    telemetry::start_logging(&RawLog::default())?;
+    telemetry::start_logging(&RawLog::default(), telemetry::LogTarget::StandardError)?;
     let shutdown = CancellationToken::new();
     let signals = tokio::spawn(cancel_on_signal(shutdown.clone()));
     let listen: SocketAddr = arguments.value_from_str("--listen")?;
--- a/src/bin/hibiscusd.rs
+++ b/src/bin/hibiscusd.rs
@@ -3,9 +3,11 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use hibiscusdoor::{
+    mesh::{self, MeshListeners, MeshSettings},
     node::{self, Listeners},
+    platform::OperatorsPlatform,
     settings::Settings,
-    telemetry,
+    telemetry::{self, LogTarget},
 };
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -16,7 +18,11 @@
 const USAGE: &str = "\
 hibiscusd: overload control beside one upstream instance
 
-Usage: hibiscusd --settings FILE [--check]
+Usage: hibiscusd [mesh] --settings FILE [--check]
+
+Commands:
+  mesh              a node on the operators' platform, beside an upstream that takes requests
+                    only from its own machine; without it, a node with the project's own interface
 
 Options:
   --settings FILE   settings in JSON
@@ -28,6 +34,7 @@
 
 /// Arguments of the command line.
 struct Arguments {
+    mesh: bool,
     settings: PathBuf,
     check: bool,
 }
@@ -42,6 +49,9 @@
         Ok(arguments) => arguments,
         Err(error) => return usage_error(&error),
     };
+    if arguments.mesh {
+        return mesh_main(&arguments);
+    }
     let settings = match Settings::from_file(&arguments.settings) {
         Ok(settings) => settings,
         Err(findings) => return usage_error(&findings),
@@ -53,7 +63,7 @@
         println!("{}: no findings", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = telemetry::start_logging(&settings.log) {
+    if let Err(error) = telemetry::start_logging(&settings.log, LogTarget::StandardError) {
         return usage_error(&error);
     }
     let runtime = match tokio::runtime::Runtime::new() {
@@ -66,12 +76,51 @@
     runtime.block_on(serve(settings))
 }
 
+/// Runs a node in a mesh. One thread suffices: such a node has less than one processor.
+fn mesh_main(arguments: &Arguments) -> ExitCode {
+    let settings = match MeshSettings::from_file::<OperatorsPlatform>(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(findings) => return usage_error(&findings),
+    };
+    if arguments.check {
+        println!("{}: no findings", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = telemetry::start_logging(&settings.log, LogTarget::StandardOutput) {
+        return usage_error(&error);
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("starting the runtime failed: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    runtime.block_on(async {
+        let listeners = match MeshListeners::bind(&settings).await {
+            Ok(listeners) => listeners,
+            Err(findings) => return usage_error(&findings),
+        };
+        let shutdown = CancellationToken::new();
+        let signals = tokio::spawn(cancel_on_signal(shutdown.clone()));
+        let result = mesh::run::<OperatorsPlatform>(settings, listeners, shutdown).await;
+        signals.abort();
+        let _ = signals.await;
+        exit_code(result)
+    })
+}
+
 fn parse(mut raw: pico_args::Arguments) -> anyhow::Result<Arguments> {
+    let mesh = match raw.subcommand()?.as_deref() {
+        None => false,
+        Some("mesh") => true,
+        Some(other) => anyhow::bail!("unknown command {other:?}"),
+    };
     let check = raw.contains("--check");
     let settings = raw.value_from_str("--settings")?;
     let rest = raw.finish();
     anyhow::ensure!(rest.is_empty(), "unexpected arguments: {rest:?}");
-    Ok(Arguments { settings, check })
+    Ok(Arguments { mesh, settings, check })
 }
 
 fn usage_error(error: &impl std::fmt::Display) -> ExitCode {
@@ -95,6 +144,10 @@
     let result = node::run(settings, listeners, shutdown).await;
     signals.abort();
     let _ = signals.await;
+    exit_code(result)
+}
+
+fn exit_code(result: anyhow::Result<()>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- /dev/null
+++ b/src/mesh/mod.rs
@@ -0,0 +1,34 @@
+//! A node in a mesh: it stands beside an upstream that takes requests only from its own machine.
+//!
+//! Callers on the machine and the upstream itself send their requests to their own node. That
+//! node chooses an instance of the service and forwards the request to the node beside it, which
+//! guards its upstream. What a platform calls things is behind the trait [`Dialect`].
+
+mod bounds;
+mod catalog;
+mod control;
+mod dialect;
+mod entry;
+mod guard;
+mod members;
+mod node;
+mod peer_service;
+#[allow(missing_docs, clippy::all)]
+pub mod proto;
+mod registry;
+mod request;
+mod run;
+mod settings;
+
+pub use bounds::Bounds;
+pub use catalog::{CallerLimits, Catalog, CatalogParts, Destination, Organisation, Route, Service};
+pub use dialect::{
+    AnswerHead, CallHead, Dialect, Heartbeat, ReportedLoad, UpstreamHead, UpstreamMessage,
+    UpstreamState,
+};
+pub use guard::{Guard, Guarded, GuardedCall};
+pub use members::{InstanceRecord, Member, Members, UpstreamRecord};
+pub use node::{FreshnessProof, Node};
+pub use registry::{Heard, Registry, Upstream};
+pub use run::{MeshListeners, run};
+pub use settings::{MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore};
--- /dev/null
+++ b/src/mesh/registry.rs
@@ -0,0 +1,120 @@
+//! What is known of the upstream beside the node, from its own messages.
+//!
+//! Messages may come late, twice, or from an earlier start of the upstream, so each is placed by
+//! the time of the start and the sequence number that it carries.
+
+use std::time::Duration;
+
+use crate::{
+    clock::Timestamp,
+    mesh::{Heartbeat, UpstreamState},
+    names::InstanceName,
+};
+
+/// The upstream beside the node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Upstream {
+    /// What it said last.
+    pub heartbeat: Heartbeat,
+    /// Until when it is slow after its start.
+    pub cold_until: Timestamp,
+    /// When it was first heard of as leaving; it gets no new request soon after.
+    pub leaving_since: Option<Timestamp>,
+}
+
+/// What a message changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// Another upstream, or another start of it, has taken the place.
+    Replaced,
+    /// The upstream takes new work or no longer does, or has another number of slots.
+    Changed,
+    /// Nothing.
+    Unchanged,
+    /// The message was overtaken by a later one.
+    Late,
+}
+
+/// Places the messages of the upstream beside the node.
+#[derive(Debug, Default)]
+pub struct Registry {
+    current: Option<Upstream>,
+    /// The upstream that left last, by id and start.
+    departed: Option<(InstanceName, u64)>,
+}
+
+impl Registry {
+    /// The upstream, also while it is leaving.
+    pub fn current(&self) -> Option<&Upstream> {
+        self.current.as_ref()
+    }
+
+    /// Takes a heartbeat.
+    pub fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) -> Heard {
+        let start = (heartbeat.started_unix_ms, heartbeat.sequence);
+        if self.has_departed(&heartbeat) {
+            return Heard::Late;
+        }
+        let Some(known) = &self.current else {
+            self.place(now, heartbeat);
+            return Heard::Replaced;
+        };
+        let known_start = (known.heartbeat.started_unix_ms, known.heartbeat.sequence);
+        let same = known.heartbeat.upstream == heartbeat.upstream && start.0 == known_start.0;
+        if start < known_start || (!same && start.0 <= known_start.0) {
+            return Heard::Late;
+        }
+        if !same {
+            self.place(now, heartbeat);
+            return Heard::Replaced;
+        }
+        let before = &known.heartbeat;
+        let changed = before.state != heartbeat.state || before.slots != heartbeat.slots;
+        self.place(now, heartbeat);
+        if changed { Heard::Changed } else { Heard::Unchanged }
+    }
+
+    /// The upstream has left; it still serves for a short time.
+    pub fn left(&mut self, now: Timestamp, upstream: &str) -> Heard {
+        let Some(known) = self.current.as_mut().filter(|it| *it.heartbeat.upstream == *upstream)
+        else {
+            return Heard::Late;
+        };
+        self.departed = Some((known.heartbeat.upstream.clone(), known.heartbeat.started_unix_ms));
+        known.leaving_since.get_or_insert(now);
+        Heard::Changed
+    }
+
+    fn has_departed(&self, heartbeat: &Heartbeat) -> bool {
+        self.departed.as_ref().is_some_and(|(upstream, started_unix_ms)| {
+            *upstream == heartbeat.upstream && heartbeat.started_unix_ms <= *started_unix_ms
+        })
+    }
+
+    fn place(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        let known = self.current.as_ref().filter(|known| {
+            known.heartbeat.upstream == heartbeat.upstream
+                && known.heartbeat.started_unix_ms == heartbeat.started_unix_ms
+        });
+        let leaving_since = match heartbeat.state {
+            UpstreamState::Ready => None,
+            UpstreamState::Draining => {
+                Some(known.and_then(|known| known.leaving_since).unwrap_or(now))
+            }
+        };
+        let cold_until = now + heartbeat.cold;
+        self.current = Some(Upstream { heartbeat, cold_until, leaving_since });
+    }
+}
+
+impl Upstream {
+    /// Tells whether a new request may be sent, `grace` after the upstream said that it leaves.
+    pub fn takes_requests(&self, now: Timestamp, grace: Duration) -> bool {
+        self.leaving_since.is_none_or(|since| now < since + grace)
+    }
+
+    /// Tells whether other nodes should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.leaving_since.is_none()
+    }
+}
--- /dev/null
+++ b/src/mesh/settings.rs
@@ -0,0 +1,165 @@
+//! Settings of a node in a mesh: read from JSON, checked, then made into typed [`MeshSettings`].
+
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::{
+    findings::{self, Collector, Findings, Input},
+    mesh::{Bounds, Dialect},
+    names::{InstanceName, ServiceName, ZoneName},
+    settings::{RawLog, check_log_modules, parse_address},
+};
+
+const DEFAULT_STORE_TIMEOUT_MS: u64 = 1000;
+
+/// Settings as they stand in the file.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct RawMeshSettings {
+    /// Name of the instance, unique in the fleet.
+    #[schemars(length(min = 1, max = 63))]
+    pub instance: String,
+    /// Availability zone of the instance.
+    #[schemars(length(min = 1, max = 63))]
+    pub zone: String,
+    /// Service of the upstream beside the node.
+    #[schemars(length(min = 1, max = 63))]
+    pub service: String,
+    /// Address of the upstream beside the node.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub upstream: String,
+    /// Addresses that the node listens on.
+    pub listen: RawMeshListen,
+    /// The platform's object store.
+    pub store: RawStore,
+    /// Bounds that the platform sets, by its own names for them.
+    #[serde(default)]
+    pub bounds: Map<String, Value>,
+    /// Logging.
+    #[serde(default)]
+    pub log: RawLog,
+}
+
+/// Listening addresses, each an IP address and a port.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct RawMeshListen {
+    /// For callers on this machine, and for the upstream's own calls.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub callers: String,
+    /// For other nodes.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub peers: String,
+    /// For questions whether callers should come here.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub readiness: String,
+    /// For heartbeats of the upstream.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub heartbeats: String,
+    /// For metrics and the state dump.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub operators: String,
+}
+
+/// The platform's object store.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct RawStore {
+    /// IP address and port.
+    #[schemars(extend("format" = "ip-address-and-port"))]
+    pub address: String,
+    /// Time allowed for one call, in milliseconds.
+    #[serde(default = "default_store_timeout_ms")]
+    #[schemars(range(min = 10, max = 60_000))]
+    pub timeout_ms: u64,
+}
+
+fn default_store_timeout_ms() -> u64 {
+    DEFAULT_STORE_TIMEOUT_MS
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct MeshSettings {
+    /// File that the settings were read from.
+    pub file: Arc<str>,
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Service of the upstream beside the node.
+    pub service: ServiceName,
+    /// Address of the upstream beside the node.
+    pub upstream: SocketAddr,
+    /// Listening addresses.
+    pub listen: MeshListen,
+    /// Address of the object store.
+    pub store: SocketAddr,
+    /// Time allowed for one call to the store.
+    pub store_timeout: Duration,
+    /// Bounds that the platform sets.
+    pub bounds: Bounds,
+    /// Logging.
+    pub log: RawLog,
+}
+
+/// Checked listening addresses.
+#[derive(Debug, Clone, Copy)]
+pub struct MeshListen {
+    /// For callers on this machine, and for the upstream's own calls.
+    pub callers: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For questions whether callers should come here.
+    pub readiness: SocketAddr,
+    /// For heartbeats of the upstream.
+    pub heartbeats: SocketAddr,
+    /// For metrics and the state dump.
+    pub operators: SocketAddr,
+}
+
+impl Input for RawMeshSettings {
+    fn check_rules(value: &Value, collector: &mut Collector) {
+        check_log_modules(value, collector);
+    }
+}
+
+impl MeshSettings {
+    /// Reads and checks a settings file.
+    pub fn from_file<D: Dialect>(path: &Path) -> Result<Self, Findings> {
+        let raw = findings::check_input_file::<RawMeshSettings>(path)?;
+        Self::from_raw::<D>(path.display().to_string(), raw)
+    }
+
+    /// Makes the typed settings.
+    pub fn from_raw<D: Dialect>(
+        file: impl Into<Arc<str>>,
+        raw: RawMeshSettings,
+    ) -> Result<Self, Findings> {
+        let file = file.into();
+        let mut collector = Collector::new(file.clone());
+        let mut address = |place, text: &str| parse_address(&mut collector, place, text);
+        let upstream = address("/upstream", &raw.upstream);
+        let listen = MeshListen {
+            callers: address("/listen/callers", &raw.listen.callers),
+            peers: address("/listen/peers", &raw.listen.peers),
+            readiness: address("/listen/readiness", &raw.listen.readiness),
+            heartbeats: address("/listen/heartbeats", &raw.listen.heartbeats),
+            operators: address("/listen/operators", &raw.listen.operators),
+        };
+        let store = address("/store/address", &raw.store.address);
+        let bounds = D::bounds(&raw.bounds, "/bounds", &mut collector);
+        collector.finish(Self {
+            file,
+            instance: raw.instance.into(),
+            zone: raw.zone.into(),
+            service: raw.service.into(),
+            upstream,
+            listen,
+            store,
+            store_timeout: Duration::from_millis(raw.store.timeout_ms),
+            bounds,
+            log: raw.log,
+        })
+    }
+}
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -11,11 +11,10 @@
     admission::Refusal,
     call::{CallContext, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown, headers},
     clock,
+    http_client::{ConnectFailure, Connection, SendFailure},
     node::{
-        Announcement, Lifecycle, Shared,
-        entry::WholeRequest,
-        gate::Slot,
-        upstream::{ConnectFailure, SendFailure, UpstreamConnection, upstream_headers},
+        Announcement, Lifecycle, Shared, entry::WholeRequest, gate::Slot,
+        upstream::upstream_headers,
     },
     once::{Fingerprint, Standing, fingerprint},
     routing::Pressure,
@@ -111,7 +110,7 @@
 /// What a request holds when it is about to be sent.
 struct Prepared<'a> {
     announced: Arc<Announcement>,
-    connection: UpstreamConnection,
+    connection: Connection,
     fingerprint: Fingerprint,
     slot: Slot<'a>,
     /// Keeps others out while a suspect runs, and suspects out while others run.
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -1,45 +1,34 @@
 //! The link to the upstream beside the node.
 
 use std::{
-    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use http::{
-    HeaderMap, HeaderValue, Method, Request,
+    HeaderMap, HeaderValue, Request,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{
-    body::Body as _,
-    client::conn::http1::{SendRequest, handshake},
-};
-use hyper_util::rt::TokioIo;
-use parking_lot::Mutex;
+use http_body_util::Full;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpStream, time::timeout};
-use tokio_util::task::AbortOnDropHandle;
 use uuid::Uuid;
 
 use crate::{
-    call::{Answer, Unsent, headers},
+    call::{Answer, headers},
+    http_client::{self, ConnectFailure, Connection, ConnectionPool, SendFailure},
     names::ServiceName,
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle connections older than this are not used; many servers close them after some minutes.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_IDLE_CONNECTIONS: usize = 256;
-/// Time for a pooled connection to finish the exchange before, once its answer was read.
-const READY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Pauses before the attempts to connect that tell a crash from a single broken answer. A
 /// process that aborts closes its connections some time before its listener.
 const CRASH_PROBES: [Duration; 3] =
@@ -74,43 +63,13 @@
     pub queued: u32,
 }
 
-/// Why no connection to the upstream could be made; nothing was sent.
-#[derive(Debug, thiserror::Error)]
-pub enum ConnectFailure {
-    /// Nobody listens any more.
-    #[error("the upstream refuses connections")]
-    Refused,
-    /// No connection for another reason.
-    #[error("no connection to the upstream: {0}")]
-    Other(String),
-}
-
-/// Why a request that was handed to the client has no whole answer.
-#[derive(Debug)]
-pub enum SendFailure {
-    /// The connection closed before the client took the request.
-    Unsent(Unsent, String),
-    /// The connection broke, or the answer was cut, crossed or too large.
-    NotWhole(String),
-}
-
-/// One HTTP/1.1 connection; it is closed when it is dropped.
-#[derive(Debug)]
-pub struct UpstreamConnection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: AbortOnDropHandle<()>,
-    address: SocketAddr,
-    used_at: Instant,
-}
-
 /// The link to the upstream beside the node.
 #[derive(Debug)]
 pub struct UpstreamLink {
     announced: ArcSwapOption<Announcement>,
     report: ArcSwapOption<LoadReport>,
     draining: AtomicBool,
-    idle: Mutex<Vec<UpstreamConnection>>,
-    max_body_bytes: usize,
+    connections: ConnectionPool,
 }
 
 impl UpstreamLink {
@@ -120,15 +79,14 @@
             announced: ArcSwapOption::empty(),
             report: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
-            idle: Mutex::default(),
-            max_body_bytes,
+            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, max_body_bytes),
         }
     }
 
     /// Takes a new upstream.
     pub fn announce(&self, announcement: Announcement) {
         let announcement = Announcement { run_id: Uuid::now_v7(), ..announcement };
-        self.idle.lock().clear();
+        self.connections.clear();
         self.announced.store(Some(announcement.into()));
         self.draining.store(false, Ordering::Release);
     }
@@ -151,7 +109,7 @@
         let previous = self.announced.compare_and_swap(announcement, none);
         let was_current = previous.as_ref().is_some_and(|it| Arc::ptr_eq(it, announcement));
         if was_current {
-            self.idle.lock().clear();
+            self.connections.clear();
         }
         was_current
     }
@@ -176,7 +134,7 @@
 
     /// Closes the idle connections.
     pub fn close_idle(&self) {
-        self.idle.lock().clear();
+        self.connections.clear();
     }
 
     /// Tells a crash of the upstream from a single broken answer.
@@ -190,7 +148,7 @@
             if !current.is_some_and(|current| Arc::ptr_eq(&current, announcement)) {
                 return true;
             }
-            if let Err(ConnectFailure::Refused) = open(announcement.address).await {
+            if let Err(ConnectFailure::Refused) = http_client::open(announcement.address).await {
                 return true;
             }
         }
@@ -198,88 +156,24 @@
     }
 
     /// Returns a connection that is ready for a request.
-    pub async fn connect(&self, address: SocketAddr) -> Result<UpstreamConnection, ConnectFailure> {
-        while let Some(mut connection) = self.take_idle(address) {
-            let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
-                return Ok(connection);
-            }
-        }
-        let stream = open(address).await?;
-        let other = |error: hyper::Error| ConnectFailure::Other(error.to_string());
-        let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(other)?;
-        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection to the upstream ended: {error}");
-            }
-        }));
-        sender.ready().await.map_err(other)?;
-        Ok(UpstreamConnection { sender, driver, address, used_at: Instant::now() })
-    }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
-        let mut idle = self.idle.lock();
-        while let Some(connection) = idle.pop() {
-            let usable = connection.address == address
-                && connection.used_at.elapsed() < IDLE_TIMEOUT
-                && !connection.sender.is_closed()
-                && !connection.driver.is_finished();
-            if usable {
-                return Some(connection);
-            }
-        }
-        None
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectFailure> {
+        self.connections.connect(address, IDLE_TIMEOUT).await
     }
 
     /// Sends one request and reads its whole answer.
-    ///
-    /// The connection is used again only after a whole answer. On any failure, and where the
-    /// future is dropped, it is closed, so that a late answer cannot meet another request.
     pub async fn send(
         &self,
-        mut connection: UpstreamConnection,
+        connection: Connection,
         request: Request<Full<Bytes>>,
         request_id: &str,
     ) -> Result<Answer, SendFailure> {
-        let is_head = request.method() == Method::HEAD;
-        let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut error| {
-            let detail = error.error().to_string();
-            match Unsent::of(&mut error) {
-                Some(unsent) => SendFailure::Unsent(unsent, detail),
-                None => SendFailure::NotWhole(detail),
-            }
-        })?;
-        let (parts, body) = response.into_parts();
-        check_answer(&parts, is_head || body.is_end_stream(), request_id)
-            .map_err(|detail| SendFailure::NotWhole(detail.to_owned()))?;
-        let body = Limited::new(body, self.max_body_bytes).collect().await;
-        let body = body.map_err(|error| SendFailure::NotWhole(error.to_string()))?;
-        connection.used_at = Instant::now();
-        let mut idle = self.idle.lock();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(connection);
-        }
-        Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+        let check = |parts: &_, has_no_body| {
+            check_answer(parts, has_no_body, request_id).map_err(str::to_owned)
+        };
+        self.connections.send(connection, request, check).await
     }
 }
 
-async fn open(address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Err(ConnectFailure::Refused);
-        }
-        Ok(Err(error)) => return Err(ConnectFailure::Other(error.to_string())),
-        Err(_) => {
-            let detail = format!("not connected within {CONNECT_TIMEOUT:?}");
-            return Err(ConnectFailure::Other(detail));
-        }
-    };
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
-}
-
 /// Checks that the answer belongs to the request and that a cut body would be noticed.
 fn check_answer(
     parts: &http::response::Parts,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,4 +4,4 @@
 #[allow(missing_docs, clippy::all)]
 pub mod proto;
 
-pub use pool::{PeerClient, PeerPool, TOKEN_HEADER, not_connected};
+pub use pool::{MAX_MESSAGE_BYTES, PeerClient, PeerPool, TOKEN_HEADER, channel, not_connected};
--- a/src/peers/pool.rs
+++ b/src/peers/pool.rs
@@ -29,7 +29,8 @@
 const ANSWER_AGE_LIMIT: Duration = Duration::from_secs(1);
 /// Time for the answer to such a try, the connection set-up included.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
-const MAX_MESSAGE_BYTES: usize = 80 << 20;
+/// Largest message between nodes.
+pub const MAX_MESSAGE_BYTES: usize = 80 << 20;
 
 /// Client of one node.
 pub type PeerClient = GeneratedClient<InterceptedService<Channel, AddToken>>;
@@ -124,19 +125,24 @@
     }
 
     fn connect(&self, address: SocketAddr) -> PeerClient {
-        let channel = Endpoint::from_shared(format!("http://{address}"))
-            .expect("an address makes a valid URI")
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
-            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-            .connect_lazy();
-        GeneratedClient::with_interceptor(channel, AddToken(self.token.clone()))
+        GeneratedClient::with_interceptor(channel(address), AddToken(self.token.clone()))
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
             .max_encoding_message_size(MAX_MESSAGE_BYTES)
     }
 }
 
+/// Makes a channel to another node, which connects when it is first used and finds a silent
+/// connection within about a second while calls wait for it.
+pub fn channel(address: SocketAddr) -> Channel {
+    Endpoint::from_shared(format!("http://{address}"))
+        .expect("an address makes a valid URI")
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+        .connect_lazy()
+}
+
 /// Tells whether a call failed because no connection could be made, so that nothing was sent.
 ///
 /// tonic wraps errors of its connector, and only those, in [`ConnectError`]; a channel returns
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,176 @@
+//! The operators' configuration as it lies in the platform's store.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::Deserialize;
+use serde_json::Value;
+use smallvec::smallvec;
+
+use super::text;
+use crate::mesh::{CallerLimits, CatalogParts, Destination, Organisation, Route, Service};
+
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    resources: Vec<Resource>,
+}
+
+#[derive(Deserialize)]
+struct Resource {
+    /// What the entry is.
+    #[serde(rename = "resourceType")]
+    kind: String,
+    #[serde(default)]
+    metadata: Metadata,
+    #[serde(default)]
+    spec: Value,
+}
+
+#[derive(Default, Deserialize)]
+struct Metadata {
+    #[serde(default)]
+    name: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteSpec {
+    host: String,
+    path_prefix: String,
+    kind: RouteKind,
+    #[serde(deserialize_with = "text::deserialize")]
+    timeout: Duration,
+    #[serde(default, deserialize_with = "text::deserialize_option")]
+    aim: Option<Duration>,
+    #[serde(default)]
+    priority: u32,
+    service: Option<String>,
+    traffic_split: Option<Vec<Part>>,
+    /// Most upstreams that one attempt of a client may be sent to.
+    max_attempts: Option<u32>,
+    /// No key is needed.
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RouteKind {
+    Safe,
+    Unsafe,
+}
+
+#[derive(Deserialize)]
+struct Part {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceSpec {
+    #[serde(default)]
+    health_path: String,
+    #[serde(default)]
+    max_connections: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantSpec {
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    priority: Option<u32>,
+    /// Requests a second over all nodes; 0 stands for no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LimitsSpec {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    #[serde(default, deserialize_with = "text::deserialize_option")]
+    header_timeout: Option<Duration>,
+    #[serde(default, deserialize_with = "text::deserialize_option")]
+    idle_timeout: Option<Duration>,
+}
+
+pub fn read(value: &Value) -> Result<CatalogParts, String> {
+    let document = Document::deserialize(value).map_err(|error| error.to_string())?;
+    let mut parts = CatalogParts { revision: document.version, ..Default::default() };
+    for resource in document.resources {
+        let (kind, name) = (resource.kind, resource.metadata.name);
+        let unusable = |error: serde_json::Error| format!("{kind}/{name}: {error}");
+        match &*kind {
+            "routes" => {
+                let spec = RouteSpec::deserialize(resource.spec).map_err(unusable)?;
+                parts.routes.push(route(&name, spec)?);
+            }
+            "services" => {
+                let spec = ServiceSpec::deserialize(resource.spec).map_err(unusable)?;
+                let service = Service {
+                    health_path: spec.health_path.into(),
+                    max_connections: spec.max_connections,
+                };
+                parts.services.insert(name.into(), service);
+            }
+            "tenants" => {
+                let spec = TenantSpec::deserialize(resource.spec).map_err(unusable)?;
+                let organisation = Organisation {
+                    name: name.into(),
+                    rate_per_s: (spec.rate_per_s > 0.0).then_some(spec.rate_per_s),
+                    burst: spec.burst,
+                    rank: spec.priority,
+                };
+                parts.organisations.push((organisation, spec.api_keys));
+            }
+            "limits" => {
+                let spec = LimitsSpec::deserialize(resource.spec).map_err(unusable)?;
+                parts.limits = limits(&spec);
+            }
+            _ => log::warn!(kind = kind; "the configuration holds an entry of an unknown kind"),
+        }
+    }
+    Ok(parts)
+}
+
+fn route(name: &str, spec: RouteSpec) -> Result<Route, String> {
+    let destinations = match (spec.service, spec.traffic_split) {
+        (Some(service), _) => smallvec![Destination { service: service.into(), weight: 1.0 }],
+        (None, Some(split)) => {
+            let destination =
+                |part: Part| Destination { service: part.service.into(), weight: part.weight };
+            split.into_iter().filter(|part| part.weight > 0.0).map(destination).collect()
+        }
+        (None, None) => smallvec![],
+    };
+    if destinations.is_empty() {
+        return Err(format!("routes/{name}: no service answers"));
+    }
+    Ok(Route {
+        name: name.into(),
+        host: spec.host.to_ascii_lowercase().into(),
+        prefix: spec.path_prefix.into(),
+        destinations,
+        idempotent: spec.kind == RouteKind::Safe,
+        timeout: spec.timeout,
+        answer_within: spec.aim.unwrap_or(spec.timeout),
+        rank: spec.priority,
+        max_attempts: spec.max_attempts.unwrap_or(1).max(1),
+        open: spec.public,
+    })
+}
+
+fn limits(spec: &LimitsSpec) -> CallerLimits {
+    let defaults = CallerLimits::default();
+    CallerLimits {
+        max_header_bytes: spec.max_header_bytes.unwrap_or(defaults.max_header_bytes),
+        max_body_bytes: spec.max_body_bytes.unwrap_or(defaults.max_body_bytes),
+        header_timeout: spec.header_timeout.unwrap_or(defaults.header_timeout),
+        idle_timeout: spec.idle_timeout.unwrap_or(defaults.idle_timeout),
+    }
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,89 @@
+//! The platform's headers of requests and answers.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+
+use crate::mesh::{AnswerHead, CallHead, ReportedLoad, UpstreamHead};
+
+/// Id of one attempt of a client; targets echo it.
+const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
+/// Time that the sender will still wait, in whole milliseconds.
+const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// Key of an organisation.
+const KEY: HeaderName = HeaderName::from_static("x-key");
+/// Organisation of the key, set by the node.
+const TENANT: HeaderName = HeaderName::from_static("x-tenant");
+/// Service beside the node at which the request began, set by the node.
+const CALLER_SERVICE: HeaderName = HeaderName::from_static("x-caller-service");
+/// Id of the only upstream that may run the request.
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
+/// The upstream did not run the request.
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+/// Seal of the upstream's own answers.
+const RESPONSE_SEAL: HeaderName = HeaderName::from_static("x-response-seal");
+/// Running and waiting requests and slots, separated by commas.
+const INSTANCE_LOAD: HeaderName = HeaderName::from_static("x-instance-load");
+
+/// Headers that only a node may set towards an upstream.
+const SET_BY_NODE: [HeaderName; 3] = [TENANT, CALLER_SERVICE, EXPECT_INSTANCE];
+
+pub fn take_call_head(headers: &mut HeaderMap) -> CallHead {
+    let head = CallHead {
+        request_id: text(headers, &ATTEMPT_ID),
+        remaining: text(headers, &DEADLINE_MS)
+            .and_then(|text| text.trim().parse().ok())
+            .map(Duration::from_millis),
+        key: text(headers, &KEY),
+    };
+    for name in [ATTEMPT_ID, DEADLINE_MS, KEY].iter().chain(&SET_BY_NODE) {
+        headers.remove(name);
+    }
+    head
+}
+
+pub fn add_upstream_head(headers: &mut HeaderMap, head: &UpstreamHead<'_>) {
+    let mut set = |name, text: &str| {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    };
+    set(ATTEMPT_ID, head.request_id);
+    set(EXPECT_INSTANCE, head.upstream);
+    set(CALLER_SERVICE, head.caller_service);
+    if let Some(organisation) = head.organisation {
+        set(TENANT, organisation);
+    }
+    let remaining_ms = u64::try_from(head.remaining.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(DEADLINE_MS, HeaderValue::from(remaining_ms));
+}
+
+pub fn answer_head(status: StatusCode, headers: &HeaderMap) -> AnswerHead {
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    AnswerHead {
+        request_id: text(headers, &ATTEMPT_ID),
+        not_run: misdirected || headers.contains_key(NOT_EXECUTED),
+        misdirected,
+        sealed: headers.contains_key(RESPONSE_SEAL),
+        load: headers.get(INSTANCE_LOAD).and_then(|value| load(value.to_str().ok()?)),
+    }
+}
+
+pub fn add_request_id(headers: &mut HeaderMap, request_id: &str) {
+    if let Ok(value) = HeaderValue::from_str(request_id) {
+        headers.insert(ATTEMPT_ID, value);
+    }
+}
+
+fn load(text: &str) -> Option<ReportedLoad> {
+    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
+    Some(ReportedLoad {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<Arc<str>> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(Arc::from)
+}
--- /dev/null
+++ b/src/platform/heartbeat.rs
@@ -0,0 +1,72 @@
+//! Messages of the upstream beside the node: heartbeats and departures.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::Method;
+use serde::Deserialize;
+
+use super::text;
+use crate::mesh::{Heartbeat, UpstreamMessage, UpstreamState};
+
+const PATH_PREFIX: &str = "/instances/";
+
+#[derive(Deserialize)]
+struct Message {
+    address: SocketAddr,
+    /// Unix time of the upstream's start, in milliseconds.
+    #[serde(default)]
+    born: u64,
+    info: Info,
+    status: Status,
+}
+
+#[derive(Deserialize)]
+struct Info {
+    service: String,
+    zone: String,
+    slots: u32,
+}
+
+#[derive(Deserialize)]
+struct Status {
+    state: State,
+    sequence: u64,
+    /// How much longer the upstream is slow after its start.
+    #[serde(default, rename = "coldRemaining", deserialize_with = "text::deserialize_option")]
+    cold: Option<Duration>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    Draining,
+}
+
+pub fn read(method: &Method, path: &str, body: &[u8]) -> Result<UpstreamMessage, String> {
+    let id = path.strip_prefix(PATH_PREFIX).filter(|id| !id.is_empty() && !id.contains('/'));
+    let id = id.ok_or_else(|| format!("no upstream is named by the path {path}"))?;
+    match *method {
+        Method::DELETE => Ok(UpstreamMessage::Leave { upstream: id.into() }),
+        Method::PUT => heartbeat(id, body).map(UpstreamMessage::Heartbeat),
+        _ => Err(format!("the method {method} has no meaning here")),
+    }
+}
+
+fn heartbeat(id: &str, body: &[u8]) -> Result<Heartbeat, String> {
+    let message: Message = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    Ok(Heartbeat {
+        upstream: id.into(),
+        address: message.address,
+        service: message.info.service.into(),
+        zone: message.info.zone.into(),
+        slots: message.info.slots,
+        state: match message.status.state {
+            State::Ready => UpstreamState::Ready,
+            State::Draining => UpstreamState::Draining,
+        },
+        sequence: message.status.sequence,
+        started_unix_ms: message.born,
+        cold: message.status.cold.unwrap_or(Duration::ZERO),
+    })
+}
--- /dev/null
+++ b/src/platform/objects.rs
@@ -0,0 +1,200 @@
+//! Client of the platform's object store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::store::{
+    HttpExchange, Listing, Object, ObjectApi, ObjectVersion, StoreError, failure, parse,
+};
+
+/// Most pages of a list that are read at one go.
+const MAX_PAGES: usize = 64;
+
+/// The platform's object store.
+#[derive(Debug, Clone)]
+pub struct PlatformStore {
+    exchange: HttpExchange,
+    timeout: Duration,
+}
+
+#[derive(Deserialize)]
+struct WireObject {
+    metadata: Metadata,
+    #[serde(default)]
+    spec: Value,
+}
+
+#[derive(Deserialize)]
+struct Metadata {
+    name: Arc<str>,
+    revision: ObjectVersion,
+    /// The object is gone once its finalizers are.
+    #[serde(default)]
+    deleting: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    items: Vec<WireObject>,
+    #[serde(default)]
+    more: bool,
+    store_revision: ObjectVersion,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Events {
+    #[serde(default)]
+    events: Vec<Event>,
+    store_revision: ObjectVersion,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    object: WireObject,
+    #[serde(default)]
+    deleted: bool,
+}
+
+impl WireObject {
+    fn into_object(self, kind: &str, deleted: bool) -> Object {
+        Object {
+            kind: kind.into(),
+            name: self.metadata.name,
+            version: self.metadata.revision,
+            value: (!deleted && !self.metadata.deleting).then_some(self.spec),
+        }
+    }
+}
+
+impl PlatformStore {
+    /// Makes a client; it connects when it is first used.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self { exchange: HttpExchange::new(address, timeout), timeout }
+    }
+
+    /// The HTTP exchange, for its count of calls.
+    pub fn exchange(&self) -> &HttpExchange {
+        &self.exchange
+    }
+
+    async fn get_path(
+        &self,
+        path: &str,
+        limit: Duration,
+    ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
+        self.exchange.call(Method::GET, path, None, limit).await
+    }
+
+    async fn page(&self, kind: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        let path = match after {
+            Some(name) => format!("/objects/{kind}?after={name}"),
+            None => format!("/objects/{kind}"),
+        };
+        let (status, body) = self.get_path(&path, self.timeout).await?;
+        match status {
+            StatusCode::OK => parse(&body),
+            _ => Err(failure(status, &body)),
+        }
+    }
+}
+
+impl ObjectApi for PlatformStore {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
+        let (status, body) =
+            self.get_path(&format!("/objects/{kind}/{name}"), self.timeout).await?;
+        match status {
+            StatusCode::OK => Ok(Some(parse::<WireObject>(&body)?.into_object(kind, false))),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(failure(status, &body)),
+        }
+    }
+
+    async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
+        let mut listing = Listing::default();
+        let mut after: Option<Arc<str>> = None;
+        for _ in 0..MAX_PAGES {
+            let page = self.page(kind, after.as_deref()).await?;
+            // A watch from the first page's version also tells what changed between the pages.
+            if after.is_none() {
+                listing.version = page.store_revision;
+            }
+            after = page.items.last().map(|item| item.metadata.name.clone());
+            listing.objects.extend(page.items.into_iter().map(|it| it.into_object(kind, false)));
+            if !page.more || after.is_none() {
+                return Ok(listing);
+            }
+        }
+        Err(StoreError::Refused(format!("the kind {kind} has more than {MAX_PAGES} pages")))
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        value: Value,
+        if_version: ObjectVersion,
+    ) -> Result<ObjectVersion, StoreError> {
+        let (method, path, metadata) = match if_version {
+            0 => (Method::POST, format!("/objects/{kind}"), json!({ "name": name })),
+            version => (
+                Method::PUT,
+                format!("/objects/{kind}/{name}"),
+                json!({ "name": name, "revision": version }),
+            ),
+        };
+        let body = json!({ "metadata": metadata, "spec": value });
+        let (status, body) = self.exchange.call(method, &path, Some(body), self.timeout).await?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => {
+                Ok(parse::<WireObject>(&body)?.metadata.revision)
+            }
+            StatusCode::CONFLICT => {
+                Err(StoreError::Conflict { current: parse::<WireObject>(&body)?.metadata.revision })
+            }
+            StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: 0 }),
+            _ => Err(failure(status, &body)),
+        }
+    }
+
+    async fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        if_version: ObjectVersion,
+    ) -> Result<(), StoreError> {
+        let path = format!("/objects/{kind}/{name}?revision={if_version}");
+        let (status, body) = self.exchange.call(Method::DELETE, &path, None, self.timeout).await?;
+        match status {
+            StatusCode::CONFLICT => {
+                Err(StoreError::Conflict { current: parse::<WireObject>(&body)?.metadata.revision })
+            }
+            StatusCode::NOT_FOUND => Ok(()),
+            _ if status.is_success() => Ok(()),
+            _ => Err(failure(status, &body)),
+        }
+    }
+
+    async fn watch(
+        &self,
+        kind: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Listing, StoreError> {
+        let path = format!("/objects/{kind}?watch={after}&waitMs={}", wait.as_millis());
+        let (status, body) = self.get_path(&path, wait + self.timeout).await?;
+        if status != StatusCode::OK {
+            return Err(failure(status, &body));
+        }
+        let events: Events = parse(&body)?;
+        let object = |event: Event| event.object.into_object(kind, event.deleted);
+        Ok(Listing {
+            version: events.store_revision,
+            objects: events.events.into_iter().map(object).collect(),
+        })
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -267,7 +267,8 @@
     }
 }
 
-fn check_log_modules(value: &Value, collector: &mut Collector) {
+/// Adds a finding for each module of a logging section that is not the project's own.
+pub fn check_log_modules(value: &Value, collector: &mut Collector) {
     let modules = value.pointer("/log/modules").and_then(Value::as_object);
     for name in modules.into_iter().flatten().map(|(name, _)| name) {
         let top = name.split("::").next().unwrap_or_default();
@@ -291,17 +292,17 @@
         let file = file.into();
         let mut collector = Collector::new(file.clone());
         let listen = Listen {
-            callers: address(&mut collector, "/listen/callers", &raw.listen.callers),
-            upstream: address(&mut collector, "/listen/upstream", &raw.listen.upstream),
-            peers: address(&mut collector, "/listen/peers", &raw.listen.peers),
-            operators: address(&mut collector, "/listen/operators", &raw.listen.operators),
+            callers: parse_address(&mut collector, "/listen/callers", &raw.listen.callers),
+            upstream: parse_address(&mut collector, "/listen/upstream", &raw.listen.upstream),
+            peers: parse_address(&mut collector, "/listen/peers", &raw.listen.peers),
+            operators: parse_address(&mut collector, "/listen/operators", &raw.listen.operators),
         };
         let platform = match raw.platform {
             RawPlatform::Embedded { configuration } => {
                 PlatformSettings::Embedded { configuration: configuration.map(Arc::from) }
             }
             RawPlatform::Http { address: text, timeout_ms } => PlatformSettings::Http {
-                address: address(&mut collector, "/platform/address", &text),
+                address: parse_address(&mut collector, "/platform/address", &text),
                 timeout: Duration::from_millis(timeout_ms),
             },
         };
@@ -324,7 +325,8 @@
     }
 }
 
-fn address(collector: &mut Collector, place: &str, text: &str) -> SocketAddr {
+/// Parses an address; adds a finding where it is none.
+pub fn parse_address(collector: &mut Collector, place: &str, text: &str) -> SocketAddr {
     match text.parse() {
         Ok(address) => address,
         Err(_) => {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,7 +14,7 @@
 use serde_json::Value;
 
 pub use client::HttpStore;
-pub use exchange::HttpExchange;
+pub use exchange::{HttpExchange, failure, parse};
 pub use memory::MemoryStore;
 pub use server::{ObjectService, serve_objects};
 
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -1,8 +1,20 @@
-//! Logging with `fern`: human lines or JSON lines on standard error.
+//! Logging with `fern`: human lines or JSON lines, with the fields that a line carries.
+
+use std::{
+    fmt,
+    io::Write as _,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+};
 
 use fern::Dispatch;
-use log::LevelFilter;
-use serde_json::json;
+use log::{
+    LevelFilter, Record,
+    kv::{Error, Key, VisitSource},
+};
+use serde_json::{Map, Value, json};
 
 use crate::{
     clock,
@@ -14,8 +26,20 @@
 /// Top modules of the project's programs.
 pub const OWN_MODULES: [&str; 4] = ["hibiscusdoor", "hibiscusd", "hibiscusctl", "hibiscus_standin"];
 
+/// Lines that wait to be written; what comes beyond them is dropped and counted.
+const MAX_WAITING_LINES: usize = 4096;
+
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogTarget {
+    /// Standard error, written at once.
+    StandardError,
+    /// Standard output, written by a thread of its own, so that a slow reader delays nobody.
+    StandardOutput,
+}
+
 /// Starts logging for the process.
-pub fn start_logging(settings: &RawLog) -> anyhow::Result<()> {
+pub fn start_logging(settings: &RawLog, target: LogTarget) -> anyhow::Result<()> {
     let mut dispatch = Dispatch::new().level(DEPENDENCIES_LEVEL);
     for program in OWN_MODULES {
         dispatch = dispatch.level_for(program, filter(settings.level));
@@ -26,26 +50,105 @@
     let dispatch = match settings.format {
         LogFormat::Human => dispatch.format(|out, message, record| {
             out.finish(format_args!(
-                "{:.3} {:<5} {}: {message}",
+                "{:.3} {:<5} {}: {message}{}",
                 clock::unix_now().as_secs_f64(),
                 record.level(),
                 record.target(),
+                HumanFields(record),
             ));
         }),
         LogFormat::Json => dispatch.format(|out, message, record| {
-            let line = json!({
-                "unix_s": clock::unix_now().as_secs_f64(),
-                "level": record.level().as_str(),
-                "module": record.target(),
-                "message": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
+            out.finish(format_args!("{}", json_line(message, record)));
         }),
     };
-    dispatch.chain(std::io::stderr()).apply()?;
+    match target {
+        LogTarget::StandardError => dispatch.chain(std::io::stderr()).apply()?,
+        LogTarget::StandardOutput => dispatch.chain(queued_output()?).apply()?,
+    }
     Ok(())
 }
 
+/// Lines that were dropped since the start, because standard output was slow.
+pub fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
+
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Makes an output that never blocks.
+fn queued_output() -> anyhow::Result<fern::Output> {
+    let (sender, lines) = mpsc::sync_channel::<String>(MAX_WAITING_LINES);
+    std::thread::Builder::new().name("log".to_owned()).spawn(move || {
+        let mut output = std::io::stdout().lock();
+        let mut reported = 0;
+        while let Ok(line) = lines.recv() {
+            // A closed output cannot be reported anywhere; the node works on without it.
+            let _ = writeln!(output, "{line}");
+            let dropped = dropped_lines();
+            if dropped > reported {
+                reported = dropped;
+                let _ = writeln!(
+                    output,
+                    "{}",
+                    json!({ "event": "log lines dropped", "dropped": dropped })
+                );
+            }
+        }
+    })?;
+    Ok(fern::Output::call(move |record| {
+        if sender.try_send(record.args().to_string()).is_err() {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        }
+    }))
+}
+
+fn json_line(message: &std::fmt::Arguments<'_>, record: &Record<'_>) -> String {
+    let mut line = Map::new();
+    line.insert("unix_s".to_owned(), json!(clock::unix_now().as_secs_f64()));
+    line.insert("level".to_owned(), json!(record.level().as_str()));
+    line.insert("module".to_owned(), json!(record.target()));
+    line.insert("event".to_owned(), json!(message.to_string()));
+    // The visitor below fails on nothing.
+    let _ = record.key_values().visit(&mut JsonFields(&mut line));
+    Value::Object(line).to_string()
+}
+
+/// Adds the fields of a record to a JSON object.
+struct JsonFields<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for JsonFields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: log::kv::Value<'kvs>) -> Result<(), Error> {
+        let field = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => json!(number),
+            (_, _, Some(flag)) => json!(flag),
+            (_, Some(number), _) => json!(number),
+            _ => json!(value.to_string()),
+        };
+        self.0.insert(key.as_str().to_owned(), field);
+        Ok(())
+    }
+}
+
+/// Writes the fields of a record after its message.
+struct HumanFields<'a>(&'a Record<'a>);
+
+impl fmt::Display for HumanFields<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        struct Fields<'a, 'f>(&'a mut fmt::Formatter<'f>);
+        impl<'kvs> VisitSource<'kvs> for Fields<'_, '_> {
+            fn visit_pair(
+                &mut self,
+                key: Key<'kvs>,
+                value: log::kv::Value<'kvs>,
+            ) -> Result<(), Error> {
+                write!(self.0, " {key}={value}")?;
+                Ok(())
+            }
+        }
+        self.0.key_values().visit(&mut Fields(f)).map_err(|_| fmt::Error)
+    }
+}
+
 fn filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
--- a/tools/protogen/src/main.rs
+++ b/tools/protogen/src/main.rs
@@ -1,25 +1,30 @@
-//! Compiles `proto/peers.proto` into the committed module `src/peers/proto.rs`.
+//! Compiles the files of `proto/` into the committed modules of generated code.
 //!
 //! Run from the repository root: `cargo run --manifest-path tools/protogen/Cargo.toml`.
 
 use anyhow::Context as _;
 
 const PROTO_DIR: &str = "proto";
-const PROTO_FILE: &str = "proto/peers.proto";
-const GENERATED: &str = "hibiscusdoor.peers.v1.rs";
-const TARGET: &str = "src/peers/proto.rs";
+/// Source, name of the generated file, and where it is kept.
+const MODULES: [(&str, &str, &str); 2] = [
+    ("proto/peers.proto", "hibiscusdoor.peers.v1.rs", "src/peers/proto.rs"),
+    ("proto/mesh.proto", "hibiscusdoor.mesh.v1.rs", "src/mesh/proto.rs"),
+];
 
 fn main() -> anyhow::Result<()> {
-    let descriptors =
-        protox::compile([PROTO_FILE], [PROTO_DIR]).context("compiling proto/peers.proto")?;
     let out_dir = std::env::temp_dir().join(format!("protogen-{}", std::process::id()));
     std::fs::create_dir_all(&out_dir)?;
-    tonic_prost_build::configure()
-        .out_dir(&out_dir)
-        .bytes(".")
-        .compile_fds(descriptors)
-        .context("generating code")?;
-    std::fs::copy(out_dir.join(GENERATED), TARGET).context("writing src/peers/proto.rs")?;
+    for (source, generated, target) in MODULES {
+        let descriptors = protox::compile([source], [PROTO_DIR])
+            .with_context(|| format!("compiling {source}"))?;
+        tonic_prost_build::configure()
+            .out_dir(&out_dir)
+            .bytes(".")
+            .compile_fds(descriptors)
+            .context("generating code")?;
+        std::fs::copy(out_dir.join(generated), target)
+            .with_context(|| format!("writing {target}"))?;
+    }
     std::fs::remove_dir_all(&out_dir)?;
     Ok(())
 }
