Bound repeats at each node, and pool rates at a home for each organisation

Each node now keeps its own repeats within the ratio, those of calls below included, and entries draw tokens from the home of an organisation, which fills its bucket by the part of the fleet in contact.

--- a/src/mesh/call.rs
+++ b/src/mesh/call.rs
@@ -1,6 +1,6 @@
 //! One call as the nodes see it, and what calls below it have used.
 
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
 use smallvec::SmallVec;
 
@@ -43,8 +43,8 @@
     pub service: ServiceName,
     /// Time that slots of the service were held, in seconds.
     pub held_s: f64,
-    /// Requests that reached its upstreams.
-    pub arrivals: u32,
+    /// Requests that reached its upstreams; a mean where it speaks of a route.
+    pub arrivals: f64,
 }
 
 /// What a request and the calls below it used.
@@ -56,7 +56,7 @@
 
 impl Usage {
     /// Adds what was used of one service.
-    pub fn add(&mut self, service: &ServiceName, held_s: f64, arrivals: u32) {
+    pub fn add(&mut self, service: &ServiceName, held_s: f64, arrivals: f64) {
         match self.services.iter_mut().find(|known| known.service == *service) {
             Some(known) => {
                 known.held_s += held_s;
@@ -76,3 +76,35 @@
         }
     }
 }
+
+/// Weight of a new request in the mean use of its route.
+const ROUTE_WEIGHT: f64 = 0.05;
+
+/// What requests of each route use on the mean, with the calls below them.
+#[derive(Debug, Default)]
+pub struct LearnedUse {
+    routes: HashMap<Arc<str>, Usage>,
+}
+
+impl LearnedUse {
+    /// Mean use of a route's requests; none before one was answered.
+    pub fn of(&self, route: &str) -> Option<&Usage> {
+        self.routes.get(route)
+    }
+
+    /// A request was answered whole.
+    pub fn learn(&mut self, route: &Arc<str>, usage: &Usage) {
+        let Some(known) = self.routes.get_mut(route) else {
+            self.routes.insert(route.clone(), usage.clone());
+            return;
+        };
+        for used in &mut known.services {
+            used.held_s *= 1.0 - ROUTE_WEIGHT;
+            used.arrivals *= 1.0 - ROUTE_WEIGHT;
+        }
+        for used in &usage.services {
+            // A service that a route rarely calls comes in with its part of the mean too.
+            known.add(&used.service, used.held_s * ROUTE_WEIGHT, used.arrivals * ROUTE_WEIGHT);
+        }
+    }
+}
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -14,7 +14,9 @@
     http_server::pipelined::{Handler, Limits},
     mesh::{
         AttemptEnd, Call, CallHead, Candidate, Catalog, Dialect, Guarded, LoadReport, Member, Node,
-        Organisation, RootVerdict, Route, RunningCall, ServiceUse, Usage, proto,
+        Organisation, RootVerdict, Route, RunningCall, ServiceUse, Usage,
+        drawing::{self, Charge},
+        proto,
         request::{WholeRequest, headers_from_proto, headers_to_proto, remove_connection_headers},
     },
     names::{InstanceName, ServiceName},
@@ -78,6 +80,8 @@
     call: Call,
     /// The request that the upstream beside the node makes this call for.
     parent: Option<Arc<RunningCall>>,
+    /// Organisation that is charged.
+    organisation: Option<Arc<Organisation>>,
 }
 
 /// Answers a request of a caller, or of the upstream beside the node.
@@ -90,9 +94,14 @@
     let head = D::take_call_head(&mut parts.headers);
     let request_id = head.request_id.clone();
     let undispatched = Undispatched::new(true);
-    let admitted = match admit(&node, &head, &parts, arrived) {
-        Ok(admitted) => admitted,
-        Err(refusal) => {
+    let admitted = admit(&node, &head, &parts, arrived);
+    let charged = match &admitted {
+        Ok(admitted) => charge_and_begin(&node, admitted).await,
+        Err(_) => Ok(None),
+    };
+    let (admitted, charge) = match (admitted, charged) {
+        (Ok(admitted), Ok(charge)) => (admitted, charge),
+        (Err(refusal), _) | (_, Err(refusal)) => {
             let not_run = refusal.end(undispatched);
             log::info!(
                 target: "hibiscusdoor::request",
@@ -104,7 +113,7 @@
         }
     };
     let request = whole_request(parts, body);
-    let outcome = run(&node, &admitted, request, undispatched).await;
+    let outcome = run(&node, &admitted, request, undispatched, charge).await;
     log_outcome(&admitted, &outcome, arrived);
     response::<D>(outcome, request_id.as_deref())
 }
@@ -207,26 +216,45 @@
         call.depth = above.depth + 1;
         call.repeated = above.repeated;
     }
-    if call.depth == 0 {
-        admit_root(node, &catalog, route, &call)?;
-    }
-    Ok(Admitted { route: route.clone(), call, parent })
+    Ok(Admitted { route: route.clone(), call, parent, organisation })
 }
 
-fn admit_root<D: Dialect>(
-    node: &Node<D>,
-    catalog: &Catalog,
-    route: &Route,
-    call: &Call,
-) -> Result<(), EntryRefusal> {
-    let urgency = catalog.urgency(call.rank);
-    match node.root_admission.lock().check(clock::now(), &route.name, urgency) {
-        RootVerdict::Admit => Ok(()),
-        RootVerdict::Refuse { service, load } => Err(EntryRefusal {
-            reason: Reason::Overload,
-            detail: format!("the service {service} of the chain is full, load {load:.2}"),
-            retry_after: retry_after(route),
-        }),
+/// Charges a request to its organisation's rate and decides whether it begins.
+async fn charge_and_begin<D: Dialect>(
+    node: &Arc<Node<D>>,
+    admitted: &Admitted,
+) -> Result<Option<Charge>, EntryRefusal> {
+    let route = &admitted.route;
+    let charge = match &admitted.organisation {
+        None => None,
+        Some(organisation) => drawing::charge(node, organisation, route.answer_within)
+            .await
+            .map_err(|retry_after| {
+                let detail = format!("{} is over its rate and burst", organisation.name);
+                EntryRefusal { reason: Reason::OverRate, detail, retry_after }
+            })?,
+    };
+    if admitted.call.depth > 0 {
+        return Ok(charge);
+    }
+    let catalog = node.catalog.load();
+    let urgency = catalog.as_ref().map_or(1.0, |it| it.urgency(admitted.call.rank));
+    let verdict = match node.learned.lock().of(&route.name) {
+        Some(usage) => node.root_admission.lock().check(clock::now(), usage, urgency),
+        None => RootVerdict::Admit,
+    };
+    match verdict {
+        RootVerdict::Admit => Ok(charge),
+        RootVerdict::Refuse { service, load } => {
+            if let Some(charge) = charge {
+                charge.give_back(node);
+            }
+            Err(EntryRefusal {
+                reason: Reason::Overload,
+                detail: format!("the service {service} of the chain is full, load {load:.2}"),
+                retry_after: retry_after(route),
+            })
+        }
     }
 }
 
@@ -275,14 +303,17 @@
     admitted: &Admitted,
     request: WholeRequest,
     undispatched: Undispatched,
+    charge: Option<Charge>,
 ) -> Outcome {
     let (mut outcome, usage, refused) = run_attempts(node, admitted, request, undispatched).await;
-    match &admitted.parent {
-        Some(parent) => parent.call_ended(&usage, refused),
-        None if matches!(&outcome, Outcome::Whole(answer) if answer.status.is_success()) => {
-            node.root_admission.lock().learn(&admitted.call.route, &usage);
-        }
-        None => {}
+    if let Some(charge) = charge.filter(|_| matches!(outcome, Outcome::NotRun(_))) {
+        charge.give_back(node);
+    }
+    if let Some(parent) = &admitted.parent {
+        parent.call_ended(&usage, refused);
+    }
+    if matches!(&outcome, Outcome::Whole(answer) if answer.status.is_success()) {
+        node.learned.lock().learn(&admitted.call.route, &usage);
     }
     if let Outcome::NotRun(not_run) = &mut outcome {
         not_run.retry_after.get_or_insert_with(|| retry_after(&admitted.route));
@@ -302,6 +333,11 @@
     let mut usage = Usage::default();
     let mut reached = 0;
     let mut may_have_run: Option<Unknown> = None;
+    {
+        let learned = node.learned.lock();
+        let below = learned.of(&call.route);
+        node.retries.lock().request(clock::now(), &call.service, below);
+    }
     loop {
         let (instance, guarded) =
             attempt(node, &admitted.route, &call, request.clone(), undispatched, &tried).await;
@@ -328,9 +364,11 @@
         let found = instance.is_some();
         tried.extend(instance);
         let may_try = found
+            && again.is_some()
             && clock::now() < call.deadline
             && tried.len() < MAX_PLACEMENTS
-            && reached < admitted.route.max_attempts;
+            && reached < admitted.route.max_attempts
+            && (reached == 0 || take_retry(node, &call));
         match again.filter(|_| may_try) {
             Some(again) => undispatched = again,
             // A refusal after an attempt that may have run must not be reported as not run.
@@ -343,6 +381,14 @@
     }
 }
 
+/// Takes the right to let a request that has reached an upstream reach another one.
+fn take_retry<D: Dialect>(node: &Node<D>, call: &Call) -> bool {
+    let fleet = node.members.load().all().count();
+    let learned = node.learned.lock();
+    let below = learned.of(&call.route);
+    node.retries.lock().take(clock::now(), &call.service, below, fleet)
+}
+
 async fn attempt<D: Dialect>(
     node: &Arc<Node<D>>,
     route: &Route,
@@ -519,7 +565,7 @@
         usage.services.push(ServiceUse {
             service,
             held_s: f64::from(used.held_us) / 1e6,
-            arrivals: used.arrivals,
+            arrivals: f64::from(used.arrivals),
         });
     }
     drop(root_admission);
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -240,7 +240,7 @@
         let sent = timeout(remaining, send).await;
         let held = clock::now().saturating_sub(begun);
         let mut usage = entry.call.used_below();
-        usage.add(&call.service, held.as_secs_f64(), 1);
+        usage.add(&call.service, held.as_secs_f64(), 1.0);
         let refused_below = entry.call.was_refused_below();
         let mut reached_upstream = true;
         let outcome = match sent {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod control;
 mod dialect;
+mod drawing;
 mod entry;
 mod guard;
 mod members;
@@ -17,15 +18,17 @@
 mod placement;
 #[allow(missing_docs, clippy::all)]
 pub mod proto;
+mod rates;
 mod registry;
 mod request;
+mod retry_budget;
 mod root_admission;
 mod run;
 mod running;
 mod settings;
 
 pub use bounds::Bounds;
-pub use call::{Call, ServiceUse, Usage};
+pub use call::{Call, LearnedUse, ServiceUse, Usage};
 pub use catalog::{CallerLimits, Catalog, CatalogParts, Destination, Organisation, Route, Service};
 pub use dialect::{
     AnswerHead, CallHead, Dialect, Heartbeat, ReportedLoad, UpstreamHead, UpstreamMessage,
@@ -35,7 +38,9 @@
 pub use members::{InstanceRecord, Member, Members, UpstreamRecord};
 pub use node::{FreshnessProof, Node};
 pub use placement::{AttemptEnd, Candidate, LoadReport, Placement};
+pub use rates::{Grant, RateHome, RateStock, Token, Want};
 pub use registry::{Heard, Registry, Upstream};
+pub use retry_budget::{RetryBound, RetryBudget};
 pub use root_admission::{RootAdmission, RootVerdict};
 pub use run::{MeshListeners, run};
 pub use running::{RunningCall, RunningCalls};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -14,8 +14,8 @@
 use crate::{
     clock::Timestamp,
     mesh::{
-        Catalog, Dialect, Guard, Members, MeshSettings, Placement, Registry, RootAdmission,
-        proto::mesh_client::MeshClient,
+        Catalog, Dialect, Guard, LearnedUse, Members, MeshSettings, Placement, RateHome, RateStock,
+        Registry, RetryBound, RetryBudget, RootAdmission, proto::mesh_client::MeshClient,
     },
     names::Incarnation,
     peers::{self, MAX_MESSAGE_BYTES},
@@ -50,6 +50,18 @@
     pub placement: Mutex<Placement>,
     /// Decides which root requests begin.
     pub root_admission: Mutex<RootAdmission>,
+    /// What requests of each route use on the mean.
+    pub learned: Mutex<LearnedUse>,
+    /// Decides whether a request may be sent again.
+    pub retries: Mutex<RetryBudget>,
+    /// The token buckets that this node holds for the fleet.
+    pub home: Mutex<RateHome>,
+    /// The tokens that this entry has drawn.
+    pub stock: Mutex<RateStock>,
+    /// Notified when a request waits for a token.
+    pub draw_now: Notify,
+    /// Notified when tokens have come.
+    pub granted: Notify,
     /// Notified when what the node publishes of itself has changed.
     pub record_changed: Notify,
     /// The listeners finish their requests and close.
@@ -71,6 +83,16 @@
             registry: Mutex::default(),
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
+            learned: Mutex::default(),
+            retries: Mutex::new(RetryBudget::new(RetryBound {
+                ratio: settings.bounds.retry_ratio,
+                window: settings.bounds.retry_window,
+                slack: f64::from(settings.bounds.retry_slack),
+            })),
+            home: Mutex::default(),
+            stock: Mutex::default(),
+            draw_now: Notify::new(),
+            granted: Notify::new(),
             record_changed: Notify::new(),
             stop_serving: CancellationToken::new(),
             peers: Mutex::default(),
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -14,7 +14,7 @@
     call::{Outcome, Undispatched},
     clock,
     mesh::{
-        Call, Dialect, Guarded, Node, Usage,
+        Call, Dialect, Guarded, Node, Usage, drawing,
         proto::{
             self,
             mesh_server::{Mesh, MeshServer},
@@ -81,6 +81,13 @@
         let guarded = self.node.guard.run(call, whole, Undispatched::new(true)).await;
         Ok(Response::new(reply(&self.node, &service, guarded)))
     }
+
+    async fn draw(
+        &self,
+        request: Request<proto::DrawRequest>,
+    ) -> Result<Response<proto::DrawReply>, Status> {
+        Ok(Response::new(drawing::answer(&self.node, request.into_inner())))
+    }
 }
 
 fn reply<D: Dialect>(node: &Node<D>, service: &str, guarded: Guarded) -> proto::ForwardReply {
@@ -130,7 +137,7 @@
         proto::ServiceUse {
             service: used.service.to_string(),
             held_us: micros(used.held_s),
-            arrivals: used.arrivals,
+            arrivals: used.arrivals as u32,
             load_permille: (load * 1000.0).ceil() as u32,
             load_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         }
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -108,6 +108,37 @@
     #[prost(uint32, tag = "5")]
     pub load_age_ms: u32,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DrawRequest {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub wants: ::prost::alloc::vec::Vec<Want>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Want {
+    #[prost(string, tag = "1")]
+    pub organisation: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub tokens: f64,
+    /// Tokens that were drawn before and are not needed.
+    #[prost(double, tag = "3")]
+    pub returned: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DrawReply {
+    /// One for each want, in the same order.
+    #[prost(message, repeated, tag = "1")]
+    pub grants: ::prost::alloc::vec::Vec<Grant>,
+}
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct Grant {
+    #[prost(double, tag = "1")]
+    pub tokens: f64,
+    /// When more can be expected, where less was granted than wanted.
+    #[prost(uint32, tag = "2")]
+    pub retry_after_ms: u32,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -241,6 +272,21 @@
             req.extensions_mut().insert(GrpcMethod::new("hibiscusdoor.mesh.v1.Mesh", "Forward"));
             self.inner.unary(req, path, codec).await
         }
+        /// Draws tokens of organisations that have their home at the asked node, and tells it that the
+        /// asking one is in contact.
+        pub async fn draw(
+            &mut self,
+            request: impl tonic::IntoRequest<super::DrawRequest>,
+        ) -> std::result::Result<tonic::Response<super::DrawReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/hibiscusdoor.mesh.v1.Mesh/Draw");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("hibiscusdoor.mesh.v1.Mesh", "Draw"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -261,6 +307,12 @@
             &self,
             request: tonic::Request<super::ForwardRequest>,
         ) -> std::result::Result<tonic::Response<super::ForwardReply>, tonic::Status>;
+        /// Draws tokens of organisations that have their home at the asked node, and tells it that the
+        /// asking one is in contact.
+        async fn draw(
+            &self,
+            request: tonic::Request<super::DrawRequest>,
+        ) -> std::result::Result<tonic::Response<super::DrawReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct MeshServer<T> {
@@ -372,6 +424,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/hibiscusdoor.mesh.v1.Mesh/Draw" => {
+                    #[allow(non_camel_case_types)]
+                    struct DrawSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::DrawRequest> for DrawSvc<T> {
+                        type Response = super::DrawReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::DrawRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Mesh>::draw(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = DrawSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- /dev/null
+++ b/src/mesh/rates.rs
@@ -0,0 +1,242 @@
+//! Rate and burst of organisations over all nodes.
+//!
+//! Each organisation has a home: one node, found by rendezvous hashing over the known instances,
+//! that holds its token bucket. Entries draw tokens ahead of demand. Nothing is agreed or stored;
+//! what keeps the sum within the rate is that a home fills its buckets by the part of the fleet
+//! that is in contact with it. Parts of a divided fleet so have a part of the rate each.
+//!
+//! Load pattern: one organisation sends eight times its usual demand through all nodes at once,
+//! while another has three requests a second spread over a dozen of them.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    clock::Timestamp,
+    mesh::Organisation,
+    names::{InstanceName, OrganisationName},
+};
+
+/// An instance that was not heard for this long is not in contact.
+const CONTACT_LIFETIME: Duration = Duration::from_millis(1500);
+/// Part of the fleet in contact with which a home has the whole rate: instances may be gone for
+/// good, and the bound on an organisation's requests has room for the rest.
+const WHOLE_RATE_PART: f64 = 0.75;
+/// Demand that is drawn ahead; shorter than the time in which a home is missed.
+const DRAW_AHEAD: Duration = Duration::from_millis(300);
+/// Below this stock nothing is drawn ahead; single tokens are drawn when they are needed.
+const MIN_AHEAD: f64 = 1.0;
+/// Time constant of the demand.
+const DEMAND_MEMORY: Duration = Duration::from_millis(800);
+/// Stock that was not needed for this long goes back.
+const STOCK_LIFETIME: Duration = Duration::from_secs(1);
+/// Longest time that an empty home is not asked again.
+const MAX_DRY: Duration = Duration::from_millis(100);
+
+/// A home's answer to one want.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Grant {
+    /// Tokens that move to the asker.
+    pub tokens: f64,
+    /// When more can be expected, where less was granted than wanted.
+    pub retry_after: Duration,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    level: f64,
+    filled_at: Timestamp,
+}
+
+/// The token buckets that a node holds for the fleet.
+#[derive(Debug, Default)]
+pub struct RateHome {
+    started_at: Option<Timestamp>,
+    contacts: HashMap<InstanceName, Timestamp>,
+    buckets: HashMap<OrganisationName, Bucket>,
+}
+
+impl RateHome {
+    /// An instance is in contact.
+    pub fn heard(&mut self, now: Timestamp, instance: &InstanceName) {
+        self.started_at.get_or_insert(now);
+        match self.contacts.get_mut(instance) {
+            Some(at) => *at = now,
+            None => {
+                self.contacts.insert(instance.clone(), now);
+            }
+        }
+    }
+
+    /// Moves tokens to an entry; `returned` come back from it. `fleet` is the number of instances.
+    pub fn draw(
+        &mut self,
+        now: Timestamp,
+        organisation: &Organisation,
+        wanted: f64,
+        returned: f64,
+        fleet: usize,
+    ) -> Grant {
+        let Some(rate_per_s) = organisation.rate_per_s else {
+            return Grant { tokens: wanted, retry_after: Duration::ZERO };
+        };
+        let part = self.part(now, fleet);
+        let (rate_per_s, burst) = (rate_per_s * part, (organisation.burst * part).max(1.0));
+        // A bucket that nobody asked for has been filling since the node was first asked at all.
+        let started_at = self.started_at.unwrap_or(now);
+        let bucket = self
+            .buckets
+            .entry(organisation.name.clone())
+            .or_insert(Bucket { level: 0.0, filled_at: started_at });
+        let elapsed_s = now.saturating_sub(bucket.filled_at).as_secs_f64();
+        bucket.filled_at = now;
+        bucket.level = (bucket.level + returned + rate_per_s * elapsed_s).min(burst);
+        let tokens = wanted.min(bucket.level.floor()).max(0.0);
+        bucket.level -= tokens;
+        let missing = (wanted - tokens).min(1.0);
+        let retry_after = match missing > 0.0 {
+            true => Duration::from_secs_f64(((1.0 - bucket.level) / rate_per_s).clamp(0.0, 60.0)),
+            false => Duration::ZERO,
+        };
+        Grant { tokens, retry_after }
+    }
+
+    /// Part of the rate that this home may grant.
+    fn part(&mut self, now: Timestamp, fleet: usize) -> f64 {
+        self.contacts.retain(|_, at| now < *at + CONTACT_LIFETIME);
+        let part = self.contacts.len() as f64 / fleet.max(1) as f64;
+        if part >= WHOLE_RATE_PART { 1.0 } else { part }
+    }
+}
+
+/// What an entry wants of a home.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Want {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// Tokens wanted.
+    pub tokens: f64,
+    /// Tokens that go back.
+    pub returned: f64,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    stock: f64,
+    /// Requests that wait for a token.
+    waiting: u32,
+    demand_per_s: f64,
+    counted_at: Timestamp,
+    last_taken: Timestamp,
+    dry_until: Timestamp,
+    retry_after: Duration,
+}
+
+/// What came of asking for a token.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Token {
+    /// It was taken.
+    Taken,
+    /// One must be drawn first.
+    Draw,
+    /// The home is empty.
+    Dry {
+        /// When the organisation may have one.
+        retry_after: Duration,
+    },
+}
+
+/// The tokens that an entry has drawn.
+#[derive(Debug, Default)]
+pub struct RateStock {
+    accounts: HashMap<OrganisationName, Account>,
+}
+
+impl RateStock {
+    /// Takes a token for a request; `again` where the same request asked before.
+    pub fn take(&mut self, now: Timestamp, organisation: &OrganisationName, again: bool) -> Token {
+        let account = match self.accounts.get_mut(organisation) {
+            Some(account) => account,
+            None => self.accounts.entry(organisation.clone()).or_default(),
+        };
+        if !again {
+            account.count(now);
+        }
+        if account.stock >= 1.0 {
+            account.stock -= 1.0;
+            account.last_taken = now;
+            return Token::Taken;
+        }
+        match now < account.dry_until {
+            true => Token::Dry { retry_after: account.retry_after },
+            false => Token::Draw,
+        }
+    }
+
+    /// A request waits for a token, or no longer does.
+    pub fn waits(&mut self, organisation: &OrganisationName, waits: bool) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            match waits {
+                true => account.waiting += 1,
+                false => account.waiting = account.waiting.saturating_sub(1),
+            }
+        }
+    }
+
+    /// Puts a token back, since the request did not reach an upstream.
+    pub fn give_back(&mut self, organisation: &OrganisationName) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.stock += 1.0;
+        }
+    }
+
+    /// What is to be drawn now, for the organisations that `homed` names.
+    pub fn wants(
+        &mut self,
+        now: Timestamp,
+        homed: impl Fn(&OrganisationName) -> bool,
+    ) -> Vec<Want> {
+        let mut wants = Vec::new();
+        for (organisation, account) in &mut self.accounts {
+            if !homed(organisation) {
+                continue;
+            }
+            account.decay(now);
+            let ahead = account.demand_per_s * DRAW_AHEAD.as_secs_f64();
+            let ahead = if ahead >= MIN_AHEAD { ahead } else { 0.0 };
+            let target = f64::from(account.waiting) + ahead;
+            let idle = now > account.last_taken + STOCK_LIFETIME;
+            let returned = if idle { account.stock } else { 0.0 };
+            account.stock -= returned;
+            let missing = (target - account.stock).ceil();
+            let due = missing >= 1.0 && now >= account.dry_until;
+            // Half of the stock is left when more is drawn, so that draws stay few.
+            let low = account.waiting > 0 || account.stock < target * 0.5;
+            let tokens = if due && low { missing } else { 0.0 };
+            if tokens > 0.0 || returned > 0.0 {
+                wants.push(Want { organisation: organisation.clone(), tokens, returned });
+            }
+        }
+        wants
+    }
+
+    /// A home has answered a want.
+    pub fn granted(&mut self, now: Timestamp, organisation: &OrganisationName, grant: Grant) {
+        let Some(account) = self.accounts.get_mut(organisation) else { return };
+        account.stock += grant.tokens;
+        account.retry_after = grant.retry_after;
+        account.dry_until = now + grant.retry_after.min(MAX_DRY);
+    }
+}
+
+impl Account {
+    fn count(&mut self, now: Timestamp) {
+        self.decay(now);
+        self.demand_per_s += 1.0 / DEMAND_MEMORY.as_secs_f64();
+    }
+
+    fn decay(&mut self, now: Timestamp) {
+        let elapsed_s = now.saturating_sub(self.counted_at).as_secs_f64();
+        self.demand_per_s *= (-elapsed_s / DEMAND_MEMORY.as_secs_f64()).exp();
+        self.counted_at = self.counted_at.max(now);
+    }
+}
--- a/src/mesh/root_admission.rs
+++ b/src/mesh/root_admission.rs
@@ -10,7 +10,7 @@
 //! allowance binds only while the service is nearly full. It follows the load that replies report
 //! in such a way that the service stays busy and its queue short.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use crate::{clock::Timestamp, mesh::Usage, names::ServiceName};
 
@@ -36,9 +36,6 @@
 /// Unused allowance that is kept, and how far the most urgent roots may overdraw it.
 const KEPT: Duration = Duration::from_millis(250);
 const OVERDRAFT: Duration = Duration::from_millis(500);
-/// Weight of a new request in the mean use of its route.
-const ROUTE_WEIGHT: f64 = 0.05;
-
 /// What to do with a root request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RootVerdict {
@@ -69,13 +66,12 @@
 #[derive(Debug, Default)]
 pub struct RootAdmission {
     allowances: HashMap<ServiceName, Allowance>,
-    routes: HashMap<Arc<str>, Usage>,
 }
 
 impl RootAdmission {
-    /// Decides on a root request; `urgency` is 1 for the most urgent rank and 0 for the least.
-    pub fn check(&mut self, now: Timestamp, route: &str, urgency: f64) -> RootVerdict {
-        let Some(usage) = self.routes.get(route) else { return RootVerdict::Admit };
+    /// Decides on a root request whose route uses `usage` on the mean; `urgency` is 1 for the most
+    /// urgent rank and 0 for the least.
+    pub fn check(&mut self, now: Timestamp, usage: &Usage, urgency: f64) -> RootVerdict {
         for used in &usage.services {
             let Some(allowance) = self.allowances.get_mut(&used.service) else { continue };
             allowance.refill(now);
@@ -93,24 +89,6 @@
         RootVerdict::Admit
     }
 
-    /// A root request was answered whole.
-    pub fn learn(&mut self, route: &Arc<str>, usage: &Usage) {
-        let Some(known) = self.routes.get_mut(route) else {
-            self.routes.insert(route.clone(), usage.clone());
-            return;
-        };
-        for used in &mut known.services {
-            used.held_s *= 1.0 - ROUTE_WEIGHT;
-        }
-        for used in &usage.services {
-            let held_s = used.held_s * ROUTE_WEIGHT;
-            match known.services.iter_mut().find(|it| it.service == used.service) {
-                Some(known) => known.held_s += held_s,
-                None => known.add(&used.service, used.held_s, used.arrivals),
-            }
-        }
-    }
-
     /// A reply told the load of a service as it was at `at`.
     pub fn reported(&mut self, now: Timestamp, service: &ServiceName, load: f64, at: Timestamp) {
         let Some(allowance) = self.allowances.get_mut(service) else {
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -14,8 +14,8 @@
     findings::{Collector, Findings},
     http_server::{self, pipelined},
     mesh::{
-        Dialect, Heard, MeshSettings, Node, Upstream, UpstreamMessage, control, entry::Callers,
-        peer_service,
+        Dialect, Heard, MeshSettings, Node, Upstream, UpstreamMessage, control, drawing,
+        entry::Callers, peer_service,
     },
 };
 
@@ -77,6 +77,9 @@
     let mut control_tasks = JoinSet::new();
     control_tasks.spawn(control::follow_configuration(node.clone()));
     control_tasks.spawn(control::publish(node.clone()));
+    for number in 0..drawing::MAX_HOMES {
+        control_tasks.spawn(drawing::run(node.clone(), number));
+    }
     serving.spawn(peer_service::serve(listeners.peers, node.clone(), stop.clone()));
     serving.spawn({
         let node = node.clone();
