--- /dev/null
+++ b/src/mesh/charge.rs
@@ -0,0 +1,83 @@
+//! The charge of a request to its organisation's rate.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{Instant, timeout};
+
+use crate::{
+    clock,
+    mesh::{Dialect, Node, Organisation, Token},
+    names::OrganisationName,
+};
+
+/// Longest time that a request waits for a token.
+const MAX_WAIT: Duration = Duration::from_millis(120);
+/// The same as a part of the time within which it wants its answer.
+const MAX_WAIT_PART: u32 = 8;
+/// Shortest Retry-After of an organisation beyond its rate.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// A token that was taken for a request; it is spent unless it is given back.
+#[derive(Debug)]
+pub struct Charge(OrganisationName);
+
+impl Charge {
+    /// Puts the token back, since the request has not run.
+    pub fn give_back<D: Dialect>(self, node: &Node<D>) {
+        node.stock.lock().give_back(&self.0);
+    }
+}
+
+/// Takes a token for a request, if need be after a short wait; the error says when the
+/// organisation may have one. None is needed where its rate is not limited.
+pub async fn charge<D: Dialect>(
+    node: &Arc<Node<D>>,
+    organisation: &Organisation,
+    answer_within: Duration,
+) -> Result<Option<Charge>, Duration> {
+    if organisation.rate_per_s.is_none() {
+        return Ok(None);
+    }
+    let name = &organisation.name;
+    let give_up = Instant::now() + MAX_WAIT.min(answer_within / MAX_WAIT_PART);
+    let mut waiting: Option<Waiting<'_, D>> = None;
+    loop {
+        // Registered before the stock is looked at, so that no grant is missed.
+        let granted = node.granted.notified();
+        tokio::pin!(granted);
+        granted.as_mut().enable();
+        let token = node.stock.lock().take(clock::now(), name, waiting.is_some());
+        match token {
+            Token::Taken => return Ok(Some(Charge(name.clone()))),
+            Token::Dry { retry_after } => return Err(retry_after.max(MIN_RETRY_AFTER)),
+            Token::Draw => {}
+        }
+        if waiting.is_none() {
+            waiting = Some(Waiting::begin(node, name));
+        }
+        node.sync_now.send_replace(());
+        let left = give_up.saturating_duration_since(Instant::now());
+        if left.is_zero() || timeout(left, granted).await.is_err() {
+            return Err(MIN_RETRY_AFTER);
+        }
+    }
+}
+
+/// Counts a request among those that wait for a token.
+struct Waiting<'a, D: Dialect> {
+    node: &'a Node<D>,
+    organisation: &'a OrganisationName,
+}
+
+impl<'a, D: Dialect> Waiting<'a, D> {
+    fn begin(node: &'a Node<D>, organisation: &'a OrganisationName) -> Self {
+        node.stock.lock().waits(organisation, true);
+        Self { node, organisation }
+    }
+}
+
+impl<D: Dialect> Drop for Waiting<'_, D> {
+    fn drop(&mut self) {
+        self.node.stock.lock().waits(self.organisation, false);
+    }
+}
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -1,174 +1,113 @@
-//! Tasks that keep the node's view of the store current and publish its own record.
+//! The node's own entry in the store, and the addresses of the others.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use rand::RngExt as _;
-use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::{
-    clock,
-    mesh::{
-        Catalog, Dialect, InstanceRecord, Node, UpstreamRecord, UpstreamState, members::kind_of,
-    },
-    names::ServiceName,
+    mesh::{Dialect, InstanceAddress, Node, pause::jittered, sync},
+    names::InstanceName,
     store::{ObjectApi as _, ObjectVersion, StoreError},
 };
 
-/// Time between two reads of the configuration; with the time for one call it must stay below
-/// the bound in which a change is in force.
-const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(1000);
-/// Longest wait of one watch; a connection that has gone silent is found when it ends.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Pause after a call to the store failed.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Pause after a change of the records, so that changes that come together are read together.
-const SETTLE_DELAY: Duration = Duration::from_millis(50);
+/// Kind of the objects that tell where each instance is.
+const KIND_INSTANCES: &str = "hibiscusdoor-instances";
+/// Pause after a call to the store failed; it doubles up to the longest.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(250);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Part by which pauses vary.
+const PAUSE_SPREAD: f64 = 0.2;
+/// Time between two readings of all addresses: instances that are gone for good disappear by it.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(60);
+/// The same after the node has registered for the first time: others may have done so at the same
+/// moment, when a whole fleet starts.
+const EARLY_REFRESHES: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(3)];
 
-/// Reads the configuration again and again.
-pub async fn follow_configuration<D: Dialect>(node: Arc<Node<D>>) {
-    let (kind, name) = D::CONFIGURATION;
-    let mut known: ObjectVersion = 0;
-    let mut following = JoinSet::new();
-    let mut followed: Vec<ServiceName> = Vec::new();
+/// Registers the node in the store and keeps the addresses of the fleet.
+pub async fn register<D: Dialect>(node: Arc<Node<D>>) {
+    let mut retry_delay = FIRST_RETRY_DELAY;
+    let mut early_refreshes = [].iter();
     loop {
-        let began = clock::now();
-        let read = node.store.get(kind, name).await;
-        let pause = match read {
-            Ok(Some(object)) if object.version == known => {
-                node.proof.shown(began);
-                CONFIGURATION_INTERVAL
-            }
-            Ok(Some(object)) if object.version > known => {
-                match object.value.as_ref().map(|value| D::catalog(value, object.version)) {
-                    Some(Ok(parts)) => {
-                        let catalog = Catalog::new(parts);
-                        log::info!(
-                            revision = catalog.revision, version = object.version,
-                            routes = catalog.route_count();
-                            "configuration is in force here"
-                        );
-                        known = object.version;
-                        for service in catalog.service_names() {
-                            if !followed.contains(service) {
-                                followed.push(service.clone());
-                                following.spawn(follow_service(node.clone(), service.clone()));
-                            }
-                        }
-                        node.catalog.store(Some(Arc::new(catalog)));
-                        node.proof.shown(began);
-                    }
-                    Some(Err(cause)) => {
-                        log::error!(version = object.version, cause = cause; "unusable configuration");
-                    }
-                    None => log::warn!("the configuration has been deleted"),
+        let pause = match read_and_register(&node).await {
+            Ok(registration) => {
+                retry_delay = FIRST_RETRY_DELAY;
+                if registration == Registration::New {
+                    early_refreshes = EARLY_REFRESHES.iter();
                 }
-                CONFIGURATION_INTERVAL
-            }
-            Ok(_) => RETRY_DELAY,
-            Err(error) => {
-                log::warn!(cause:% = error; "reading the configuration failed");
-                RETRY_DELAY
+                early_refreshes.next().copied().unwrap_or(REFRESH_INTERVAL)
             }
-        };
-        tokio::time::sleep(jittered(pause)).await;
-    }
-}
-
-/// Keeps the records of a service's instances current.
-async fn follow_service<D: Dialect>(node: Arc<Node<D>>, service: ServiceName) {
-    let kind = kind_of(&service);
-    'list: loop {
-        let listing = match node.store.list(&kind).await {
-            Ok(listing) => listing,
             Err(error) => {
-                log::warn!(service:% = service, cause:% = error; "listing instances failed");
-                tokio::time::sleep(jittered(RETRY_DELAY)).await;
-                continue;
+                log::warn!(cause:% = error; "registering in the store failed");
+                // Without the store, the seeds tell of the others.
+                ask_seeds(&node).await;
+                let pause = retry_delay;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                pause
             }
         };
-        let mut after = listing.version;
-        update(&node, |members| members.replace(&service, listing.objects));
-        loop {
-            match node.store.watch(&kind, after, WATCH_WAIT).await {
-                Ok(changes) => {
-                    after = after.max(changes.version);
-                    if !changes.objects.is_empty() {
-                        update(&node, |members| members.apply(&service, changes.objects));
-                        tokio::time::sleep(jittered(SETTLE_DELAY)).await;
-                    }
-                }
-                Err(StoreError::Expired) => continue 'list,
-                Err(error) => {
-                    log::warn!(service:% = service, cause:% = error; "watching instances failed");
-                    tokio::time::sleep(jittered(RETRY_DELAY)).await;
-                    // Changes may have been missed by a watch that was cut.
-                    continue 'list;
-                }
-            }
-        }
+        sleep(jittered(pause, PAUSE_SPREAD)).await;
     }
 }
 
-fn update<D: Dialect>(node: &Node<D>, change: impl FnOnce(&mut crate::mesh::Members)) {
-    let mut members = crate::mesh::Members::clone(&node.members.load());
-    change(&mut members);
-    node.members.store(Arc::new(members));
+/// Whether the store had the node's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registration {
+    New,
+    Known,
 }
 
-/// Publishes the node's own record whenever it changes.
-pub async fn publish<D: Dialect>(node: Arc<Node<D>>) {
-    let mut published: Option<(ServiceName, InstanceRecord)> = None;
+async fn read_and_register<D: Dialect>(node: &Node<D>) -> Result<Registration, StoreError> {
+    let listing = node.store.list(KIND_INSTANCES).await?;
+    let own_name = &node.settings.instance;
+    let own = InstanceAddress {
+        zone: node.settings.zone.clone(),
+        peer_address: node.settings.listen.peers,
+    };
     let mut version: ObjectVersion = 0;
-    loop {
-        let wanted = own_record(&node);
-        if published.as_ref() == Some(&wanted) {
-            node.record_changed.notified().await;
-            continue;
+    let mut addresses: BTreeMap<InstanceName, InstanceAddress> = BTreeMap::new();
+    for object in listing.objects {
+        let Some(value) = object.value else { continue };
+        if object.name == *own_name {
+            version = object.version;
         }
-        let (service, record) = &wanted;
-        let value = match serde_json::to_value(record) {
-            Ok(value) => value,
+        match serde_json::from_value(value) {
+            Ok(address) => drop(addresses.insert(object.name, address)),
             Err(error) => {
-                log::error!(cause:% = error; "the instance record has no JSON form");
-                return;
-            }
-        };
-        let kind = kind_of(service);
-        match node.store.put(&kind, &node.settings.instance, value, version).await {
-            Ok(written) => {
-                log::info!(version = written, leaving = record.leaving; "instance record published");
-                version = written;
-                published = Some(wanted);
-            }
-            Err(StoreError::Conflict { current }) => version = current,
-            Err(error) => {
-                log::warn!(cause:% = error; "publishing the instance record failed");
-                tokio::time::sleep(jittered(RETRY_DELAY)).await;
+                log::warn!(instance:% = object.name, cause:% = error; "unreadable address");
             }
         }
     }
+    let is_registered = addresses.get(own_name) == Some(&own);
+    addresses.insert(own_name.clone(), own.clone());
+    node.stored(addresses);
+    if is_registered {
+        return Ok(Registration::Known);
+    }
+    let value = serde_json::to_value(&own)
+        .map_err(|error| StoreError::Refused(format!("the address has no JSON form: {error}")))?;
+    let written = node.store.put(KIND_INSTANCES, own_name, value, version).await?;
+    log::info!(version = written; "registered in the store");
+    Ok(Registration::New)
 }
 
-fn own_record<D: Dialect>(node: &Node<D>) -> (ServiceName, InstanceRecord) {
-    let registry = node.registry.lock();
-    let upstream = registry.current();
-    let service = upstream.map_or(&node.settings.service, |it| &it.heartbeat.service);
-    let record = InstanceRecord {
-        incarnation: node.incarnation,
-        zone: node.settings.zone.clone(),
-        peer_address: node.settings.listen.peers,
-        leaving: node.is_leaving(),
-        upstream: upstream.map(|upstream| {
-            let state =
-                if upstream.is_ready() { UpstreamState::Ready } else { UpstreamState::Draining };
-            let heartbeat = &upstream.heartbeat;
-            UpstreamRecord::new(heartbeat.upstream.clone(), heartbeat.slots, state)
-        }),
-    };
-    (service.clone(), record)
+async fn ask_seeds<D: Dialect>(node: &Arc<Node<D>>) {
+    for seed in &node.settings.seeds {
+        let address = InstanceAddress { zone: node.settings.zone.clone(), peer_address: *seed };
+        if let Err(cause) = sync::ask(node, &address).await {
+            log::debug!(seed:% = seed, cause = cause; "a seed does not answer");
+        }
+    }
 }
 
-/// Spreads calls of nodes that began at the same moment.
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.85..1.15))
+/// Removes the node's entry, since its instance goes for good.
+pub async fn deregister<D: Dialect>(node: &Node<D>) {
+    let name = &node.settings.instance;
+    let removed = async {
+        let Some(object) = node.store.get(KIND_INSTANCES, name).await? else { return Ok(()) };
+        node.store.delete(KIND_INSTANCES, name, object.version).await
+    };
+    match removed.await {
+        Ok(()) => log::info!("removed from the store"),
+        Err(error) => log::warn!(cause:% = error; "removing the entry in the store failed"),
+    }
 }
--- /dev/null
+++ b/src/mesh/directory.rs
@@ -0,0 +1,254 @@
+//! The instances of the fleet as a node knows them.
+//!
+//! The store keeps only where each instance is. What changes often, the upstream of an instance
+//! and whether it takes requests, passes from node to node: each node tells its record to a few
+//! hubs and asks them for what has changed. A record is placed by generation and sequence, so it
+//! may come late and by any way.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Timestamp,
+    names::{InstanceName, ServiceName, ZoneName},
+};
+
+/// A node that a hub has not heard for this long gets no requests; nodes ask their hubs several
+/// times in it.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1300);
+
+/// Where an instance is, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct InstanceAddress {
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Where other nodes reach the node.
+    pub peer_address: SocketAddr,
+}
+
+/// The upstream beside a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamRecord {
+    /// Id of the upstream.
+    pub id: InstanceName,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// It takes new work.
+    pub ready: bool,
+}
+
+/// What a node tells of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InstanceRecord {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Higher than that of any process before under the name.
+    pub generation: u64,
+    /// Rises with each change of one process.
+    pub sequence: u64,
+    /// Where it is.
+    pub address: InstanceAddress,
+    /// The node finishes its work and stops.
+    pub leaving: bool,
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// The upstream beside the node, once it has announced itself.
+    pub upstream: Option<UpstreamRecord>,
+}
+
+impl InstanceRecord {
+    /// The instance goes for good: its node stops after its upstream has left.
+    fn is_gone(&self) -> bool {
+        self.leaving && self.upstream.is_none()
+    }
+
+    fn version(&self) -> (u64, u64) {
+        (self.generation, self.sequence)
+    }
+}
+
+/// One instance with what is known of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// What it tells of itself.
+    pub record: InstanceRecord,
+    /// The fleet's hub has not heard of it lately.
+    pub silent: bool,
+}
+
+impl Member {
+    /// The upstream, where it takes new work.
+    pub fn ready_upstream(&self) -> Option<&UpstreamRecord> {
+        if self.record.leaving || self.silent {
+            return None;
+        }
+        self.record.upstream.as_ref().filter(|upstream| upstream.ready)
+    }
+}
+
+/// The instances in the form that the request path reads.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    services: HashMap<ServiceName, Vec<Arc<Member>>>,
+    /// Where each instance is, by name; those of the store that told nothing yet included.
+    addresses: BTreeMap<InstanceName, InstanceAddress>,
+}
+
+impl Members {
+    /// The instances of a service.
+    pub fn of(&self, service: &str) -> &[Arc<Member>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All instances by name.
+    pub fn addresses(&self) -> &BTreeMap<InstanceName, InstanceAddress> {
+        &self.addresses
+    }
+
+    /// Number of instances.
+    pub fn len(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Tells whether no instance is known.
+    pub fn is_empty(&self) -> bool {
+        self.addresses.is_empty()
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    member: Arc<Member>,
+    /// Number of the change that made the entry what it is.
+    changed: u64,
+    /// When the instance itself was heard.
+    heard_at: Option<Timestamp>,
+}
+
+/// What has changed at a hub.
+#[derive(Debug)]
+pub struct Changes {
+    /// Number of the last change.
+    pub sequence: u64,
+    /// The changed entries.
+    pub members: Vec<Arc<Member>>,
+}
+
+/// The instances that a node knows, and what it tells others of them as a hub.
+#[derive(Debug, Default)]
+pub struct Directory {
+    entries: BTreeMap<InstanceName, Entry>,
+    stored: BTreeMap<InstanceName, InstanceAddress>,
+    sequence: u64,
+}
+
+impl Directory {
+    /// Takes the addresses that the store keeps. Instances that it no longer has are forgotten.
+    pub fn stored(&mut self, addresses: BTreeMap<InstanceName, InstanceAddress>) {
+        // An instance that was heard since may have registered after the list was read.
+        self.entries.retain(|name, entry| addresses.contains_key(name) || !entry.member.silent);
+        self.stored = addresses;
+        for entry in self.entries.values().filter(|entry| !entry.member.record.is_gone()) {
+            let record = &entry.member.record;
+            self.stored.insert(record.instance.clone(), record.address.clone());
+        }
+    }
+
+    /// Takes a record; false where it is not newer than the known one.
+    pub fn merge(&mut self, record: InstanceRecord) -> bool {
+        let known = self.entries.get(&record.instance);
+        if known.is_some_and(|known| known.member.record.version() >= record.version()) {
+            return false;
+        }
+        let heard_at = known.and_then(|known| known.heard_at);
+        match record.is_gone() {
+            true => drop(self.stored.remove(&record.instance)),
+            false => drop(self.stored.insert(record.instance.clone(), record.address.clone())),
+        }
+        self.sequence += 1;
+        let name = record.instance.clone();
+        let member = Arc::new(Member { record, silent: false });
+        self.entries.insert(name, Entry { member, changed: self.sequence, heard_at });
+        true
+    }
+
+    /// Takes what a hub says of an instance's silence; false where that is known.
+    pub fn merge_silence(&mut self, instance: &str, silent: bool) -> bool {
+        let Some(entry) = self.entries.get_mut(instance) else { return false };
+        if entry.member.silent == silent {
+            return false;
+        }
+        self.sequence += 1;
+        entry.changed = self.sequence;
+        Arc::make_mut(&mut entry.member).silent = silent;
+        true
+    }
+
+    /// An instance itself was heard; true where it was taken for silent.
+    pub fn heard(&mut self, now: Timestamp, instance: &str) -> bool {
+        let Some(entry) = self.entries.get_mut(instance) else { return false };
+        entry.heard_at = Some(now);
+        self.merge_silence(instance, false)
+    }
+
+    /// The node begins to act as a hub; what it heard before says nothing of the time between.
+    pub fn begin_hearing(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.heard_at = None;
+        }
+    }
+
+    /// Looks which instances have not been heard lately; only a hub hears all. True where that
+    /// has changed.
+    pub fn look_for_silence(&mut self, now: Timestamp, own: &str) -> bool {
+        let silent: Vec<InstanceName> = self
+            .entries
+            .iter()
+            .filter(|(name, entry)| {
+                let late = entry.heard_at.is_some_and(|at| now > at + SILENCE_LIMIT);
+                late && !entry.member.silent && ***name != *own
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &silent {
+            self.merge_silence(name, true);
+        }
+        !silent.is_empty()
+    }
+
+    /// Instances that are in contact.
+    pub fn contacts(&self, now: Timestamp) -> usize {
+        let recent = |entry: &&Entry| entry.heard_at.is_some_and(|at| now <= at + SILENCE_LIMIT);
+        self.entries.values().filter(recent).count()
+    }
+
+    /// Version of an instance's record.
+    pub fn version_of(&self, instance: &str) -> Option<(u64, u64)> {
+        self.entries.get(instance).map(|entry| entry.member.record.version())
+    }
+
+    /// What has changed since a change that the asker knows of.
+    pub fn changes_since(&self, known: u64) -> Changes {
+        let changed = self.entries.values().filter(|entry| entry.changed > known);
+        Changes {
+            sequence: self.sequence,
+            members: changed.map(|entry| entry.member.clone()).collect(),
+        }
+    }
+
+    /// The instances in the form that the request path reads.
+    pub fn members(&self) -> Members {
+        let mut members = Members { addresses: self.stored.clone(), ..Default::default() };
+        for entry in self.entries.values() {
+            let service = entry.member.record.service.clone();
+            members.services.entry(service).or_default().push(entry.member.clone());
+        }
+        members
+    }
+}
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -15,7 +15,7 @@
     mesh::{
         AttemptEnd, Call, CallHead, Candidate, Catalog, Dialect, Guarded, LoadReport, Member, Node,
         Organisation, RootVerdict, Route, RunningCall, ServiceUse, Usage,
-        drawing::{self, Charge},
+        charge::{self, Charge},
         proto,
         request::{WholeRequest, headers_from_proto, headers_to_proto, remove_connection_headers},
     },
@@ -181,6 +181,8 @@
     parts: &Parts,
     arrived: Timestamp,
 ) -> Result<Admitted, EntryRefusal> {
+    // Looked at before the configuration: a proof that came in between would be of a newer one.
+    let keys_are_fresh = node.keys_are_fresh(clock::now());
     let Some(catalog) = node.catalog.load_full() else {
         return Err(EntryRefusal::new(Reason::NoRight, "no configuration was read yet"));
     };
@@ -191,7 +193,7 @@
     let Some(request_id) = head.request_id.clone() else {
         return Err(EntryRefusal::new(Reason::BadRequest, "the request has no id"));
     };
-    let organisation = organisation(node, &catalog, route, head)?;
+    let organisation = organisation(&catalog, route, head, keys_are_fresh)?;
     let allowed = head.remaining.map_or(route.timeout, |remaining| remaining.min(route.timeout));
     let parent_id = D::parent_id(&request_id);
     let parent = parent_id.and_then(|id| node.guard.running.find(id));
@@ -227,7 +229,7 @@
     let route = &admitted.route;
     let charge = match &admitted.organisation {
         None => None,
-        Some(organisation) => drawing::charge(node, organisation, route.answer_within)
+        Some(organisation) => charge::charge(node, organisation, route.answer_within)
             .await
             .map_err(|retry_after| {
                 let detail = format!("{} is over its rate and burst", organisation.name);
@@ -275,16 +277,16 @@
     route.destinations[route.destinations.len() - 1].service.clone()
 }
 
-fn organisation<D: Dialect>(
-    node: &Node<D>,
+fn organisation(
     catalog: &Catalog,
     route: &Route,
     head: &CallHead,
+    keys_are_fresh: bool,
 ) -> Result<Option<Arc<Organisation>>, EntryRefusal> {
     if route.open {
         return Ok(None);
     }
-    if !node.keys_are_fresh(clock::now()) {
+    if !keys_are_fresh {
         let detail = "the node cannot show that its configuration is current";
         return Err(EntryRefusal::new(Reason::NoRight, detail));
     }
@@ -383,7 +385,7 @@
 
 /// Takes the right to let a request that has reached an upstream reach another one.
 fn take_retry<D: Dialect>(node: &Node<D>, call: &Call) -> bool {
-    let fleet = node.members.load().all().count();
+    let fleet = node.members.load().len();
     let learned = node.learned.lock();
     let below = learned.of(&call.route);
     node.retries.lock().take(clock::now(), &call.service, below, fleet)
@@ -401,14 +403,14 @@
     let ready: SmallVec<[(&Arc<Member>, u32); 16]> = members
         .of(&call.service)
         .iter()
-        .filter(|member| !tried.contains(&member.instance))
+        .filter(|member| !tried.contains(&member.record.instance))
         .filter_map(|member| Some((member, member.ready_upstream()?.slots)))
         .collect();
     let candidates: SmallVec<[Candidate<'_>; 16]> = ready
         .iter()
         .map(|(member, slots)| Candidate {
-            instance: &member.instance,
-            same_zone: member.record.zone == node.settings.zone,
+            instance: &member.record.instance,
+            same_zone: member.record.address.zone == node.settings.zone,
             slots: *slots,
         })
         .collect();
@@ -421,7 +423,7 @@
     };
     let member = ready[index].0;
     let mut used = Used::begin(node, member, call);
-    let guarded = match member.instance == node.settings.instance {
+    let guarded = match member.record.instance == node.settings.instance {
         true => node.guard.run(call.clone(), request, undispatched).await,
         false => forward(node, member, call, request, undispatched).await,
     };
@@ -429,13 +431,13 @@
     drop(used);
     let now = clock::now();
     let load = {
-        let names = members.of(&call.service).iter().map(|member| &member.instance);
+        let names = members.of(&call.service).iter().map(|member| &member.record.instance);
         node.placement.lock().load_of(now, names)
     };
     if let Some(load) = load {
         node.root_admission.lock().reported(now, &call.service, load, now);
     }
-    (Some(member.instance.clone()), guarded)
+    (Some(member.record.instance.clone()), guarded)
 }
 
 /// Counts an attempt at an instance, also when the caller goes away in its course.
@@ -449,7 +451,7 @@
 
 impl<'a, D: Dialect> Used<'a, D> {
     fn begin(node: &'a Node<D>, member: &'a Member, call: &'a Call) -> Self {
-        let (instance, route) = (&member.instance, &call.route);
+        let (instance, route) = (&member.record.instance, &call.route);
         node.placement.lock().started(clock::now(), instance);
         Self { node, instance, route, end: AttemptEnd::Abandoned, report: None }
     }
@@ -501,7 +503,7 @@
         return not_sent(undispatched, Reason::DeadlinePassed, detail);
     }
     let message = to_message(call, request, remaining);
-    let mut peer = node.peer(member.record.peer_address);
+    let mut peer = node.peer(member.record.address.peer_address);
     let forwarding = Forwarding::begin(undispatched);
     let unknown = |forwarding: Forwarding, reason, detail: String| Guarded {
         reached_upstream: true,
@@ -510,14 +512,14 @@
     let reply = match timeout(remaining, peer.forward(message)).await {
         Ok(Ok(reply)) => reply.into_inner(),
         Ok(Err(status)) => {
-            let detail = format!("{} did not answer: {}", member.instance, status.message());
+            let detail = format!("{} did not answer: {}", member.record.instance, status.message());
             if peers::not_connected(&status) {
                 return not_sent(forwarding.not_sent(), Reason::PeerFailed, detail);
             }
             return unknown(forwarding, Reason::PeerFailed, detail);
         }
         Err(_) => {
-            let detail = format!("no answer of {} in time", member.instance);
+            let detail = format!("no answer of {} in time", member.record.instance);
             return unknown(forwarding, Reason::DeadlinePassed, detail);
         }
     };
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -1,6 +1,14 @@
 //! The guard of the upstream beside the node: admission, dispatch and the check of the answer.
 
-use std::{collections::HashMap, marker::PhantomData, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    marker::PhantomData,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -32,6 +40,8 @@
 /// Time after an upstream said that it leaves in which requests that are under way still reach
 /// it; the platform allows twice as long.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Time between two looks whether the upstream still runs something.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Weight of a new request in the mean time of its route.
 const ROUTE_WEIGHT: f64 = 0.1;
 
@@ -74,6 +84,7 @@
     gate: Gate<SlotLimit>,
     connections: ConnectionPool,
     route_s: Mutex<HashMap<Arc<str>, f64>>,
+    refusing: AtomicBool,
     dialect: PhantomData<D>,
 }
 
@@ -86,6 +97,7 @@
             gate: Gate::default(),
             connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_ANSWER_BYTES),
             route_s: Mutex::default(),
+            refusing: AtomicBool::new(false),
             dialect: PhantomData,
         }
     }
@@ -114,6 +126,18 @@
         }
     }
 
+    /// Takes no new request; the node is leaving.
+    pub fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::Release);
+    }
+
+    /// Waits until the upstream runs nothing.
+    pub async fn wait_until_idle(&self) {
+        while !self.running.is_empty() {
+            tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Figures of the gate before the upstream.
     pub fn figures(&self) -> Option<GateFigures> {
         self.gate.figures()
@@ -270,6 +294,9 @@
 
     fn serving(&self, call: &Call) -> Option<Arc<Upstream>> {
         let upstream = self.upstream.load_full()?;
+        if self.refusing.load(Ordering::Acquire) {
+            return None;
+        }
         let serves = upstream.heartbeat.service == call.service
             && upstream.takes_requests(clock::now(), LEAVE_GRACE);
         serves.then_some(upstream)
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -7,13 +7,15 @@
 mod bounds;
 mod call;
 mod catalog;
+mod charge;
+mod configuration;
 mod control;
 mod dialect;
-mod drawing;
+mod directory;
 mod entry;
 mod guard;
-mod members;
 mod node;
+mod pause;
 mod peer_service;
 mod placement;
 #[allow(missing_docs, clippy::all)]
@@ -26,16 +28,20 @@
 mod run;
 mod running;
 mod settings;
+mod sync;
 
 pub use bounds::Bounds;
 pub use call::{Call, LearnedUse, ServiceUse, Usage};
 pub use catalog::{CallerLimits, Catalog, CatalogParts, Destination, Organisation, Route, Service};
+pub use configuration::CatalogSource;
 pub use dialect::{
     AnswerHead, CallHead, Dialect, Heartbeat, ReportedLoad, UpstreamHead, UpstreamMessage,
     UpstreamState,
 };
+pub use directory::{
+    Changes, Directory, InstanceAddress, InstanceRecord, Member, Members, UpstreamRecord,
+};
 pub use guard::{Guard, Guarded};
-pub use members::{InstanceRecord, Member, Members, UpstreamRecord};
 pub use node::{FreshnessProof, Node};
 pub use placement::{AttemptEnd, Candidate, LoadReport, Placement};
 pub use rates::{Grant, RateHome, RateStock, Token, Want};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -1,29 +1,36 @@
 //! State that the listeners and tasks of a node share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     clock::Timestamp,
     mesh::{
-        Catalog, Dialect, Guard, LearnedUse, Members, MeshSettings, Placement, RateHome, RateStock,
-        Registry, RetryBound, RetryBudget, RootAdmission, proto::mesh_client::MeshClient,
+        Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
+        LearnedUse, Members, MeshSettings, Placement, RateHome, RateStock, Registry, RetryBound,
+        RetryBudget, RootAdmission, UpstreamRecord, proto::mesh_client::MeshClient,
     },
-    names::Incarnation,
+    names::{Incarnation, InstanceName},
     peers::{self, MAX_MESSAGE_BYTES},
+    store::ObjectVersion,
 };
 
 /// Client of another node.
 pub type Peer = MeshClient<tonic::transport::Channel>;
 
+/// A node that has not acted as a hub for this long no longer is one.
+const HUB_LIFETIME_MS: u64 = 1_000;
 /// Time kept back from the bound on withdrawn keys for the check itself.
 const REVOKE_MARGIN: Duration = Duration::from_millis(150);
 
@@ -34,14 +41,18 @@
     pub settings: MeshSettings,
     /// The platform's object store.
     pub store: D::Store,
-    /// This process among those that ran under the instance's name.
+    /// Drawn at random by each process, so that a new process is recognised.
     pub incarnation: Incarnation,
     /// Configuration in force at this node; none before one was read.
     pub catalog: ArcSwapOption<Catalog>,
+    /// The same as it lies in the store.
+    pub source: ArcSwapOption<CatalogSource>,
     /// When the newest read of the store began that showed the catalog to be the newest.
     pub proof: FreshnessProof,
-    /// The instances of the mesh.
+    /// The instances of the fleet in the form that the request path reads.
     pub members: ArcSwap<Members>,
+    /// The instances of the fleet.
+    pub directory: Mutex<Directory>,
     /// The guard of the upstream beside the node.
     pub guard: Arc<Guard<D>>,
     /// What is known of the upstream beside the node.
@@ -58,27 +69,44 @@
     pub home: Mutex<RateHome>,
     /// The tokens that this entry has drawn.
     pub stock: Mutex<RateStock>,
-    /// Notified when a request waits for a token.
-    pub draw_now: Notify,
+    /// Marked as changed when a request waits for a token or the node's record changes.
+    pub sync_now: watch::Sender<()>,
     /// Notified when tokens have come.
     pub granted: Notify,
-    /// Notified when what the node publishes of itself has changed.
-    pub record_changed: Notify,
-    /// The listeners finish their requests and close.
-    pub stop_serving: CancellationToken,
+    /// Notified when another node claims to know of a newer configuration or proof.
+    pub fresher: Notify,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
+    own: Mutex<InstanceRecord>,
+    fresher_peer: Mutex<Option<InstanceName>>,
+    /// Milliseconds since boot at which the node last acted as the first hub.
+    first_hub_at_ms: AtomicU64,
     leaving: AtomicBool,
 }
 
 impl<D: Dialect> Node<D> {
     /// Makes the state of a node that has just started.
     pub fn new(settings: MeshSettings) -> Self {
+        let address =
+            InstanceAddress { zone: settings.zone.clone(), peer_address: settings.listen.peers };
+        let own = InstanceRecord {
+            instance: settings.instance.clone(),
+            generation: 1,
+            sequence: 1,
+            address,
+            leaving: false,
+            service: settings.service.clone(),
+            upstream: None,
+        };
+        let mut directory = Directory::default();
+        directory.merge(own.clone());
         Self {
             store: D::store(settings.store, settings.store_timeout),
             incarnation: rand::random(),
             catalog: ArcSwapOption::empty(),
+            source: ArcSwapOption::empty(),
             proof: FreshnessProof::default(),
-            members: ArcSwap::default(),
+            members: ArcSwap::from_pointee(directory.members()),
+            directory: Mutex::new(directory),
             guard: Arc::default(),
             registry: Mutex::default(),
             placement: Mutex::new(Placement::new(rand::random())),
@@ -91,11 +119,13 @@
             })),
             home: Mutex::default(),
             stock: Mutex::default(),
-            draw_now: Notify::new(),
+            sync_now: watch::Sender::new(()),
             granted: Notify::new(),
-            record_changed: Notify::new(),
-            stop_serving: CancellationToken::new(),
+            fresher: Notify::new(),
             peers: Mutex::default(),
+            own: Mutex::new(own),
+            fresher_peer: Mutex::default(),
+            first_hub_at_ms: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             settings,
         }
@@ -117,10 +147,25 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Takes no new work from other nodes and from callers elsewhere.
+    /// Tells that the node finishes its work and stops.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Release);
-        self.record_changed.notify_one();
+        self.update_record();
+    }
+
+    /// Version of the configuration in force; 0 before one was read.
+    pub fn catalog_version(&self) -> ObjectVersion {
+        self.source.load().as_ref().map_or(0, |source| source.version)
+    }
+
+    /// Puts a configuration in force; false where it is not newer.
+    pub fn adopt(&self, catalog: Catalog, source: CatalogSource) -> bool {
+        if source.version <= self.catalog_version() {
+            return false;
+        }
+        self.catalog.store(Some(Arc::new(catalog)));
+        self.source.store(Some(Arc::new(source)));
+        true
     }
 
     /// Tells whether keys may be accepted: the configuration was shown to be current lately.
@@ -135,6 +180,100 @@
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.catalog.load().is_some()
     }
+
+    /// The upstream beside the node has left, so the instance goes for good.
+    pub fn upstream_has_left(&self) -> bool {
+        self.registry.lock().has_left()
+    }
+
+    /// What the node tells of itself.
+    pub fn own_record(&self) -> InstanceRecord {
+        self.own.lock().clone()
+    }
+
+    /// Brings what the node tells of itself up to date.
+    pub fn update_record(&self) {
+        let registry = self.registry.lock();
+        let upstream = registry.current();
+        let service = upstream.map_or(&self.settings.service, |it| &it.heartbeat.service).clone();
+        let stays = upstream.filter(|_| !(self.is_leaving() && registry.has_left()));
+        let upstream = stays.map(|it| UpstreamRecord {
+            id: it.heartbeat.upstream.clone(),
+            slots: it.heartbeat.slots,
+            ready: it.is_ready(),
+        });
+        drop(registry);
+        let mut own = self.own.lock();
+        let leaving = self.is_leaving();
+        if own.leaving == leaving && own.service == service && own.upstream == upstream {
+            return;
+        }
+        own.leaving = leaving;
+        own.service = service;
+        own.upstream = upstream;
+        own.sequence += 1;
+        self.publish(&own);
+    }
+
+    /// Another process under this name had this generation, or still has a record with it.
+    pub fn raise_generation(&self, known: u64) {
+        let mut own = self.own.lock();
+        if own.generation <= known {
+            own.generation = known + 1;
+            self.publish(&own);
+        }
+    }
+
+    fn publish(&self, own: &InstanceRecord) {
+        let mut directory = self.directory.lock();
+        directory.merge(own.clone());
+        self.members.store(Arc::new(directory.members()));
+        self.sync_now.send_replace(());
+    }
+
+    /// Takes the addresses that the store keeps.
+    pub fn stored(&self, addresses: BTreeMap<InstanceName, InstanceAddress>) {
+        let mut directory = self.directory.lock();
+        directory.stored(addresses);
+        self.members.store(Arc::new(directory.members()));
+    }
+
+    /// The node acts as a hub.
+    pub fn is_hub(&self, number: usize, now: Timestamp) {
+        if number > 0 {
+            return;
+        }
+        let was_hub = self.is_first_hub(now);
+        self.first_hub_at_ms.store(millis(now), Ordering::Release);
+        let mut directory = self.directory.lock();
+        if !was_hub {
+            directory.begin_hearing();
+        }
+        if directory.look_for_silence(now, &self.settings.instance) {
+            self.members.store(Arc::new(directory.members()));
+        }
+    }
+
+    /// Tells whether the node acts as the first hub.
+    pub fn is_first_hub(&self, now: Timestamp) -> bool {
+        let at_ms = self.first_hub_at_ms.load(Ordering::Acquire);
+        at_ms > 0 && millis(now) < at_ms + HUB_LIFETIME_MS
+    }
+
+    /// Another node claims to know of a newer configuration or proof.
+    pub fn fresher_peer(&self, instance: &InstanceName) {
+        *self.fresher_peer.lock() = Some(instance.clone());
+        self.fresher.notify_one();
+    }
+
+    /// The node that claimed so last.
+    pub fn take_fresher_peer(&self) -> Option<InstanceName> {
+        self.fresher_peer.lock().take()
+    }
+}
+
+fn millis(time: Timestamp) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// When the newest read of the store began that showed the configuration to be current.
@@ -147,8 +286,7 @@
 impl FreshnessProof {
     /// A read that began at `began` has shown the configuration to be current.
     pub fn shown(&self, began: Timestamp) {
-        let began_ms = u64::try_from(began.as_millis()).unwrap_or(u64::MAX);
-        self.began_ms.fetch_max(began_ms, Ordering::AcqRel);
+        self.began_ms.fetch_max(millis(began), Ordering::AcqRel);
     }
 
     /// Age of the newest proof; very long where there is none.
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -14,12 +14,13 @@
     call::{Outcome, Undispatched},
     clock,
     mesh::{
-        Call, Dialect, Guarded, Node, Usage, drawing,
+        Call, Dialect, Guarded, Node, Usage,
         proto::{
             self,
             mesh_server::{Mesh, MeshServer},
         },
         request::{WholeRequest, headers_from_proto, headers_to_proto, remove_connection_headers},
+        sync,
     },
     peers::MAX_MESSAGE_BYTES,
 };
@@ -82,11 +83,11 @@
         Ok(Response::new(reply(&self.node, &service, guarded)))
     }
 
-    async fn draw(
+    async fn sync(
         &self,
-        request: Request<proto::DrawRequest>,
-    ) -> Result<Response<proto::DrawReply>, Status> {
-        Ok(Response::new(drawing::answer(&self.node, request.into_inner())))
+        request: Request<proto::SyncRequest>,
+    ) -> Result<Response<proto::SyncReply>, Status> {
+        Ok(Response::new(sync::answer(&self.node, request.into_inner())))
     }
 }
 
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -108,14 +108,84 @@
     #[prost(uint32, tag = "5")]
     pub load_age_ms: u32,
 }
+/// What a node tells of itself and its upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct InstanceRecord {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Higher than that of any process before under the name.
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+    /// Rises with each change of one process.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    #[prost(string, tag = "4")]
+    pub zone: ::prost::alloc::string::String,
+    /// IP address and port.
+    #[prost(string, tag = "5")]
+    pub peer_address: ::prost::alloc::string::String,
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    #[prost(string, tag = "7")]
+    pub service: ::prost::alloc::string::String,
+    /// Id of the upstream; empty where there is none.
+    #[prost(string, tag = "8")]
+    pub upstream: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "9")]
+    pub slots: u32,
+    #[prost(bool, tag = "10")]
+    pub ready: bool,
+    /// The hub has not heard of it lately.
+    #[prost(bool, tag = "11")]
+    pub silent: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct DrawRequest {
+pub struct SyncRequest {
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
-    #[prost(message, repeated, tag = "2")]
+    /// Sent when the hub may not have it.
+    #[prost(message, optional, tag = "2")]
+    pub record: ::core::option::Option<InstanceRecord>,
+    /// What the asker has of the hub's records.
+    #[prost(uint64, tag = "3")]
+    pub hub_incarnation: u64,
+    #[prost(uint64, tag = "4")]
+    pub hub_sequence: u64,
+    /// Version of the asker's configuration, and the age of its proof.
+    #[prost(uint64, tag = "5")]
+    pub catalog_version: u64,
+    #[prost(uint32, tag = "6")]
+    pub proof_age_ms: u32,
+    #[prost(message, repeated, tag = "7")]
     pub wants: ::prost::alloc::vec::Vec<Want>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SyncReply {
+    #[prost(uint64, tag = "1")]
+    pub hub_incarnation: u64,
+    #[prost(uint64, tag = "2")]
+    pub hub_sequence: u64,
+    /// Records that changed since what the asker has.
+    #[prost(message, repeated, tag = "3")]
+    pub records: ::prost::alloc::vec::Vec<InstanceRecord>,
+    /// Version of the hub's configuration, and the age of its proof when the reply was sent.
+    #[prost(uint64, tag = "4")]
+    pub catalog_version: u64,
+    #[prost(uint32, tag = "5")]
+    pub proof_age_ms: u32,
+    /// The configuration, compressed, where the asker has an older one.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub catalog: ::prost::bytes::Bytes,
+    /// One for each want, in the same order.
+    #[prost(message, repeated, tag = "7")]
+    pub grants: ::prost::alloc::vec::Vec<Grant>,
+    /// Record of the asker that the hub has.
+    #[prost(uint64, tag = "8")]
+    pub known_generation: u64,
+    #[prost(uint64, tag = "9")]
+    pub known_sequence: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Want {
     #[prost(string, tag = "1")]
     pub organisation: ::prost::alloc::string::String,
@@ -125,12 +195,6 @@
     #[prost(double, tag = "3")]
     pub returned: f64,
 }
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct DrawReply {
-    /// One for each want, in the same order.
-    #[prost(message, repeated, tag = "1")]
-    pub grants: ::prost::alloc::vec::Vec<Grant>,
-}
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct Grant {
     #[prost(double, tag = "1")]
@@ -272,19 +336,19 @@
             req.extensions_mut().insert(GrpcMethod::new("hibiscusdoor.mesh.v1.Mesh", "Forward"));
             self.inner.unary(req, path, codec).await
         }
-        /// Draws tokens of organisations that have their home at the asked node, and tells it that the
-        /// asking one is in contact.
-        pub async fn draw(
+        /// Keeps the asking node in contact with one of the fleet's hubs: records of instances, the
+        /// configuration with its proof, and tokens of the organisations that have their home there.
+        pub async fn sync(
             &mut self,
-            request: impl tonic::IntoRequest<super::DrawRequest>,
-        ) -> std::result::Result<tonic::Response<super::DrawReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::SyncRequest>,
+        ) -> std::result::Result<tonic::Response<super::SyncReply>, tonic::Status> {
             self.inner.ready().await.map_err(|e| {
                 tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
             })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static("/hibiscusdoor.mesh.v1.Mesh/Draw");
+            let path = http::uri::PathAndQuery::from_static("/hibiscusdoor.mesh.v1.Mesh/Sync");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("hibiscusdoor.mesh.v1.Mesh", "Draw"));
+            req.extensions_mut().insert(GrpcMethod::new("hibiscusdoor.mesh.v1.Mesh", "Sync"));
             self.inner.unary(req, path, codec).await
         }
     }
@@ -307,12 +371,12 @@
             &self,
             request: tonic::Request<super::ForwardRequest>,
         ) -> std::result::Result<tonic::Response<super::ForwardReply>, tonic::Status>;
-        /// Draws tokens of organisations that have their home at the asked node, and tells it that the
-        /// asking one is in contact.
-        async fn draw(
+        /// Keeps the asking node in contact with one of the fleet's hubs: records of instances, the
+        /// configuration with its proof, and tokens of the organisations that have their home there.
+        async fn sync(
             &self,
-            request: tonic::Request<super::DrawRequest>,
-        ) -> std::result::Result<tonic::Response<super::DrawReply>, tonic::Status>;
+            request: tonic::Request<super::SyncRequest>,
+        ) -> std::result::Result<tonic::Response<super::SyncReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct MeshServer<T> {
@@ -424,18 +488,18 @@
                     };
                     Box::pin(fut)
                 }
-                "/hibiscusdoor.mesh.v1.Mesh/Draw" => {
+                "/hibiscusdoor.mesh.v1.Mesh/Sync" => {
                     #[allow(non_camel_case_types)]
-                    struct DrawSvc<T: Mesh>(pub Arc<T>);
-                    impl<T: Mesh> tonic::server::UnaryService<super::DrawRequest> for DrawSvc<T> {
-                        type Response = super::DrawReply;
+                    struct SyncSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::SyncRequest> for SyncSvc<T> {
+                        type Response = super::SyncReply;
                         type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::DrawRequest>,
+                            request: tonic::Request<super::SyncRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move { <T as Mesh>::draw(&inner, request).await };
+                            let fut = async move { <T as Mesh>::sync(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -445,7 +509,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = DrawSvc(inner);
+                        let method = SyncSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -10,14 +10,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::{
-    clock::Timestamp,
-    mesh::Organisation,
-    names::{InstanceName, OrganisationName},
-};
-
-/// An instance that was not heard for this long is not in contact.
-const CONTACT_LIFETIME: Duration = Duration::from_millis(1500);
+use crate::{clock::Timestamp, mesh::Organisation, names::OrganisationName};
+
 /// Part of the fleet in contact with which a home has the whole rate: instances may be gone for
 /// good, and the bound on an organisation's requests has room for the rest.
 const WHOLE_RATE_PART: f64 = 0.75;
@@ -51,36 +45,32 @@
 #[derive(Debug, Default)]
 pub struct RateHome {
     started_at: Option<Timestamp>,
-    contacts: HashMap<InstanceName, Timestamp>,
+    /// Part of the rate that this home may grant.
+    part: f64,
     buckets: HashMap<OrganisationName, Bucket>,
 }
 
 impl RateHome {
-    /// An instance is in contact.
-    pub fn heard(&mut self, now: Timestamp, instance: &InstanceName) {
+    /// This many of the fleet's instances are in contact with the home.
+    pub fn in_contact(&mut self, now: Timestamp, contacts: usize, fleet: usize) {
         self.started_at.get_or_insert(now);
-        match self.contacts.get_mut(instance) {
-            Some(at) => *at = now,
-            None => {
-                self.contacts.insert(instance.clone(), now);
-            }
-        }
+        let part = contacts as f64 / fleet.max(1) as f64;
+        self.part = if part >= WHOLE_RATE_PART { 1.0 } else { part };
     }
 
-    /// Moves tokens to an entry; `returned` come back from it. `fleet` is the number of instances.
+    /// Moves tokens to an entry; `returned` come back from it.
     pub fn draw(
         &mut self,
         now: Timestamp,
         organisation: &Organisation,
         wanted: f64,
         returned: f64,
-        fleet: usize,
     ) -> Grant {
         let Some(rate_per_s) = organisation.rate_per_s else {
             return Grant { tokens: wanted, retry_after: Duration::ZERO };
         };
-        let part = self.part(now, fleet);
-        let (rate_per_s, burst) = (rate_per_s * part, (organisation.burst * part).max(1.0));
+        let rate_per_s = rate_per_s * self.part;
+        let burst = (organisation.burst * self.part).max(1.0);
         // A bucket that nobody asked for has been filling since the node was first asked at all.
         let started_at = self.started_at.unwrap_or(now);
         let bucket = self
@@ -99,13 +89,6 @@
         };
         Grant { tokens, retry_after }
     }
-
-    /// Part of the rate that this home may grant.
-    fn part(&mut self, now: Timestamp, fleet: usize) -> f64 {
-        self.contacts.retain(|_, at| now < *at + CONTACT_LIFETIME);
-        let part = self.contacts.len() as f64 / fleet.max(1) as f64;
-        if part >= WHOLE_RATE_PART { 1.0 } else { part }
-    }
 }
 
 /// What an entry wants of a home.
@@ -219,6 +202,15 @@
         wants
     }
 
+    /// Wants did not reach a home, so what they return stays here.
+    pub fn not_drawn(&mut self, wants: &[Want]) {
+        for want in wants {
+            if let Some(account) = self.accounts.get_mut(&want.organisation) {
+                account.stock += want.returned;
+            }
+        }
+    }
+
     /// A home has answered a want.
     pub fn granted(&mut self, now: Timestamp, organisation: &OrganisationName, grant: Grant) {
         let Some(account) = self.accounts.get_mut(organisation) else { return };
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -85,6 +85,11 @@
         Heard::Changed
     }
 
+    /// The upstream has said that it leaves for good.
+    pub fn has_left(&self) -> bool {
+        self.current.as_ref().is_some_and(|current| self.has_departed(&current.heartbeat))
+    }
+
     fn has_departed(&self, heartbeat: &Heartbeat) -> bool {
         self.departed.as_ref().is_some_and(|(upstream, started_unix_ms)| {
             *upstream == heartbeat.upstream && heartbeat.started_unix_ms <= *started_unix_ms
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -1,12 +1,16 @@
 //! Listeners, tasks and shutdown of a node in a mesh.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use tokio::{net::TcpListener, task::JoinSet, time::timeout};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{Instant, sleep, timeout, timeout_at},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -14,14 +18,17 @@
     findings::{Collector, Findings},
     http_server::{self, pipelined},
     mesh::{
-        Dialect, Heard, MeshSettings, Node, Upstream, UpstreamMessage, control, drawing,
-        entry::Callers, peer_service,
+        Dialect, Heard, MeshSettings, Node, Upstream, UpstreamMessage, configuration, control,
+        entry::Callers, peer_service, sync,
     },
 };
 
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
-/// Part of the time until the kill that is kept for joining tasks.
+/// Time that is kept before the kill for joining tasks.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time after the signal to stop in which the other nodes learn that this one is leaving, while
+/// it still takes their requests.
+const LINGER: Duration = Duration::from_millis(500);
 
 /// Listeners that are bound before the node starts.
 #[derive(Debug)]
@@ -72,36 +79,25 @@
 ) -> anyhow::Result<()> {
     let grace = settings.bounds.grace;
     let node = Arc::new(Node::<D>::new(settings));
-    let serving = TaskTracker::new();
-    let (stop, cut) = (node.stop_serving.clone(), CancellationToken::new());
+    let (stop_callers, stop_peers) = (CancellationToken::new(), CancellationToken::new());
+    let (stop_answering, cut) = (CancellationToken::new(), CancellationToken::new());
+    let (callers, peers, answering) = (TaskTracker::new(), TaskTracker::new(), TaskTracker::new());
     let mut control_tasks = JoinSet::new();
-    control_tasks.spawn(control::follow_configuration(node.clone()));
-    control_tasks.spawn(control::publish(node.clone()));
-    for number in 0..drawing::MAX_HOMES {
-        control_tasks.spawn(drawing::run(node.clone(), number));
+    control_tasks.spawn(control::register(node.clone()));
+    control_tasks.spawn(configuration::follow(node.clone()));
+    for number in 0..sync::MAX_HUBS {
+        control_tasks.spawn(sync::run(node.clone(), number));
     }
-    serving.spawn(peer_service::serve(listeners.peers, node.clone(), stop.clone()));
-    serving.spawn({
-        let node = node.clone();
-        pipelined::serve(listeners.callers, stop.clone(), cut.clone(), Callers(node))
-    });
-    serving.spawn({
-        let node = node.clone();
-        http_server::serve(listeners.heartbeats, stop.clone(), move |request| {
-            heartbeat(node.clone(), request)
-        })
-    });
-    let asked = CancellationToken::new();
-    let answering = TaskTracker::new();
-    answering.spawn({
-        let node = node.clone();
-        http_server::serve(listeners.readiness, asked.clone(), move |request| {
-            readiness(node.clone(), request)
-        })
-    });
-    answering.spawn(http_server::serve(listeners.operators, asked.clone(), |_| async {
-        http_server::text(StatusCode::OK, "")
-    }));
+    callers.spawn(pipelined::serve(
+        listeners.callers,
+        stop_callers.clone(),
+        cut.clone(),
+        Callers(node.clone()),
+    ));
+    peers.spawn(peer_service::serve(listeners.peers, node.clone(), stop_peers.clone()));
+    answering.spawn(serve_with(&node, listeners.heartbeats, &stop_answering, heartbeat));
+    answering.spawn(serve_with(&node, listeners.readiness, &stop_answering, readiness));
+    answering.spawn(serve_with(&node, listeners.operators, &stop_answering, operators));
     log::info!(
         instance:% = node.settings.instance, incarnation = node.incarnation,
         service:% = node.settings.service;
@@ -109,21 +105,62 @@
     );
 
     shutdown.cancelled().await;
-    log::info!("node is stopping");
+    let deadline = Instant::now() + grace.saturating_sub(STOP_MARGIN);
+    log::info!(running = node.guard.running.len(); "node is stopping");
     node.leave();
-    stop.cancel();
-    serving.close();
-    if timeout(grace.saturating_sub(STOP_MARGIN), serving.wait()).await.is_err() {
-        log::warn!(left = serving.len(); "requests did not end within the grace period");
+    let linger = async {
+        sleep(LINGER).await;
+        node.guard.refuse_new();
+        node.guard.wait_until_idle().await;
+    };
+    let _ = timeout_at(deadline, linger).await;
+    stop_callers.cancel();
+    callers.close();
+    let _ = timeout_at(deadline, callers.wait()).await;
+    stop_peers.cancel();
+    peers.close();
+    let rest = async {
+        peers.wait().await;
+        node.guard.tasks.close();
+        node.guard.tasks.wait().await;
+    };
+    if timeout_at(deadline, rest).await.is_err() {
+        let running = node.guard.running.len();
+        log::warn!(running = running; "requests did not end within the grace period");
+    }
+    if node.upstream_has_left() {
+        let _ = timeout(STOP_MARGIN / 2, control::deregister(&node)).await;
     }
     cut.cancel();
-    asked.cancel();
+    stop_answering.cancel();
     answering.close();
     control_tasks.shutdown().await;
     log::info!("node has stopped");
     Ok(())
 }
 
+/// Serves a listener with requests that are answered at once.
+fn serve_with<D, F>(
+    node: &Arc<Node<D>>,
+    listener: TcpListener,
+    stop: &CancellationToken,
+    answer: fn(Arc<Node<D>>, Request<Incoming>) -> F,
+) -> impl Future<Output = ()> + Send + use<D, F>
+where
+    D: Dialect,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let node = node.clone();
+    http_server::serve(listener, stop.clone(), move |request| answer(node.clone(), request))
+}
+
+async fn operators<D: Dialect>(
+    _node: Arc<Node<D>>,
+    _request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    http_server::text(StatusCode::NOT_FOUND, "no such path")
+}
+
 async fn readiness<D: Dialect>(
     node: Arc<Node<D>>,
     request: Request<Incoming>,
@@ -170,7 +207,7 @@
         && let Some(upstream) = upstream
     {
         node.guard.set_upstream(upstream);
-        node.record_changed.notify_one();
+        node.update_record();
     }
     http_server::json(StatusCode::OK, &serde_json::json!({}))
 }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -34,6 +34,9 @@
     pub listen: RawMeshListen,
     /// The platform's object store.
     pub store: RawStore,
+    /// Nodes that may be asked for the others while the store is away.
+    #[serde(default)]
+    pub seeds: Vec<String>,
     /// Bounds that the platform sets, by its own names for them.
     #[serde(default)]
     pub bounds: Map<String, Value>,
@@ -97,6 +100,8 @@
     pub store: SocketAddr,
     /// Time allowed for one call to the store.
     pub store_timeout: Duration,
+    /// Nodes that may be asked for the others while the store is away.
+    pub seeds: Vec<SocketAddr>,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
     /// Logging.
@@ -138,7 +143,7 @@
     ) -> Result<Self, Findings> {
         let file = file.into();
         let mut collector = Collector::new(file.clone());
-        let mut address = |place, text: &str| parse_address(&mut collector, place, text);
+        let mut address = |place: &str, text: &str| parse_address(&mut collector, place, text);
         let upstream = address("/upstream", &raw.upstream);
         let listen = MeshListen {
             callers: address("/listen/callers", &raw.listen.callers),
@@ -148,6 +153,14 @@
             operators: address("/listen/operators", &raw.listen.operators),
         };
         let store = address("/store/address", &raw.store.address);
+        let seeds = raw.seeds.iter().enumerate();
+        let seeds = seeds.map(|(index, text)| {
+            // A seed names a node by its listener for heartbeats; all nodes use the same ports.
+            let mut seed = address(&format!("/seeds/{index}"), text);
+            seed.set_port(listen.peers.port());
+            seed
+        });
+        let seeds = seeds.collect();
         let bounds = D::bounds(&raw.bounds, "/bounds", &mut collector);
         collector.finish(Self {
             file,
@@ -158,6 +171,7 @@
             listen,
             store,
             store_timeout: Duration::from_millis(raw.store.timeout_ms),
+            seeds,
             bounds,
             log: raw.log,
         })
--- /dev/null
+++ b/src/mesh/sync.rs
@@ -0,0 +1,370 @@
+//! The exchange between nodes and the fleet's hubs.
+//!
+//! A hub is an ordinary node. Every node ranks the instances that it knows by rendezvous hashing,
+//! for each hub number, and keeps in contact with the first that answers. Through it pass the
+//! records of instances, the operators' configuration with the proof that it is current, and the
+//! tokens of the organisations that have their home there. Nothing is agreed: two nodes that take
+//! different instances for a hub for a while only learn of changes later.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::{
+    clock::{self, Timestamp},
+    mesh::{
+        Dialect, Grant, InstanceAddress, InstanceRecord, Node, UpstreamRecord, Want, configuration,
+        pause::jittered, proto,
+    },
+    names::InstanceName,
+};
+
+/// Instances for each hub.
+const INSTANCES_PER_HUB: usize = 40;
+/// Most hubs, so that contacts do not grow with the square of the fleet.
+pub const MAX_HUBS: usize = 8;
+/// Time between two exchanges with a hub.
+const SYNC_INTERVAL: Duration = Duration::from_millis(250);
+/// Part by which that varies.
+const INTERVAL_SPREAD: f64 = 0.15;
+/// Shortest time between two exchanges with a hub, when tokens are wanted or a record changes.
+const MIN_SYNC_INTERVAL: Duration = Duration::from_millis(4);
+/// Time for the answer of a hub.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without exchanges with an instance that did not answer; it doubles with each miss.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE: Duration = Duration::from_secs(8);
+/// How much newer another node's proof must be for a hub to ask for it.
+const PROOF_ADVANTAGE: Duration = Duration::from_millis(300);
+/// Age that stands for no proof.
+const NO_PROOF_MS: u32 = u32::MAX;
+const HASH_PURPOSE: &str = "hibiscusdoor 2026 hub of a fleet";
+
+/// What a node remembers of its exchange with one hub.
+#[derive(Debug, Default)]
+struct Contact {
+    hub_incarnation: u64,
+    hub_sequence: u64,
+    /// Generation and sequence of the own record that the hub has.
+    known: (u64, u64),
+}
+
+/// Instances that did not answer.
+#[derive(Debug, Default)]
+struct Missed(HashMap<InstanceName, (Instant, Duration)>);
+
+impl Missed {
+    fn passes_over(&self, instance: &InstanceName, now: Instant) -> bool {
+        self.0.get(instance).is_some_and(|(until, _)| now < *until)
+    }
+
+    fn missed(&mut self, instance: &InstanceName, now: Instant) {
+        let pause =
+            self.0.get(instance).map_or(FIRST_PAUSE, |(_, last)| (*last * 2).min(MAX_PAUSE));
+        self.0.insert(instance.clone(), (now + pause, pause));
+    }
+}
+
+/// Keeps the node in contact with the hub of a number.
+pub async fn run<D: Dialect>(node: Arc<Node<D>>, number: usize) {
+    let mut missed = Missed::default();
+    let mut sync_now = node.sync_now.subscribe();
+    let mut contacts: HashMap<InstanceName, Contact> = HashMap::new();
+    loop {
+        let began = Instant::now();
+        let members = node.members.load_full();
+        let hubs = hub_count(members.len());
+        if number >= hubs {
+            tokio::time::sleep(SYNC_INTERVAL).await;
+            continue;
+        }
+        let ranked = ranked(members.addresses().keys(), number);
+        let hub = ranked.into_iter().find(|instance| !missed.passes_over(instance, began)).cloned();
+        let now = clock::now();
+        let wants = node.stock.lock().wants(now, |name| home_of(name, hubs) == number);
+        match hub {
+            Some(hub) if hub != node.settings.instance => {
+                let address = members.addresses()[&hub].clone();
+                let contact = contacts.entry(hub.clone()).or_default();
+                match exchange(&node, &address, contact, &wants, number == 0).await {
+                    Ok(()) => drop(missed.0.remove(&hub)),
+                    Err(cause) => {
+                        log::warn!(hub:% = hub, cause = cause; "a hub does not answer");
+                        missed.missed(&hub, Instant::now());
+                        node.stock.lock().not_drawn(&wants);
+                        continue;
+                    }
+                }
+            }
+            // A hub is its own; a node that reaches no other has its part of the rate.
+            _ => {
+                node.is_hub(number, now);
+                let grants = grant(&node, &wants);
+                take_grants(&node, &wants, grants);
+            }
+        }
+        node.granted.notify_waiters();
+        sleep_until(began + MIN_SYNC_INTERVAL).await;
+        // It ends with the node, and the interval passes in any case.
+        let _ = timeout(jittered(SYNC_INTERVAL, INTERVAL_SPREAD), sync_now.changed()).await;
+    }
+}
+
+/// Makes one exchange with another node, for its proof and its records.
+pub async fn ask<D: Dialect>(node: &Arc<Node<D>>, address: &InstanceAddress) -> Result<(), String> {
+    exchange(node, address, &mut Contact::default(), &[], false).await
+}
+
+async fn exchange<D: Dialect>(
+    node: &Arc<Node<D>>,
+    address: &InstanceAddress,
+    contact: &mut Contact,
+    wants: &[Want],
+    is_first_hub: bool,
+) -> Result<(), String> {
+    let own = node.own_record();
+    let asked = clock::now();
+    let request = proto::SyncRequest {
+        instance: node.settings.instance.to_string(),
+        record: ((own.generation, own.sequence) != contact.known).then(|| to_proto(&own, false)),
+        hub_incarnation: contact.hub_incarnation,
+        hub_sequence: contact.hub_sequence,
+        catalog_version: node.catalog_version(),
+        proof_age_ms: millis(node.proof.age(asked)),
+        wants: wants
+            .iter()
+            .map(|want| proto::Want {
+                organisation: want.organisation.to_string(),
+                tokens: want.tokens,
+                returned: want.returned,
+            })
+            .collect(),
+    };
+    let mut peer = node.peer(address.peer_address);
+    let reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
+        Ok(Ok(reply)) => reply.into_inner(),
+        Ok(Err(status)) => return Err(status.message().to_owned()),
+        Err(_) => return Err(format!("no answer within {SYNC_TIMEOUT:?}")),
+    };
+    contact.hub_incarnation = reply.hub_incarnation;
+    contact.hub_sequence = reply.hub_sequence;
+    contact.known = (reply.known_generation, reply.known_sequence);
+    // Another process under this name was there before, or the hub has an older record of it.
+    if contact.known > (own.generation, own.sequence) {
+        node.raise_generation(reply.known_generation);
+    }
+    take_records(node, reply.records, is_first_hub);
+    configuration::take_from_peer(
+        node,
+        asked,
+        &reply.catalog,
+        reply.catalog_version,
+        reply.proof_age_ms,
+    );
+    let grants = reply.grants.into_iter().map(|grant| Grant {
+        tokens: grant.tokens,
+        retry_after: Duration::from_millis(u64::from(grant.retry_after_ms)),
+    });
+    take_grants(node, wants, grants.collect());
+    Ok(())
+}
+
+fn take_records<D: Dialect>(
+    node: &Node<D>,
+    records: Vec<proto::InstanceRecord>,
+    is_first_hub: bool,
+) {
+    if records.is_empty() {
+        return;
+    }
+    let mut changed = false;
+    let mut directory = node.directory.lock();
+    for record in records {
+        let silent = record.silent;
+        let Some(record) = from_proto(record) else { continue };
+        if record.instance == node.settings.instance {
+            continue;
+        }
+        let instance = record.instance.clone();
+        changed |= directory.merge(record);
+        // Hubs hear an instance at different moments, so only one of them is believed.
+        if is_first_hub {
+            changed |= directory.merge_silence(&instance, silent);
+        }
+    }
+    if changed {
+        node.members.store(Arc::new(directory.members()));
+    }
+}
+
+/// Answers a node that takes this one for a hub.
+pub fn answer<D: Dialect>(node: &Arc<Node<D>>, request: proto::SyncRequest) -> proto::SyncReply {
+    let now = clock::now();
+    let instance: InstanceName = request.instance.into();
+    let record = request.record.and_then(from_proto);
+    let (changes, known) = {
+        let mut directory = node.directory.lock();
+        let mut changed = record.is_some_and(|record| directory.merge(record));
+        changed |= directory.heard(now, &instance);
+        if changed {
+            node.members.store(Arc::new(directory.members()));
+        }
+        let known_sequence = match request.hub_incarnation == node.incarnation {
+            true => request.hub_sequence,
+            false => 0,
+        };
+        (directory.changes_since(known_sequence), directory.version_of(&instance))
+    };
+    let wants: Vec<Want> = request
+        .wants
+        .into_iter()
+        .map(|want| Want {
+            organisation: want.organisation.into(),
+            tokens: want.tokens,
+            returned: want.returned,
+        })
+        .collect();
+    let grants = grant(node, &wants).into_iter().map(|grant| proto::Grant {
+        tokens: grant.tokens,
+        retry_after_ms: millis(grant.retry_after),
+    });
+    let claimed = Duration::from_millis(u64::from(request.proof_age_ms));
+    let is_fresher =
+        request.proof_age_ms != NO_PROOF_MS && claimed + PROOF_ADVANTAGE < node.proof.age(now);
+    if is_fresher || request.catalog_version > node.catalog_version() {
+        // What a node claims may have been true when it was sent; only an answer proves.
+        node.fresher_peer(&instance);
+    }
+    let (known_generation, known_sequence) = known.unwrap_or((0, 0));
+    let source = node.source.load();
+    proto::SyncReply {
+        hub_incarnation: node.incarnation,
+        hub_sequence: changes.sequence,
+        records: changes
+            .members
+            .iter()
+            .map(|member| to_proto(&member.record, member.silent))
+            .collect(),
+        catalog_version: node.catalog_version(),
+        proof_age_ms: match node.catalog.load().is_some() {
+            true => millis(node.proof.age(now)),
+            false => NO_PROOF_MS,
+        },
+        catalog: source
+            .as_ref()
+            .filter(|source| source.version > request.catalog_version)
+            .map(|source| source.compressed.clone())
+            .unwrap_or_default(),
+        grants: grants.collect(),
+        known_generation,
+        known_sequence,
+    }
+}
+
+fn grant<D: Dialect>(node: &Node<D>, wants: &[Want]) -> Vec<Grant> {
+    let now = clock::now();
+    let fleet = node.members.load().len();
+    // The hub itself is in contact with itself.
+    let contacts = node.directory.lock().contacts(now) + 1;
+    let catalog = node.catalog.load_full();
+    let mut home = node.home.lock();
+    home.in_contact(now, contacts, fleet);
+    let grants = wants.iter().map(|want| {
+        match catalog.as_ref().and_then(|catalog| catalog.organisation(&want.organisation)) {
+            Some(organisation) => home.draw(now, organisation, want.tokens, want.returned),
+            // This node does not know the organisation yet.
+            None => Grant { tokens: 0.0, retry_after: SYNC_INTERVAL },
+        }
+    });
+    grants.collect()
+}
+
+fn take_grants<D: Dialect>(node: &Node<D>, wants: &[Want], grants: Vec<Grant>) {
+    let now = clock::now();
+    let mut stock = node.stock.lock();
+    for (want, grant) in wants.iter().zip(grants) {
+        stock.granted(now, &want.organisation, grant);
+    }
+}
+
+/// Number of hubs of a fleet.
+fn hub_count(instances: usize) -> usize {
+    instances.div_ceil(INSTANCES_PER_HUB).clamp(1, MAX_HUBS)
+}
+
+/// Number of the hub that holds an organisation's tokens.
+fn home_of(organisation: &str, hubs: usize) -> usize {
+    let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
+    hasher.update(organisation.as_bytes());
+    let hash = hasher.finalize();
+    usize::from(u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])) % hubs
+}
+
+/// The instances in the order in which they stand for the hub of a number.
+fn ranked<'a>(
+    instances: impl Iterator<Item = &'a InstanceName>,
+    number: usize,
+) -> Vec<&'a InstanceName> {
+    let mut ranked: Vec<&InstanceName> = instances.collect();
+    ranked.sort_by_cached_key(|instance| {
+        let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
+        hasher.update(&number.to_le_bytes());
+        hasher.update(instance.as_bytes());
+        *hasher.finalize().as_bytes()
+    });
+    ranked
+}
+
+fn to_proto(record: &InstanceRecord, silent: bool) -> proto::InstanceRecord {
+    let upstream = record.upstream.as_ref();
+    proto::InstanceRecord {
+        instance: record.instance.to_string(),
+        generation: record.generation,
+        sequence: record.sequence,
+        zone: record.address.zone.to_string(),
+        peer_address: record.address.peer_address.to_string(),
+        leaving: record.leaving,
+        service: record.service.to_string(),
+        upstream: upstream.map(|it| it.id.to_string()).unwrap_or_default(),
+        slots: upstream.map_or(0, |it| it.slots),
+        ready: upstream.is_some_and(|it| it.ready),
+        silent,
+    }
+}
+
+/// Reads a record; none where its address is unreadable.
+fn from_proto(record: proto::InstanceRecord) -> Option<InstanceRecord> {
+    let peer_address = record
+        .peer_address
+        .parse()
+        .inspect_err(|error| {
+            log::warn!(instance = record.instance, cause:% = error; "unreadable address of a node");
+        })
+        .ok()?;
+    let upstream = (!record.upstream.is_empty()).then(|| UpstreamRecord {
+        id: record.upstream.into(),
+        slots: record.slots,
+        ready: record.ready,
+    });
+    Some(InstanceRecord {
+        instance: record.instance.into(),
+        generation: record.generation,
+        sequence: record.sequence,
+        address: InstanceAddress { zone: record.zone.into(), peer_address },
+        leaving: record.leaving,
+        service: record.service.into(),
+        upstream,
+    })
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Time of the read behind a proof of this age, where the question was asked at `asked`.
+///
+/// The answer was made after the question was sent, so the read cannot have begun earlier than
+/// this, however long the answer was under way.
+pub fn proof_time(asked: Timestamp, age_ms: u32) -> Option<Timestamp> {
+    (age_ms != NO_PROOF_MS).then(|| asked.checked_sub(Duration::from_millis(u64::from(age_ms))))?
+}
