--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use rand::RngExt as _;
 use smallvec::SmallVec;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched, Unknown},
@@ -16,6 +16,7 @@
         AttemptEnd, Call, CallHead, Candidate, Catalog, Dialect, Guarded, LoadReport, Member, Node,
         Organisation, RootVerdict, Route, RunningCall, ServiceUse, Usage,
         charge::{self, Charge},
+        guard::ANSWER_GRACE,
         proto,
         request::{WholeRequest, headers_from_proto, headers_to_proto, remove_connection_headers},
     },
@@ -33,6 +34,15 @@
 /// Retry-After of a node that cannot serve for a while.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest time that a root waits for room in its chain before it is refused, and the same as a part
+/// of the time within which it wants its answer.
+const MAX_ROOT_WAIT: Duration = Duration::from_millis(200);
+const MAX_ROOT_WAIT_PART: u32 = 10;
+/// Time between two looks at the room.
+const ROOT_WAIT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after the deadline in which a reply of another node still comes.
+const REPLY_GRACE: Duration = ANSWER_GRACE.saturating_add(Duration::from_millis(50));
+
 /// The listener for callers on this machine and for the upstream's own calls.
 #[derive(Debug)]
 pub struct Callers<D: Dialect>(pub Arc<Node<D>>);
@@ -239,13 +249,7 @@
     if admitted.call.depth > 0 {
         return Ok(charge);
     }
-    let catalog = node.catalog.load();
-    let urgency = catalog.as_ref().map_or(1.0, |it| it.urgency(admitted.call.rank));
-    let verdict = match node.learned.lock().of(&route.name) {
-        Some(usage) => node.root_admission.lock().check(clock::now(), usage, urgency),
-        None => RootVerdict::Admit,
-    };
-    match verdict {
+    match wait_to_begin(node, admitted).await {
         RootVerdict::Admit => Ok(charge),
         RootVerdict::Refuse { service, load } => {
             if let Some(charge) = charge {
@@ -260,6 +264,25 @@
     }
 }
 
+/// Decides whether a root begins; one that finds a service full waits for a short time.
+async fn wait_to_begin<D: Dialect>(node: &Arc<Node<D>>, admitted: &Admitted) -> RootVerdict {
+    let route = &admitted.route;
+    let catalog = node.catalog.load_full();
+    let urgency = catalog.as_ref().map_or(1.0, |it| it.urgency(admitted.call.rank));
+    let give_up = clock::now() + MAX_ROOT_WAIT.min(route.answer_within / MAX_ROOT_WAIT_PART);
+    loop {
+        let now = clock::now();
+        let verdict = match node.learned.lock().of(&route.name) {
+            Some(usage) => node.root_admission.lock().check(now, usage, urgency),
+            None => RootVerdict::Admit,
+        };
+        if verdict == RootVerdict::Admit || now >= give_up {
+            return verdict;
+        }
+        sleep(ROOT_WAIT_INTERVAL).await;
+    }
+}
+
 fn retry_after(route: &Route) -> Duration {
     let part = rand::rng().random_range(RETRY_AFTER_PART);
     route.answer_within.mul_f64(part).max(MIN_RETRY_AFTER)
@@ -509,7 +532,7 @@
         reached_upstream: true,
         ..Guarded::not_run(forwarding.unknown(reason, detail))
     };
-    let reply = match timeout(remaining, peer.forward(message)).await {
+    let reply = match timeout(remaining + REPLY_GRACE, peer.forward(message)).await {
         Ok(Ok(reply)) => reply.into_inner(),
         Ok(Err(status)) => {
             let detail = format!("{} did not answer: {}", member.record.instance, status.message());
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -40,6 +40,8 @@
 /// Time after an upstream said that it leaves in which requests that are under way still reach
 /// it; the platform allows twice as long.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Time after the deadline in which an answer that the upstream ends its work with still comes.
+pub const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Time between two looks whether the upstream still runs something.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Weight of a new request in the mean time of its route.
@@ -261,7 +263,7 @@
         let call = &entry.call.call;
         let dispatch = Dispatch::begin(undispatched);
         let send = self.connections.send(connection, message, check);
-        let sent = timeout(remaining, send).await;
+        let sent = timeout(remaining + ANSWER_GRACE, send).await;
         let held = clock::now().saturating_sub(begun);
         let mut usage = entry.call.used_below();
         usage.add(&call.service, held.as_secs_f64(), 1.0);
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -2,8 +2,8 @@
 //!
 //! Each organisation has a home: one node, found by rendezvous hashing over the known instances,
 //! that holds its token bucket. Entries draw tokens ahead of demand. Nothing is agreed or stored;
-//! what keeps the sum within the rate is that a home fills its buckets by the part of the fleet
-//! that is in contact with it. Parts of a divided fleet so have a part of the rate each.
+//! what keeps the sum within the rate is that only a home in contact with more than half of the
+//! fleet has the whole rate; the smaller parts of a divided fleet have less than their share.
 //!
 //! Load pattern: one organisation sends eight times its usual demand through all nodes at once,
 //! while another has three requests a second spread over a dozen of them.
@@ -12,9 +12,10 @@
 
 use crate::{clock::Timestamp, mesh::Organisation, names::OrganisationName};
 
-/// Part of the fleet in contact with which a home has the whole rate: instances may be gone for
-/// good, and the bound on an organisation's requests has room for the rest.
-const WHOLE_RATE_PART: f64 = 0.75;
+/// Part of its share that a home grants which is in contact with half of the fleet or less: the
+/// other part of the fleet has the whole rate, and the bound on an organisation's requests has
+/// little room for more.
+const MINORITY_PART: f64 = 0.5;
 /// Demand that is drawn ahead; shorter than the time in which a home is missed.
 const DRAW_AHEAD: Duration = Duration::from_millis(300);
 /// Below this stock nothing is drawn ahead; single tokens are drawn when they are needed.
@@ -55,7 +56,7 @@
     pub fn in_contact(&mut self, now: Timestamp, contacts: usize, fleet: usize) {
         self.started_at.get_or_insert(now);
         let part = contacts as f64 / fleet.max(1) as f64;
-        self.part = if part >= WHOLE_RATE_PART { 1.0 } else { part };
+        self.part = if part > 0.5 { 1.0 } else { part * MINORITY_PART };
     }
 
     /// Moves tokens to an entry; `returned` come back from it.
--- a/src/mesh/root_admission.rs
+++ b/src/mesh/root_admission.rs
@@ -6,9 +6,10 @@
 //! each entry holds back roots by what their chain uses of the full service, the least urgent
 //! first, and calls of admitted roots pass.
 //!
-//! For each service an entry keeps an allowance: slot time a second that its roots may use. The
-//! allowance binds only while the service is nearly full. It follows the load that replies report
-//! in such a way that the service stays busy and its queue short.
+//! For each service an entry keeps an allowance: slot time a second that its roots may use. It is
+//! what the entry's roots used lately, divided by the load that this led to, so it is the entry's
+//! share of what fills the service; it binds only while the service is nearly full. A chain takes
+//! some time to reach the service, so use and load are compared with the same delay.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -17,25 +18,23 @@
 /// Load (running and waiting requests over the limit) that a full service is held at.
 const TARGET_LOAD: f64 = 0.95;
 /// Load from which the allowance binds, and below which it is lifted.
-const BIND_LOAD: f64 = 0.88;
-const LIFT_LOAD: f64 = 0.72;
-/// Change of the allowance a second for each unit of load beyond the target, and below it.
-const DECREASE_PER_S: f64 = 1.6;
-const INCREASE_PER_S: f64 = 1.2;
-/// Longest time between two reports that counts for a change.
-const MAX_STEP: Duration = Duration::from_millis(200);
+const BIND_LOAD: f64 = 0.85;
+const LIFT_LOAD: f64 = 0.75;
+/// Load below which use and load are not compared: both are small and noisy.
+const MIN_COMPARED_LOAD: f64 = 0.4;
 /// A report that is older says nothing.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
-/// Time constant of the smoothed load.
-const LOAD_MEMORY: Duration = Duration::from_millis(120);
-/// Time constant of what this entry's roots use.
-const USE_MEMORY: Duration = Duration::from_millis(700);
-/// Allowance beyond what was used lately, so that it does not grow without bound while demand is
-/// low.
-const MAX_OVER_USED: f64 = 1.3;
-/// Unused allowance that is kept, and how far the most urgent roots may overdraw it.
-const KEPT: Duration = Duration::from_millis(250);
-const OVERDRAFT: Duration = Duration::from_millis(500);
+/// Time constant of the smoothed load, and of each of the two stages that delay the use.
+const MEMORY: Duration = Duration::from_millis(350);
+/// Time constant of the share.
+const SHARE_MEMORY: Duration = Duration::from_millis(1000);
+/// Allowance beyond the share while requests are refused, so that shares follow the demand.
+const PROBE: f64 = 1.03;
+/// Unused allowance that is kept.
+const KEPT: Duration = Duration::from_millis(300);
+/// How far the most urgent roots may overdraw the allowance.
+const OVERDRAFT: Duration = Duration::from_millis(2000);
+
 /// What to do with a root request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RootVerdict {
@@ -50,16 +49,20 @@
     },
 }
 
+/// Use and load of one service as this entry sees them.
 #[derive(Debug)]
 struct Allowance {
     load: f64,
     reported_at: Timestamp,
-    /// Slot time a second; none while the service has room.
-    per_s: Option<f64>,
+    /// Slot time a second that this entry's roots used, and the same some time ago.
+    used_per_s: f64,
+    used_before_per_s: f64,
+    used_at: Timestamp,
+    /// Slot time a second that fills the service as far as this entry does; none while unknown.
+    share_per_s: Option<f64>,
+    binds: bool,
     /// Slot time that may be used now.
     level_s: f64,
-    used_per_s: f64,
-    updated_at: Timestamp,
 }
 
 /// Decides which root requests begin.
@@ -74,7 +77,7 @@
     pub fn check(&mut self, now: Timestamp, usage: &Usage, urgency: f64) -> RootVerdict {
         for used in &usage.services {
             let Some(allowance) = self.allowances.get_mut(&used.service) else { continue };
-            allowance.refill(now);
+            allowance.pass_time(now);
             if allowance.refuses(urgency) {
                 let (service, load) = (used.service.clone(), allowance.load);
                 return RootVerdict::Refuse { service, load };
@@ -83,7 +86,7 @@
         for used in &usage.services {
             if let Some(allowance) = self.allowances.get_mut(&used.service) {
                 allowance.level_s -= used.held_s;
-                allowance.used_per_s += used.held_s / USE_MEMORY.as_secs_f64();
+                allowance.used_per_s += used.held_s / MEMORY.as_secs_f64();
             }
         }
         RootVerdict::Admit
@@ -91,29 +94,20 @@
 
     /// A reply told the load of a service as it was at `at`.
     pub fn reported(&mut self, now: Timestamp, service: &ServiceName, load: f64, at: Timestamp) {
-        let Some(allowance) = self.allowances.get_mut(service) else {
-            let allowance = Allowance {
-                load,
-                reported_at: at,
-                per_s: None,
-                level_s: 0.0,
-                used_per_s: 0.0,
-                updated_at: now,
-            };
-            self.allowances.insert(service.clone(), allowance);
-            return;
-        };
-        if at <= allowance.reported_at {
-            return;
+        match self.allowances.get_mut(service) {
+            Some(allowance) if at > allowance.reported_at => {
+                allowance.pass_time(now);
+                allowance.follow(load, at);
+            }
+            Some(_) => {}
+            None => drop(self.allowances.insert(service.clone(), Allowance::new(now, load, at))),
         }
-        allowance.refill(now);
-        allowance.follow(load, at);
     }
 
     /// Loads and allowances for people and programs: service, load, slot time a second.
     pub fn figures(&self) -> Vec<(ServiceName, f64, Option<f64>)> {
         let figures = self.allowances.iter();
-        figures.map(|(service, it)| (service.clone(), it.load, it.per_s)).collect()
+        figures.map(|(service, it)| (service.clone(), it.load, it.per_s())).collect()
     }
 
     /// Newest known load of a service and when it was so.
@@ -123,45 +117,65 @@
 }
 
 impl Allowance {
-    fn refill(&mut self, now: Timestamp) {
-        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.updated_at = self.updated_at.max(now);
-        self.used_per_s *= (-elapsed_s / USE_MEMORY.as_secs_f64()).exp();
+    fn new(now: Timestamp, load: f64, at: Timestamp) -> Self {
+        Self {
+            load,
+            reported_at: at,
+            used_per_s: 0.0,
+            used_before_per_s: 0.0,
+            used_at: now,
+            share_per_s: None,
+            binds: false,
+            level_s: 0.0,
+        }
+    }
+
+    /// The allowance in force; none while the service has room.
+    fn per_s(&self) -> Option<f64> {
+        self.share_per_s.filter(|_| self.binds).map(|share| share * TARGET_LOAD * PROBE)
+    }
+
+    fn pass_time(&mut self, now: Timestamp) {
+        let elapsed = now.saturating_sub(self.used_at);
+        self.used_at = self.used_at.max(now);
+        let weight = weight(elapsed, MEMORY);
+        self.used_before_per_s += weight * (self.used_per_s - self.used_before_per_s);
+        self.used_per_s *= 1.0 - weight;
         if now > self.reported_at + REPORT_LIFETIME {
-            self.per_s = None;
+            self.binds = false;
         }
-        match self.per_s {
+        match self.per_s() {
             Some(per_s) => {
                 let most_s = per_s * KEPT.as_secs_f64();
-                self.level_s = (self.level_s + per_s * elapsed_s).min(most_s);
+                self.level_s = (self.level_s + per_s * elapsed.as_secs_f64()).min(most_s);
             }
             None => self.level_s = 0.0,
         }
     }
 
     fn refuses(&self, urgency: f64) -> bool {
-        self.per_s.is_some_and(|per_s| self.level_s < -per_s * OVERDRAFT.as_secs_f64() * urgency)
+        self.per_s().is_some_and(|per_s| self.level_s < -per_s * OVERDRAFT.as_secs_f64() * urgency)
     }
 
     fn follow(&mut self, load: f64, at: Timestamp) {
         let step = at.saturating_sub(self.reported_at);
         self.reported_at = at;
-        let step_s = step.min(MAX_STEP).as_secs_f64();
-        let weight = 1.0 - (-step_s / LOAD_MEMORY.as_secs_f64()).exp();
-        self.load += weight * (load - self.load);
-        match self.per_s {
-            None if self.load > BIND_LOAD => {
-                self.per_s = Some(self.used_per_s * (TARGET_LOAD / self.load).min(1.0));
-            }
-            None => {}
-            Some(_) if self.load < LIFT_LOAD => self.per_s = None,
-            Some(per_s) => {
-                let beyond = self.load - TARGET_LOAD;
-                let rate = if beyond > 0.0 { DECREASE_PER_S } else { INCREASE_PER_S };
-                let changed = per_s * (1.0 - rate * beyond.clamp(-1.0, 1.0) * step_s);
-                let most = (self.used_per_s * MAX_OVER_USED).max(per_s);
-                self.per_s = Some(changed.min(most));
-            }
+        self.load += weight(step, MEMORY) * (load - self.load);
+        if self.load > MIN_COMPARED_LOAD && self.used_before_per_s > 0.0 {
+            let share = self.used_before_per_s / self.load;
+            self.share_per_s = Some(match self.share_per_s {
+                Some(known) => known + weight(step, SHARE_MEMORY) * (share - known),
+                None => share,
+            });
         }
+        self.binds = match self.binds {
+            true => self.load > LIFT_LOAD,
+            false => self.load > BIND_LOAD,
+        };
     }
 }
+
+/// Weight of what is new after `elapsed` in a mean with this time constant.
+fn weight(elapsed: Duration, memory: Duration) -> f64 {
+    1.0 - (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp()
+}
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -26,6 +26,8 @@
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 /// Time that is kept before the kill for joining tasks.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time between two lines that say what the node believes.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after the signal to stop in which the other nodes learn that this one is leaving, while
 /// it still takes their requests.
 const LINGER: Duration = Duration::from_millis(500);
@@ -85,6 +87,7 @@
     let mut control_tasks = JoinSet::new();
     control_tasks.spawn(control::register(node.clone()));
     control_tasks.spawn(configuration::follow(node.clone()));
+    control_tasks.spawn(report(node.clone()));
     for number in 0..sync::MAX_HUBS {
         control_tasks.spawn(sync::run(node.clone(), number));
     }
@@ -139,6 +142,25 @@
     Ok(())
 }
 
+/// Writes what the node believes, so that a failed request can be explained afterwards.
+async fn report<D: Dialect>(node: Arc<Node<D>>) {
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        let proof_age_ms = node.proof.age(clock::now()).as_millis().min(u128::from(u32::MAX));
+        let gate = node.guard.figures();
+        log::info!(
+            target: "hibiscusdoor::state",
+            configuration = node.catalog_version(), proof_age_ms = proof_age_ms as u64,
+            instances = node.members.load().len(),
+            running = gate.map_or(0, |it| it.in_flight),
+            waiting = gate.map_or(0, |it| it.waiting),
+            limit = gate.map_or(0, |it| it.limit),
+            loads:? = node.root_admission.lock().figures();
+            "state"
+        );
+    }
+}
+
 /// Serves a listener with requests that are answered at once.
 fn serve_with<D, F>(
     node: &Arc<Node<D>>,
