--- a/src/mesh/charge.rs
+++ b/src/mesh/charge.rs
@@ -14,6 +14,10 @@
 const MAX_WAIT: Duration = Duration::from_millis(120);
 /// The same as a part of the time within which it wants its answer.
 const MAX_WAIT_PART: u32 = 8;
+/// Requests of one organisation that wait here while its home is empty.
+const MAX_WAITING: u32 = 2;
+/// Shortest pause before an empty home is asked again.
+const MIN_PAUSE: Duration = Duration::from_millis(5);
 /// Shortest Retry-After of an organisation beyond its rate.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -46,17 +50,25 @@
         let granted = node.granted.notified();
         tokio::pin!(granted);
         granted.as_mut().enable();
-        let token = node.stock.lock().take(clock::now(), name, waiting.is_some());
+        let (token, ahead) = {
+            let mut stock = node.stock.lock();
+            let token = stock.take(clock::now(), name, waiting.is_some());
+            (token, stock.waiting(name) - u32::from(waiting.is_some()))
+        };
+        let left = give_up.saturating_duration_since(Instant::now());
         match token {
             Token::Taken => return Ok(Some(Charge(name.clone()))),
+            // Worth a wait where few others wait too; else the caller had better come back later.
+            Token::Dry { retry_after } if retry_after < left && ahead < MAX_WAITING => {
+                waiting.get_or_insert_with(|| Waiting::begin(node, name));
+                let _ = timeout(retry_after.max(MIN_PAUSE), granted).await;
+                continue;
+            }
             Token::Dry { retry_after } => return Err(retry_after.max(MIN_RETRY_AFTER)),
             Token::Draw => {}
         }
-        if waiting.is_none() {
-            waiting = Some(Waiting::begin(node, name));
-        }
+        waiting.get_or_insert_with(|| Waiting::begin(node, name));
         node.sync_now.send_replace(());
-        let left = give_up.saturating_duration_since(Instant::now());
         if left.is_zero() || timeout(left, granted).await.is_err() {
             return Err(MIN_RETRY_AFTER);
         }
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -16,6 +16,11 @@
 /// other part of the fleet has the whole rate, and the bound on an organisation's requests has
 /// little room for more.
 const MINORITY_PART: f64 = 0.5;
+/// Tokens that are granted beyond the rate and the burst. Tokens under way, and those at an entry
+/// to which no further request comes, serve nobody; without this, requests within the rate are
+/// refused. The platform's bound leaves room for more than that.
+const STRANDED_RATE_PART: f64 = 0.04;
+const STRANDED_BURST: f64 = 2.0;
 /// Demand that is drawn ahead; shorter than the time in which a home is missed.
 const DRAW_AHEAD: Duration = Duration::from_millis(300);
 /// Below this stock nothing is drawn ahead; single tokens are drawn when they are needed.
@@ -70,8 +75,8 @@
         let Some(rate_per_s) = organisation.rate_per_s else {
             return Grant { tokens: wanted, retry_after: Duration::ZERO };
         };
-        let rate_per_s = rate_per_s * self.part;
-        let burst = (organisation.burst * self.part).max(1.0);
+        let rate_per_s = rate_per_s * (1.0 + STRANDED_RATE_PART) * self.part;
+        let burst = ((organisation.burst + STRANDED_BURST) * self.part).max(1.0);
         // A bucket that nobody asked for has been filling since the node was first asked at all.
         let started_at = self.started_at.unwrap_or(now);
         let bucket = self
@@ -112,7 +117,8 @@
     counted_at: Timestamp,
     last_taken: Timestamp,
     dry_until: Timestamp,
-    retry_after: Duration,
+    /// When the home may have a token again.
+    token_at: Timestamp,
 }
 
 /// What came of asking for a token.
@@ -151,7 +157,7 @@
             return Token::Taken;
         }
         match now < account.dry_until {
-            true => Token::Dry { retry_after: account.retry_after },
+            true => Token::Dry { retry_after: account.token_at.saturating_sub(now) },
             false => Token::Draw,
         }
     }
@@ -166,6 +172,11 @@
         }
     }
 
+    /// Requests that wait for a token.
+    pub fn waiting(&self, organisation: &OrganisationName) -> u32 {
+        self.accounts.get(organisation).map_or(0, |account| account.waiting)
+    }
+
     /// Puts a token back, since the request did not reach an upstream.
     pub fn give_back(&mut self, organisation: &OrganisationName) {
         if let Some(account) = self.accounts.get_mut(organisation) {
@@ -216,7 +227,7 @@
     pub fn granted(&mut self, now: Timestamp, organisation: &OrganisationName, grant: Grant) {
         let Some(account) = self.accounts.get_mut(organisation) else { return };
         account.stock += grant.tokens;
-        account.retry_after = grant.retry_after;
+        account.token_at = now + grant.retry_after;
         account.dry_until = now + grant.retry_after.min(MAX_DRY);
     }
 }
