--- a/src/bin/hibiscusd.rs
+++ b/src/bin/hibiscusd.rs
@@ -1,6 +1,6 @@
 //! The node daemon.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use hibiscusdoor::{
     mesh::{self, MeshListeners, MeshSettings},
@@ -9,7 +9,11 @@
     settings::Settings,
     telemetry::{self, LogTarget},
 };
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::Notify,
+    task::JoinSet,
+};
 use tokio_util::sync::CancellationToken;
 
 const EXIT_FAILED: u8 = 1;
@@ -102,10 +106,12 @@
             Err(findings) => return usage_error(&findings),
         };
         let shutdown = CancellationToken::new();
-        let signals = tokio::spawn(cancel_on_signal(shutdown.clone()));
-        let result = mesh::run::<OperatorsPlatform>(settings, listeners, shutdown).await;
-        signals.abort();
-        let _ = signals.await;
+        let reload = Arc::new(Notify::new());
+        let mut signals = JoinSet::new();
+        signals.spawn(cancel_on_signal(shutdown.clone()));
+        signals.spawn(reload_on_signal(reload.clone()));
+        let result = mesh::run::<OperatorsPlatform>(settings, listeners, shutdown, reload).await;
+        signals.shutdown().await;
         exit_code(result)
     })
 }
@@ -157,6 +163,18 @@
     }
 }
 
+/// The signal to hang up makes the node read its settings again.
+async fn reload_on_signal(reload: Arc<Notify>) {
+    match signal(SignalKind::hangup()) {
+        Ok(mut hangup) => {
+            while hangup.recv().await.is_some() {
+                reload.notify_one();
+            }
+        }
+        Err(error) => log::error!(cause:% = error; "listening for the signal to hang up failed"),
+    }
+}
+
 /// The first signal starts the shutdown, a second one ends the process at once.
 async fn cancel_on_signal(shutdown: CancellationToken) {
     let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -91,7 +91,7 @@
 }
 
 async fn ask_seeds<D: Dialect>(node: &Arc<Node<D>>) {
-    for seed in &node.settings.seeds {
+    for seed in &node.live.load_full().seeds {
         let address = InstanceAddress { zone: node.settings.zone.clone(), peer_address: *seed };
         if let Err(cause) = sync::ask(node, &address).await {
             log::debug!(seed:% = seed, cause = cause; "a seed does not answer");
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -213,7 +213,7 @@
         route: route.name.clone(),
         service: choose_service(route),
         organisation: organisation_name.clone(),
-        caller_service: node.settings.service.clone(),
+        caller_service: node.own_service(),
         deadline: arrived + allowed,
         idempotent: route.idempotent,
         rank: organisation.as_ref().and_then(|it| it.rank).unwrap_or(route.rank),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 pub mod proto;
 mod rates;
 mod registry;
+mod reload;
 mod request;
 mod retry_budget;
 mod root_admission;
@@ -50,4 +51,6 @@
 pub use root_admission::{RootAdmission, RootVerdict};
 pub use run::{MeshListeners, run};
 pub use running::{RunningCall, RunningCalls};
-pub use settings::{MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore};
+pub use settings::{
+    LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
+};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -17,11 +17,11 @@
 use crate::{
     clock::Timestamp,
     mesh::{
-        Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
-        LearnedUse, Members, MeshSettings, Placement, RateHome, RateStock, Registry, RetryBound,
-        RetryBudget, RootAdmission, UpstreamRecord, proto::mesh_client::MeshClient,
+        Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
+        LearnedUse, LiveSettings, Members, MeshSettings, Placement, RateHome, RateStock, Registry,
+        RetryBound, RetryBudget, RootAdmission, UpstreamRecord, proto::mesh_client::MeshClient,
     },
-    names::{Incarnation, InstanceName},
+    names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
     store::ObjectVersion,
 };
@@ -37,8 +37,10 @@
 /// State that the listeners and tasks of a node share.
 #[derive(Debug)]
 pub struct Node<D: Dialect> {
-    /// Checked settings.
+    /// Settings as they were at the start.
     pub settings: MeshSettings,
+    /// Settings that may change.
+    pub live: ArcSwap<LiveSettings>,
     /// The platform's object store.
     pub store: D::Store,
     /// Drawn at random by each process, so that a new process is recognised.
@@ -112,11 +114,8 @@
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
             learned: Mutex::default(),
-            retries: Mutex::new(RetryBudget::new(RetryBound {
-                ratio: settings.bounds.retry_ratio,
-                window: settings.bounds.retry_window,
-                slack: f64::from(settings.bounds.retry_slack),
-            })),
+            retries: Mutex::new(RetryBudget::new(retry_bound(&settings.bounds))),
+            live: ArcSwap::from_pointee(LiveSettings::of(&settings)),
             home: Mutex::default(),
             stock: Mutex::default(),
             sync_now: watch::Sender::new(()),
@@ -170,7 +169,7 @@
 
     /// Tells whether keys may be accepted: the configuration was shown to be current lately.
     pub fn keys_are_fresh(&self, now: Timestamp) -> bool {
-        match self.settings.bounds.revoke {
+        match self.live.load().bounds.revoke {
             None => true,
             Some(bound) => self.proof.age(now) + REVOKE_MARGIN < bound,
         }
@@ -186,6 +185,11 @@
         self.registry.lock().has_left()
     }
 
+    /// Service beside the node.
+    pub fn own_service(&self) -> ServiceName {
+        self.own.lock().service.clone()
+    }
+
     /// What the node tells of itself.
     pub fn own_record(&self) -> InstanceRecord {
         self.own.lock().clone()
@@ -195,7 +199,10 @@
     pub fn update_record(&self) {
         let registry = self.registry.lock();
         let upstream = registry.current();
-        let service = upstream.map_or(&self.settings.service, |it| &it.heartbeat.service).clone();
+        let service = match upstream {
+            Some(upstream) => upstream.heartbeat.service.clone(),
+            None => self.live.load().service.clone(),
+        };
         let stays = upstream.filter(|_| !(self.is_leaving() && registry.has_left()));
         let upstream = stays.map(|it| UpstreamRecord {
             id: it.heartbeat.upstream.clone(),
@@ -231,6 +238,13 @@
         self.sync_now.send_replace(());
     }
 
+    /// Puts changed settings in force.
+    pub fn apply_settings(&self, live: LiveSettings) {
+        self.retries.lock().set_bound(retry_bound(&live.bounds));
+        self.live.store(Arc::new(live));
+        self.update_record();
+    }
+
     /// Takes the addresses that the store keeps.
     pub fn stored(&self, addresses: BTreeMap<InstanceName, InstanceAddress>) {
         let mut directory = self.directory.lock();
@@ -272,6 +286,14 @@
     }
 }
 
+fn retry_bound(bounds: &Bounds) -> RetryBound {
+    RetryBound {
+        ratio: bounds.retry_ratio,
+        window: bounds.retry_window,
+        slack: f64::from(bounds.retry_slack),
+    }
+}
+
 fn millis(time: Timestamp) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -158,6 +158,9 @@
     pub proof_age_ms: u32,
     #[prost(message, repeated, tag = "7")]
     pub wants: ::prost::alloc::vec::Vec<Want>,
+    /// The asker takes the asked node for a hub; otherwise it only wants to know more.
+    #[prost(bool, tag = "8")]
+    pub as_hub: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncReply {
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -15,7 +15,9 @@
 /// Part of its share that a home grants which is in contact with half of the fleet or less: the
 /// other part of the fleet has the whole rate, and the bound on an organisation's requests has
 /// little room for more.
-const MINORITY_PART: f64 = 0.5;
+const MINORITY_PART: f64 = 0.25;
+/// A home that was not asked for this long, or was frozen, starts anew with empty buckets.
+const HOME_BREAK: Duration = Duration::from_millis(700);
 /// Tokens that are granted beyond the rate and the burst. Tokens under way, and those at an entry
 /// to which no further request comes, serve nobody; without this, requests within the rate are
 /// refused. The platform's bound leaves room for more than that.
@@ -50,7 +52,9 @@
 /// The token buckets that a node holds for the fleet.
 #[derive(Debug, Default)]
 pub struct RateHome {
-    started_at: Option<Timestamp>,
+    /// Since when the node has been a home without a break, and when it last acted as one.
+    began_at: Timestamp,
+    acted_at: Option<Timestamp>,
     /// Part of the rate that this home may grant.
     part: f64,
     buckets: HashMap<OrganisationName, Bucket>,
@@ -59,7 +63,12 @@
 impl RateHome {
     /// This many of the fleet's instances are in contact with the home.
     pub fn in_contact(&mut self, now: Timestamp, contacts: usize, fleet: usize) {
-        self.started_at.get_or_insert(now);
+        if self.acted_at.is_none_or(|at| now > at + HOME_BREAK) {
+            // Another home, or another part of the fleet, may have granted meanwhile.
+            self.buckets.clear();
+            self.began_at = now;
+        }
+        self.acted_at = Some(now);
         let part = contacts as f64 / fleet.max(1) as f64;
         self.part = if part > 0.5 { 1.0 } else { part * MINORITY_PART };
     }
@@ -77,12 +86,12 @@
         };
         let rate_per_s = rate_per_s * (1.0 + STRANDED_RATE_PART) * self.part;
         let burst = ((organisation.burst + STRANDED_BURST) * self.part).max(1.0);
-        // A bucket that nobody asked for has been filling since the node was first asked at all.
-        let started_at = self.started_at.unwrap_or(now);
+        // A bucket that nobody asked for has been filling since the node became a home.
+        let began_at = self.began_at;
         let bucket = self
             .buckets
             .entry(organisation.name.clone())
-            .or_insert(Bucket { level: 0.0, filled_at: started_at });
+            .or_insert(Bucket { level: 0.0, filled_at: began_at });
         let elapsed_s = now.saturating_sub(bucket.filled_at).as_secs_f64();
         bucket.filled_at = now;
         bucket.level = (bucket.level + returned + rate_per_s * elapsed_s).min(burst);
--- /dev/null
+++ b/src/mesh/reload.rs
@@ -0,0 +1,54 @@
+//! Settings that change while the node runs.
+
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::{sync::Notify, time::timeout};
+
+use crate::mesh::{Dialect, LiveSettings, MeshSettings, Node};
+
+/// Time between two looks at the settings file, which may change without a signal.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Takes changed settings when `requested` is notified, or when the file has changed.
+pub async fn follow<D: Dialect>(node: Arc<Node<D>>, requested: Arc<Notify>) {
+    let path = PathBuf::from(&*node.settings.file);
+    let mut seen = text(&path);
+    loop {
+        let was_requested = timeout(CHECK_INTERVAL, requested.notified()).await.is_ok();
+        let current = text(&path);
+        if current == seen && !was_requested {
+            continue;
+        }
+        seen = current;
+        match MeshSettings::from_file::<D>(&path) {
+            Ok(settings) => apply(&node, settings, was_requested),
+            Err(findings) => {
+                log::error!(findings:% = findings; "unusable settings; those read before stay in force");
+            }
+        }
+    }
+}
+
+/// Text of the file; empty where it cannot be read, which the check of the settings reports.
+///
+/// It is a few kilobytes, so it is read in place rather than by another thread.
+fn text(path: &Path) -> String {
+    std::fs::read_to_string(path).unwrap_or_default()
+}
+
+fn apply<D: Dialect>(node: &Node<D>, settings: MeshSettings, was_requested: bool) {
+    let live = LiveSettings::of(&settings);
+    let changed = **node.live.load() != live;
+    let needs_restart = !settings.has_same_place(&node.settings);
+    if needs_restart {
+        log::warn!("settings of the instance's place have changed; they need a restart");
+    }
+    if changed {
+        node.apply_settings(live);
+    }
+    log::info!(changed = changed, signal = was_requested, needs_restart = needs_restart; "settings read again");
+}
--- a/src/mesh/retry_budget.rs
+++ b/src/mesh/retry_budget.rs
@@ -77,6 +77,15 @@
         Self { bound, windows: HashMap::new() }
     }
 
+    /// Puts another bound in force.
+    pub fn set_bound(&mut self, bound: RetryBound) {
+        if bound != self.bound {
+            // Slices of another length cannot be added up.
+            self.windows.clear();
+            self.bound = bound;
+        }
+    }
+
     /// A request to a service begins; `below` is what its route uses of other services.
     pub fn request(&mut self, now: Timestamp, service: &ServiceName, below: Option<&Usage>) {
         let slice = self.slice(now);
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use tokio::{
     net::TcpListener,
+    sync::Notify,
     task::JoinSet,
     time::{Instant, sleep, timeout, timeout_at},
 };
@@ -19,7 +20,7 @@
     http_server::{self, pipelined},
     mesh::{
         Dialect, Heard, MeshSettings, Node, Upstream, UpstreamMessage, configuration, control,
-        entry::Callers, peer_service, sync,
+        entry::Callers, peer_service, reload, sync,
     },
 };
 
@@ -73,13 +74,14 @@
     }
 }
 
-/// Runs a node until `shutdown`, then finishes its work and joins all its tasks.
+/// Runs a node until `shutdown`, then finishes its work and joins all its tasks; `reload` makes it
+/// read its settings again.
 pub async fn run<D: Dialect>(
     settings: MeshSettings,
     listeners: MeshListeners,
     shutdown: CancellationToken,
+    reload: Arc<Notify>,
 ) -> anyhow::Result<()> {
-    let grace = settings.bounds.grace;
     let node = Arc::new(Node::<D>::new(settings));
     let (stop_callers, stop_peers) = (CancellationToken::new(), CancellationToken::new());
     let (stop_answering, cut) = (CancellationToken::new(), CancellationToken::new());
@@ -88,6 +90,7 @@
     control_tasks.spawn(control::register(node.clone()));
     control_tasks.spawn(configuration::follow(node.clone()));
     control_tasks.spawn(report(node.clone()));
+    control_tasks.spawn(reload::follow(node.clone(), reload));
     for number in 0..sync::MAX_HUBS {
         control_tasks.spawn(sync::run(node.clone(), number));
     }
@@ -103,11 +106,12 @@
     answering.spawn(serve_with(&node, listeners.operators, &stop_answering, operators));
     log::info!(
         instance:% = node.settings.instance, incarnation = node.incarnation,
-        service:% = node.settings.service;
+        service:% = node.own_service();
         "node has started"
     );
 
     shutdown.cancelled().await;
+    let grace = node.live.load().bounds.grace;
     let deadline = Instant::now() + grace.saturating_sub(STOP_MARGIN);
     log::info!(running = node.guard.running.len(); "node is stopping");
     node.leave();
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -108,8 +108,30 @@
     pub log: RawLog,
 }
 
+/// Settings that may change while the node runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LiveSettings {
+    /// Service of the upstream beside the node.
+    pub service: ServiceName,
+    /// Nodes that may be asked for the others while the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Bounds that the platform sets.
+    pub bounds: Bounds,
+}
+
+impl LiveSettings {
+    /// Takes them from the settings of a file.
+    pub fn of(settings: &MeshSettings) -> Self {
+        Self {
+            service: settings.service.clone(),
+            seeds: settings.seeds.clone(),
+            bounds: settings.bounds,
+        }
+    }
+}
+
 /// Checked listening addresses.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MeshListen {
     /// For callers on this machine, and for the upstream's own calls.
     pub callers: SocketAddr,
@@ -136,6 +158,15 @@
         Self::from_raw::<D>(path.display().to_string(), raw)
     }
 
+    /// Tells whether name, zone and addresses are the same; they cannot change in a process.
+    pub fn has_same_place(&self, other: &Self) -> bool {
+        self.instance == other.instance
+            && self.zone == other.zone
+            && self.listen == other.listen
+            && self.upstream == other.upstream
+            && self.store == other.store
+    }
+
     /// Makes the typed settings.
     pub fn from_raw<D: Dialect>(
         file: impl Into<Arc<str>>,
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -49,6 +49,20 @@
     known: (u64, u64),
 }
 
+/// What the asked node is to the asker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    FirstHub,
+    OtherHub,
+    Peer,
+}
+
+impl Role {
+    fn hub(number: usize) -> Self {
+        if number == 0 { Self::FirstHub } else { Self::OtherHub }
+    }
+}
+
 /// Instances that did not answer.
 #[derive(Debug, Default)]
 struct Missed(HashMap<InstanceName, (Instant, Duration)>);
@@ -86,7 +100,7 @@
             Some(hub) if hub != node.settings.instance => {
                 let address = members.addresses()[&hub].clone();
                 let contact = contacts.entry(hub.clone()).or_default();
-                match exchange(&node, &address, contact, &wants, number == 0).await {
+                match exchange(&node, &address, contact, &wants, Role::hub(number)).await {
                     Ok(()) => drop(missed.0.remove(&hub)),
                     Err(cause) => {
                         log::warn!(hub:% = hub, cause = cause; "a hub does not answer");
@@ -112,7 +126,7 @@
 
 /// Makes one exchange with another node, for its proof and its records.
 pub async fn ask<D: Dialect>(node: &Arc<Node<D>>, address: &InstanceAddress) -> Result<(), String> {
-    exchange(node, address, &mut Contact::default(), &[], false).await
+    exchange(node, address, &mut Contact::default(), &[], Role::Peer).await
 }
 
 async fn exchange<D: Dialect>(
@@ -120,7 +134,7 @@
     address: &InstanceAddress,
     contact: &mut Contact,
     wants: &[Want],
-    is_first_hub: bool,
+    role: Role,
 ) -> Result<(), String> {
     let own = node.own_record();
     let asked = clock::now();
@@ -139,6 +153,7 @@
                 returned: want.returned,
             })
             .collect(),
+        as_hub: role != Role::Peer,
     };
     let mut peer = node.peer(address.peer_address);
     let reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
@@ -153,7 +168,7 @@
     if contact.known > (own.generation, own.sequence) {
         node.raise_generation(reply.known_generation);
     }
-    take_records(node, reply.records, is_first_hub);
+    take_records(node, reply.records, role);
     configuration::take_from_peer(
         node,
         asked,
@@ -169,11 +184,7 @@
     Ok(())
 }
 
-fn take_records<D: Dialect>(
-    node: &Node<D>,
-    records: Vec<proto::InstanceRecord>,
-    is_first_hub: bool,
-) {
+fn take_records<D: Dialect>(node: &Node<D>, records: Vec<proto::InstanceRecord>, role: Role) {
     if records.is_empty() {
         return;
     }
@@ -188,7 +199,7 @@
         let instance = record.instance.clone();
         changed |= directory.merge(record);
         // Hubs hear an instance at different moments, so only one of them is believed.
-        if is_first_hub {
+        if role == Role::FirstHub {
             changed |= directory.merge_silence(&instance, silent);
         }
     }
@@ -224,7 +235,8 @@
             returned: want.returned,
         })
         .collect();
-    let grants = grant(node, &wants).into_iter().map(|grant| proto::Grant {
+    let grants = if request.as_hub { grant(node, &wants) } else { Vec::new() };
+    let grants = grants.into_iter().map(|grant| proto::Grant {
         tokens: grant.tokens,
         retry_after_ms: millis(grant.retry_after),
     });
