--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -106,6 +106,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The instances that have told of themselves.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.services.values().flatten()
+    }
+
     /// All instances by name.
     pub fn addresses(&self) -> &BTreeMap<InstanceName, InstanceAddress> {
         &self.addresses
@@ -222,9 +227,9 @@
         !silent.is_empty()
     }
 
-    /// Instances that are in contact.
-    pub fn contacts(&self, now: Timestamp) -> usize {
-        let recent = |entry: &&Entry| entry.heard_at.is_some_and(|at| now <= at + SILENCE_LIMIT);
+    /// Instances that were heard within `lifetime`.
+    pub fn contacts(&self, now: Timestamp, lifetime: Duration) -> usize {
+        let recent = |entry: &&Entry| entry.heard_at.is_some_and(|at| now <= at + lifetime);
         self.entries.values().filter(recent).count()
     }
 
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -14,7 +14,7 @@
     http_server::pipelined::{Handler, Limits},
     mesh::{
         AttemptEnd, Call, CallHead, Candidate, Catalog, Dialect, Guarded, LoadReport, Member, Node,
-        Organisation, RootVerdict, Route, RunningCall, ServiceUse, Usage,
+        Organisation, Origin, RootVerdict, Route, RunningCall, ServiceUse, Usage,
         charge::{self, Charge},
         guard::ANSWER_GRACE,
         proto,
@@ -115,20 +115,33 @@
             let not_run = refusal.end(undispatched);
             log::info!(
                 target: "hibiscusdoor::request",
-                request = request_id.as_deref(), path = parts.uri.path(),
-                reason = not_run.reason.as_str();
+                request = request_id.as_deref().unwrap_or_default(), path = parts.uri.path(),
+                reason = not_run.reason.as_str(), configuration = node.catalog_version();
                 "refused: {}", not_run.detail
             );
-            return response::<D>(Outcome::NotRun(not_run), request_id.as_deref());
+            let outcome = Outcome::NotRun(not_run);
+            let origin = origin::<D>(request_id.as_deref());
+            node.metrics.ended(origin, &outcome, clock::now().saturating_sub(arrived));
+            return response::<D>(outcome, request_id.as_deref());
         }
     };
     let request = whole_request(parts, body);
     let outcome = run(&node, &admitted, request, undispatched, charge).await;
-    log_outcome(&admitted, &outcome, arrived);
+    let took = clock::now().saturating_sub(arrived);
+    node.metrics.ended(origin::<D>(request_id.as_deref()), &outcome, took);
+    log_outcome(&admitted, &outcome, took);
     response::<D>(outcome, request_id.as_deref())
 }
 
-fn log_outcome(admitted: &Admitted, outcome: &Outcome, arrived: Timestamp) {
+/// Where a request began, as far as its id tells.
+fn origin<D: Dialect>(request_id: Option<&str>) -> Origin {
+    match request_id.and_then(D::parent_id) {
+        Some(_) => Origin::Upstream,
+        None => Origin::Caller,
+    }
+}
+
+fn log_outcome(admitted: &Admitted, outcome: &Outcome, took: Duration) {
     let (kind, reason, detail) = match outcome {
         Outcome::Whole(answer) => ("answered", "", answer.status.to_string()),
         Outcome::NotRun(it) => ("refused", it.reason.as_str(), it.detail.clone()),
@@ -138,8 +151,8 @@
     log::info!(
         target: "hibiscusdoor::request",
         request:% = call.request_id, route:% = call.route, service:% = call.service,
-        rank = call.rank, depth = call.depth, reason = reason,
-        took_ms = millis(clock::now().saturating_sub(arrived)),
+        organisation = call.organisation.as_deref().unwrap_or_default(),
+        rank = call.rank, depth = call.depth, reason = reason, took_ms = millis(took),
         left_ms = millis(call.deadline.saturating_sub(clock::now()));
         "{kind}: {detail}"
     );
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod guard;
 mod node;
+mod operators;
 mod pause;
 mod peer_service;
 mod placement;
@@ -44,8 +45,9 @@
 };
 pub use guard::{Guard, Guarded};
 pub use node::{FreshnessProof, Node};
+pub use operators::{MeshMetrics, Origin};
 pub use placement::{AttemptEnd, Candidate, LoadReport, Placement};
-pub use rates::{Grant, RateHome, RateStock, Token, Want};
+pub use rates::{CONTACT_LIFETIME, Grant, RateHome, RateStock, Token, Want};
 pub use registry::{Heard, Registry, Upstream};
 pub use retry_budget::{RetryBound, RetryBudget};
 pub use root_admission::{RootAdmission, RootVerdict};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -18,8 +18,9 @@
     clock::Timestamp,
     mesh::{
         Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
-        LearnedUse, LiveSettings, Members, MeshSettings, Placement, RateHome, RateStock, Registry,
-        RetryBound, RetryBudget, RootAdmission, UpstreamRecord, proto::mesh_client::MeshClient,
+        LearnedUse, LiveSettings, Members, MeshMetrics, MeshSettings, Placement, RateHome,
+        RateStock, Registry, RetryBound, RetryBudget, RootAdmission, UpstreamRecord,
+        proto::mesh_client::MeshClient,
     },
     names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
@@ -73,6 +74,8 @@
     pub stock: Mutex<RateStock>,
     /// Marked as changed when a request waits for a token or the node's record changes.
     pub sync_now: watch::Sender<()>,
+    /// Counters and histograms since the start.
+    pub metrics: MeshMetrics,
     /// Notified when tokens have come.
     pub granted: Notify,
     /// Notified when another node claims to know of a newer configuration or proof.
@@ -119,6 +122,7 @@
             home: Mutex::default(),
             stock: Mutex::default(),
             sync_now: watch::Sender::new(()),
+            metrics: MeshMetrics::default(),
             granted: Notify::new(),
             fresher: Notify::new(),
             peers: Mutex::default(),
@@ -313,9 +317,14 @@
 
     /// Age of the newest proof; very long where there is none.
     pub fn age(&self, now: Timestamp) -> Duration {
+        self.known_age(now).unwrap_or(Duration::from_secs(u64::from(u32::MAX)))
+    }
+
+    /// Age of the newest proof; none where there is none.
+    pub fn known_age(&self, now: Timestamp) -> Option<Duration> {
         match self.began_ms.load(Ordering::Acquire) {
-            0 => Duration::from_secs(u64::from(u32::MAX)),
-            began_ms => now.saturating_sub(Duration::from_millis(began_ms)),
+            0 => None,
+            began_ms => Some(now.saturating_sub(Duration::from_millis(began_ms))),
         }
     }
 }
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -16,6 +16,10 @@
 /// other part of the fleet has the whole rate, and the bound on an organisation's requests has
 /// little room for more.
 const MINORITY_PART: f64 = 0.25;
+/// An instance that did not draw for this long is not in contact with its home; entries draw some
+/// four times a second. While entries change from one home to another, both may be in contact with
+/// most of them for this long.
+pub const CONTACT_LIFETIME: Duration = Duration::from_millis(700);
 /// A home that was not asked for this long, or was frozen, starts anew with empty buckets.
 const HOME_BREAK: Duration = Duration::from_millis(700);
 /// Tokens that are granted beyond the rate and the burst. Tokens under way, and those at an entry
@@ -23,8 +27,12 @@
 /// refused. The platform's bound leaves room for more than that.
 const STRANDED_RATE_PART: f64 = 0.04;
 const STRANDED_BURST: f64 = 2.0;
-/// Demand that is drawn ahead; shorter than the time in which a home is missed.
-const DRAW_AHEAD: Duration = Duration::from_millis(300);
+/// Demand that is drawn ahead; shorter than the time in which a home is missed. What lies at the
+/// entries comes on top of the burst, and the platform's bound has room for half a second of the
+/// rate, of which [`STRANDED_RATE_PART`] takes a part.
+const DRAW_AHEAD: Duration = Duration::from_millis(250);
+/// Stock beyond this multiple of what is drawn ahead goes back.
+const SURPLUS: f64 = 1.5;
 /// Below this stock nothing is drawn ahead; single tokens are drawn when they are needed.
 const MIN_AHEAD: f64 = 1.0;
 /// Time constant of the demand.
@@ -186,10 +194,12 @@
         self.accounts.get(organisation).map_or(0, |account| account.waiting)
     }
 
-    /// Puts a token back, since the request did not reach an upstream.
+    /// Puts a token back, since the request has not run; it was no demand for tokens.
     pub fn give_back(&mut self, organisation: &OrganisationName) {
         if let Some(account) = self.accounts.get_mut(organisation) {
             account.stock += 1.0;
+            account.demand_per_s =
+                (account.demand_per_s - 1.0 / DEMAND_MEMORY.as_secs_f64()).max(0.0);
         }
     }
 
@@ -209,7 +219,10 @@
             let ahead = if ahead >= MIN_AHEAD { ahead } else { 0.0 };
             let target = f64::from(account.waiting) + ahead;
             let idle = now > account.last_taken + STOCK_LIFETIME;
-            let returned = if idle { account.stock } else { 0.0 };
+            let returned = match idle {
+                true => account.stock,
+                false => (account.stock - target * SURPLUS - 1.0).max(0.0).floor(),
+            };
             account.stock -= returned;
             let missing = (target - account.stock).ceil();
             let due = missing >= 1.0 && now >= account.dry_until;
--- a/src/mesh/retry_budget.rs
+++ b/src/mesh/retry_budget.rs
@@ -12,7 +12,11 @@
     time::Duration,
 };
 
-use crate::{clock::Timestamp, mesh::Usage, names::ServiceName};
+use crate::{
+    clock::Timestamp,
+    mesh::{ServiceUse, Usage},
+    names::ServiceName,
+};
 
 /// Parts of a window that are counted apart.
 const SLICES: u32 = 20;
@@ -36,31 +40,49 @@
     pub slack: f64,
 }
 
+/// What a node counts for one service.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    /// Requests to the service that began here, and their repeats.
+    requests: f64,
+    repeats: f64,
+    /// Requests that those to other services are expected to cause, and the same of repeats.
+    requests_below: f64,
+    repeats_below: f64,
+}
+
+impl Counts {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.repeats += other.repeats;
+        self.requests_below += other.requests_below;
+        self.repeats_below += other.repeats_below;
+    }
+}
+
 #[derive(Debug, Default)]
 struct Window {
-    slices: VecDeque<(u64, f64, f64, f64)>,
+    slices: VecDeque<(u64, Counts)>,
 }
 
 impl Window {
-    /// Counts in the slice of `now`: requests, their own repeats, repeats from above.
-    fn add(&mut self, slice: u64, requests: f64, direct: f64, above: f64) {
+    /// Counts in the slice of now.
+    fn add(&mut self, slice: u64, counts: Counts) {
         match self.slices.back_mut() {
-            Some(last) if last.0 == slice => {
-                last.1 += requests;
-                last.2 += direct;
-                last.3 += above;
-            }
-            _ => self.slices.push_back((slice, requests, direct, above)),
+            Some((last, sum)) if *last == slice => sum.add(counts),
+            _ => self.slices.push_back((slice, counts)),
         }
     }
 
-    fn sums(&mut self, slice: u64) -> (f64, f64, f64) {
-        while self.slices.front().is_some_and(|first| first.0 + u64::from(SLICES) < slice) {
+    fn sum(&mut self, slice: u64) -> Counts {
+        while self.slices.front().is_some_and(|(first, _)| first + u64::from(SLICES) < slice) {
             self.slices.pop_front();
         }
-        self.slices
-            .iter()
-            .fold((0.0, 0.0, 0.0), |sum, it| (sum.0 + it.1, sum.1 + it.2, sum.2 + it.3))
+        let mut sum = Counts::default();
+        for (_, counts) in &self.slices {
+            sum.add(*counts);
+        }
+        sum
     }
 }
 
@@ -89,11 +111,11 @@
     /// A request to a service begins; `below` is what its route uses of other services.
     pub fn request(&mut self, now: Timestamp, service: &ServiceName, below: Option<&Usage>) {
         let slice = self.slice(now);
-        self.window(service).add(slice, 1.0, 0.0, 0.0);
-        for used in below.iter().flat_map(|below| &below.services) {
-            if used.service != *service {
-                self.window(&used.service).add(slice, used.arrivals, 0.0, 0.0);
-            }
+        let counts = Counts { requests: 1.0, ..Counts::default() };
+        self.window(service).add(slice, counts);
+        for used in others(service, below) {
+            let counts = Counts { requests_below: used.arrivals, ..Counts::default() };
+            self.window(&used.service).add(slice, counts);
         }
     }
 
@@ -108,22 +130,22 @@
         let slice = self.slice(now);
         let RetryBound { ratio, slack, .. } = self.bound;
         let slack = slack * SLACK_PART / fleet.max(1) as f64;
-        let (requests, direct, _) = self.window(service).sums(slice);
-        if direct + 1.0 > ratio * DIRECT_PART * requests + slack {
+        let own = self.window(service).sum(slice);
+        if own.repeats + 1.0 > ratio * DIRECT_PART * own.requests + slack {
             return false;
         }
-        let others = || {
-            below.iter().flat_map(|below| &below.services).filter(|used| used.service != *service)
-        };
-        for used in others() {
-            let (requests, _, above) = self.window(&used.service).sums(slice);
-            if above + used.arrivals > ratio * ABOVE_PART * requests + slack {
+        for used in others(service, below) {
+            let counts = self.window(&used.service).sum(slice);
+            let allowed = ratio * ABOVE_PART * counts.requests_below + slack;
+            if counts.repeats_below + used.arrivals > allowed {
                 return false;
             }
         }
-        self.window(service).add(slice, 0.0, 1.0, 0.0);
-        for used in others() {
-            self.window(&used.service).add(slice, 0.0, 0.0, used.arrivals);
+        let counts = Counts { repeats: 1.0, ..Counts::default() };
+        self.window(service).add(slice, counts);
+        for used in others(service, below) {
+            let counts = Counts { repeats_below: used.arrivals, ..Counts::default() };
+            self.window(&used.service).add(slice, counts);
         }
         true
     }
@@ -140,3 +162,11 @@
         u64::try_from(now.as_nanos() / slice.as_nanos().max(1)).unwrap_or(u64::MAX)
     }
 }
+
+/// What a route uses of services other than its own.
+fn others<'a>(
+    service: &'a ServiceName,
+    below: Option<&'a Usage>,
+) -> impl Iterator<Item = &'a ServiceUse> {
+    below.into_iter().flat_map(|below| &below.services).filter(move |it| it.service != *service)
+}
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -20,7 +20,7 @@
     http_server::{self, pipelined},
     mesh::{
         Dialect, Heard, MeshSettings, Node, Upstream, UpstreamMessage, configuration, control,
-        entry::Callers, peer_service, reload, sync,
+        entry::Callers, operators, peer_service, reload, sync,
     },
 };
 
@@ -103,7 +103,7 @@
     peers.spawn(peer_service::serve(listeners.peers, node.clone(), stop_peers.clone()));
     answering.spawn(serve_with(&node, listeners.heartbeats, &stop_answering, heartbeat));
     answering.spawn(serve_with(&node, listeners.readiness, &stop_answering, readiness));
-    answering.spawn(serve_with(&node, listeners.operators, &stop_answering, operators));
+    answering.spawn(serve_with(&node, listeners.operators, &stop_answering, operators::answer));
     log::info!(
         instance:% = node.settings.instance, incarnation = node.incarnation,
         service:% = node.own_service();
@@ -180,13 +180,6 @@
     http_server::serve(listener, stop.clone(), move |request| answer(node.clone(), request))
 }
 
-async fn operators<D: Dialect>(
-    _node: Arc<Node<D>>,
-    _request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    http_server::text(StatusCode::NOT_FOUND, "no such path")
-}
-
 async fn readiness<D: Dialect>(
     node: Arc<Node<D>>,
     request: Request<Incoming>,
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -13,8 +13,8 @@
 use crate::{
     clock::{self, Timestamp},
     mesh::{
-        Dialect, Grant, InstanceAddress, InstanceRecord, Node, UpstreamRecord, Want, configuration,
-        pause::jittered, proto,
+        CONTACT_LIFETIME, Dialect, Grant, InstanceAddress, InstanceRecord, Node, UpstreamRecord,
+        Want, configuration, pause::jittered, proto,
     },
     names::InstanceName,
 };
@@ -277,7 +277,7 @@
     let now = clock::now();
     let fleet = node.members.load().len();
     // The hub itself is in contact with itself.
-    let contacts = node.directory.lock().contacts(now) + 1;
+    let contacts = node.directory.lock().contacts(now, CONTACT_LIFETIME) + 1;
     let catalog = node.catalog.load_full();
     let mut home = node.home.lock();
     home.in_contact(now, contacts, fleet);
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -90,7 +90,7 @@
                 let _ = writeln!(
                     output,
                     "{}",
-                    json!({ "event": "log lines dropped", "dropped": dropped })
+                    json!({ "message": "log lines dropped", "dropped": dropped })
                 );
             }
         }
@@ -107,7 +107,7 @@
     line.insert("unix_s".to_owned(), json!(clock::unix_now().as_secs_f64()));
     line.insert("level".to_owned(), json!(record.level().as_str()));
     line.insert("module".to_owned(), json!(record.target()));
-    line.insert("event".to_owned(), json!(message.to_string()));
+    line.insert("message".to_owned(), json!(message.to_string()));
     // The visitor below fails on nothing.
     let _ = record.key_values().visit(&mut JsonFields(&mut line));
     Value::Object(line).to_string()
--- /dev/null
+++ b/tests/mesh_directory.rs
@@ -0,0 +1,99 @@
+//! Records of instances as they pass between nodes.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hibiscusdoor::mesh::{Directory, InstanceAddress, InstanceRecord, UpstreamRecord};
+
+fn address(number: u8) -> InstanceAddress {
+    InstanceAddress { zone: "bole".into(), peer_address: ([10, 0, 0, number], 7000).into() }
+}
+
+fn record(name: &str, generation: u64, sequence: u64, ready: bool) -> InstanceRecord {
+    InstanceRecord {
+        instance: name.into(),
+        generation,
+        sequence,
+        address: address(1),
+        leaving: false,
+        service: "orders".into(),
+        upstream: Some(UpstreamRecord { id: "u".into(), slots: 4, ready }),
+    }
+}
+
+fn ready(directory: &Directory, service: &str) -> usize {
+    let members = directory.members();
+    members.of(service).iter().filter(|member| member.ready_upstream().is_some()).count()
+}
+
+/// Guards against a record that comes late and undoes a newer one: first the versions in the order
+/// in which they come, then which of them must be in force.
+fn newest_record_wins(order: &[(u64, u64)], wins: (u64, u64)) {
+    let mut directory = Directory::default();
+    for (generation, sequence) in order {
+        directory.merge(record("a", *generation, *sequence, true));
+    }
+    assert_eq!(directory.version_of("a"), Some(wins));
+}
+
+crate::cases! { newest_record_wins:
+    in_order(&[(1, 1), (1, 2)], (1, 2)),
+    a_late_sequence(&[(1, 2), (1, 1)], (1, 2)),
+    a_late_record_of_the_process_before(&[(2, 1), (1, 9)], (2, 1)),
+    a_new_process(&[(1, 9), (2, 1)], (2, 1)),
+}
+
+/// Guards against a hub that sends everything again, or leaves out what changed.
+#[test]
+fn only_what_changed_is_told() {
+    let mut directory = Directory::default();
+    directory.merge(record("a", 1, 1, true));
+    directory.merge(record("b", 1, 1, true));
+    let first = directory.changes_since(0);
+    assert_eq!(first.members.len(), 2);
+    assert!(directory.changes_since(first.sequence).members.is_empty());
+    directory.merge(record("b", 1, 2, false));
+    let second = directory.changes_since(first.sequence);
+    let changed: Vec<&str> = second.members.iter().map(|it| &*it.record.instance).collect();
+    assert_eq!(changed, ["b"]);
+}
+
+/// Guards against requests to an instance that has fallen silent, and against one that stays out
+/// after it is back.
+#[test]
+fn silent_instances_get_no_requests() {
+    let mut directory = Directory::default();
+    directory.merge(record("a", 1, 1, true));
+    directory.merge(record("hub", 1, 1, true));
+    let start = Duration::from_secs(10);
+    directory.heard(start, "a");
+    assert!(!directory.look_for_silence(start + Duration::from_secs(1), "hub"));
+    assert!(directory.look_for_silence(start + Duration::from_secs(2), "hub"));
+    assert_eq!(ready(&directory, "orders"), 1);
+    assert!(directory.heard(start + Duration::from_secs(3), "a"));
+    assert_eq!(ready(&directory, "orders"), 2);
+}
+
+/// Guards against a node that becomes a hub and takes all for silent that it heard long ago.
+#[test]
+fn a_new_hub_waits_before_it_judges() {
+    let mut directory = Directory::default();
+    directory.merge(record("a", 1, 1, true));
+    directory.heard(Duration::from_secs(10), "a");
+    directory.begin_hearing();
+    assert!(!directory.look_for_silence(Duration::from_secs(60), "hub"));
+}
+
+/// Guards against instances that are gone for good and keep counting as a part of the fleet, and
+/// against one that only restarts and is forgotten.
+#[test]
+fn only_an_instance_that_goes_for_good_is_forgotten() {
+    let mut directory = Directory::default();
+    directory.stored(BTreeMap::from([("a".into(), address(1)), ("b".into(), address(2))]));
+    directory.merge(InstanceRecord { leaving: true, ..record("a", 1, 2, true) });
+    assert_eq!(directory.members().len(), 2);
+    directory.merge(InstanceRecord { leaving: true, upstream: None, ..record("a", 1, 3, true) });
+    assert_eq!(directory.members().len(), 1);
+    assert_eq!(ready(&directory, "orders"), 0);
+}
--- /dev/null
+++ b/tests/mesh_registry.rs
@@ -0,0 +1,84 @@
+//! Messages of the upstream beside a node: late, doubled, of earlier starts and of departures.
+
+mod support;
+
+use std::time::Duration;
+
+use hibiscusdoor::mesh::{Heard, Heartbeat, Registry, UpstreamState};
+
+fn heartbeat(upstream: &str, started: u64, sequence: u64, state: UpstreamState) -> Heartbeat {
+    Heartbeat {
+        upstream: upstream.into(),
+        address: ([10, 0, 0, 1], 8080).into(),
+        service: "orders".into(),
+        zone: "bole".into(),
+        slots: 10,
+        state,
+        sequence,
+        started_unix_ms: started,
+        cold: Duration::ZERO,
+    }
+}
+
+const READY: UpstreamState = UpstreamState::Ready;
+const DRAINING: UpstreamState = UpstreamState::Draining;
+const GRACE: Duration = Duration::from_secs(1);
+
+/// One message and what it must change: upstream, start, sequence, state, effect.
+type Step = (&'static str, u64, u64, UpstreamState, Heard);
+
+fn places_messages(steps: &[Step], current: &str, takes_requests: bool) {
+    let mut registry = Registry::default();
+    let mut now = Duration::from_secs(100);
+    for (upstream, started, sequence, state, effect) in steps {
+        now += Duration::from_secs(2);
+        let heard = registry.heard(now, heartbeat(upstream, *started, *sequence, *state));
+        assert_eq!(heard, *effect, "{upstream} {started} {sequence}");
+    }
+    let known = registry.current().expect("an upstream");
+    assert_eq!(&*known.heartbeat.upstream, current);
+    assert_eq!(known.takes_requests(now + GRACE, GRACE), takes_requests);
+}
+
+crate::cases! { places_messages:
+    a_first_heartbeat(&[("a", 5, 1, READY, Heard::Replaced)], "a", true),
+    a_repeated_heartbeat(
+        &[("a", 5, 1, READY, Heard::Replaced), ("a", 5, 2, READY, Heard::Unchanged)], "a", true),
+    a_heartbeat_that_was_overtaken(
+        &[("a", 5, 3, DRAINING, Heard::Replaced), ("a", 5, 2, READY, Heard::Late)], "a", false),
+    a_draining_upstream_that_says_so_twice(
+        &[("a", 5, 1, READY, Heard::Replaced), ("a", 5, 2, DRAINING, Heard::Changed),
+          ("a", 5, 3, DRAINING, Heard::Unchanged)], "a", false),
+    a_new_start_under_the_same_id(
+        &[("a", 5, 9, DRAINING, Heard::Replaced), ("a", 6, 1, READY, Heard::Replaced)], "a", true),
+    a_late_heartbeat_of_an_earlier_start(
+        &[("b", 9, 1, READY, Heard::Replaced), ("a", 5, 7, READY, Heard::Late)], "b", true),
+    another_upstream_in_the_same_place(
+        &[("a", 5, 7, READY, Heard::Replaced), ("b", 9, 1, READY, Heard::Replaced)], "b", true),
+}
+
+/// Guards against a heartbeat that was sent before the departure and comes after it: the upstream
+/// would get requests although its departure was acknowledged.
+#[test]
+fn a_departed_upstream_stays_departed() {
+    let mut registry = Registry::default();
+    let now = Duration::from_secs(100);
+    registry.heard(now, heartbeat("a", 5, 1, READY));
+    assert_eq!(registry.left(now, "a"), Heard::Changed);
+    assert!(registry.has_left());
+    assert_eq!(registry.heard(now, heartbeat("a", 5, 2, READY)), Heard::Late);
+    let known = registry.current().expect("an upstream");
+    assert!(!known.takes_requests(now + GRACE, GRACE));
+    assert!(!known.is_ready());
+    assert_eq!(registry.heard(now, heartbeat("a", 6, 1, READY)), Heard::Replaced);
+    assert!(!registry.has_left());
+}
+
+/// Guards against a departure of an upstream that is no longer there.
+#[test]
+fn a_late_departure_changes_nothing() {
+    let mut registry = Registry::default();
+    registry.heard(Duration::from_secs(1), heartbeat("b", 9, 1, READY));
+    assert_eq!(registry.left(Duration::from_secs(2), "a"), Heard::Late);
+    assert!(registry.current().expect("an upstream").is_ready());
+}
--- /dev/null
+++ b/tests/mesh_retry_budget.rs
@@ -0,0 +1,110 @@
+//! The bound on repeats over all nodes of a mesh.
+
+mod support;
+
+use std::{collections::HashMap, time::Duration};
+
+use hibiscusdoor::{
+    mesh::{RetryBound, RetryBudget, Usage},
+    names::ServiceName,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+const NODES: usize = 12;
+const BOUND: RetryBound = RetryBound { ratio: 0.2, window: Duration::from_secs(10), slack: 48.0 };
+const STEP: Duration = Duration::from_millis(10);
+
+/// Services of a chain, the first at its head, with the calls to each for one request at the head.
+const CHAIN: [(&str, f64); 4] = [("orders", 1.0), ("drops", 1.0), ("topups", 1.0), ("fleet", 4.0)];
+
+fn below(level: usize) -> Usage {
+    let mut usage = Usage::default();
+    for (service, calls) in &CHAIN[level..] {
+        usage.add(&(*service).into(), 0.05, calls / CHAIN[level].1);
+    }
+    usage
+}
+
+/// Requests and repeats of each service, by the time in steps.
+#[derive(Default)]
+struct Counts(HashMap<(&'static str, usize), (f64, f64)>);
+
+impl Counts {
+    fn worst(&self, service: &str, steps: usize) -> (f64, f64) {
+        let window = (BOUND.window.as_millis() / STEP.as_millis()) as usize;
+        let mut worst = (f64::NEG_INFINITY, 0.0);
+        for start in (0..steps.saturating_sub(window)).step_by(20) {
+            let mut sums = (0.0, 0.0);
+            for ((_, _), (requests, repeats)) in self
+                .0
+                .iter()
+                .filter(|((it, at), _)| *it == service && (start..start + window).contains(at))
+            {
+                sums.0 += requests;
+                sums.1 += repeats;
+            }
+            let excess = sums.1 - (BOUND.ratio * sums.0 + BOUND.slack);
+            if excess > worst.0 {
+                worst = (excess, sums.1);
+            }
+        }
+        worst
+    }
+}
+
+/// Guards against repeats beyond the bound when every node wants to send each request again, at
+/// every level of the chain at once; a repeat makes its calls again.
+fn all_nodes_repeat_all_they_may(requests_per_s: f64, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut budgets: Vec<RetryBudget> = (0..NODES).map(|_| RetryBudget::new(BOUND)).collect();
+    let mut counts = Counts::default();
+    let steps = 4000;
+    for step in 0..steps {
+        let now = STEP * step as u32;
+        for (level, (service, calls)) in CHAIN.iter().enumerate() {
+            let name: ServiceName = (*service).into();
+            let mut left = requests_per_s * calls * STEP.as_secs_f64();
+            while left > random.random_range(0.0..1.0) {
+                left -= 1.0;
+                let budget = &mut budgets[random.random_range(0..NODES)];
+                let usage = below(level);
+                budget.request(now, &name, Some(&usage));
+                counts.0.entry((*service, step)).or_default().0 += 1.0;
+                if budget.take(now, &name, Some(&usage), NODES) {
+                    for used in &usage.services {
+                        let (service, _) =
+                            CHAIN.iter().find(|(it, _)| **it == *used.service).expect("known");
+                        counts.0.entry((service, step)).or_default().1 += used.arrivals;
+                    }
+                }
+            }
+        }
+    }
+    for (service, _) in CHAIN {
+        let (excess, repeats) = counts.worst(service, steps);
+        assert!(excess <= 0.0, "{service}: {excess:.1} beyond the bound with {repeats} repeats");
+    }
+}
+
+crate::cases! { all_nodes_repeat_all_they_may:
+    at_two_hundred_a_second(200.0, 1),
+    at_twenty_a_second(20.0, 2),
+    at_two_a_second(2.0, 3),
+}
+
+/// Guards against a budget that is so tight that single failures are not repeated.
+#[test]
+fn single_failures_are_repeated() {
+    let mut budget = RetryBudget::new(BOUND);
+    let name: ServiceName = "orders".into();
+    let mut repeated = 0;
+    for request in 0..1000u32 {
+        let now = Duration::from_millis(50) * request;
+        budget.request(now, &name, None);
+        if request % 20 == 0 && budget.take(now, &name, None, NODES) {
+            repeated += 1;
+        }
+    }
+    assert_eq!(repeated, 50);
+}
