Repeat an upstream's own failures, and give scarce repeats to few chains

Load pattern: the copies of a deep service refuse half of what reaches them, so a chain of five calls completes by chance only. Repeats went to any call that came first; now all calls of a chain have one claim, by rank and by chance, and weak claims stop early. On the replay in tests/mesh_retry_budget.rs a third more chains complete. The part of the bound for repeats of a request itself follows its depth. A failure that does not come from below is tried elsewhere where the request may run again, and delivered where nothing better comes.

entry.rs is split: attempts, forward.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -5,27 +5,22 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use rand::RngExt as _;
-use smallvec::SmallVec;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::{
-    call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched, Unknown},
+    call::{NotRun, Outcome, Reason, Undispatched},
     clock::{self, Timestamp},
     http_server::pipelined::{Handler, Limits},
     mesh::{
-        AttemptEnd, Call, CallHead, Candidate, Catalog, Dialect, Guarded, LoadReport, Member, Node,
-        Organisation, Origin, RootVerdict, Route, RunningCall, ServiceUse, Usage,
+        Call, CallHead, Catalog, Dialect, Node, Organisation, Origin, RootVerdict, Route,
+        RunningCall,
+        attempts::{self, Ended},
         charge::{self, Charge},
-        guard::ANSWER_GRACE,
-        proto,
-        request::{WholeRequest, headers_from_proto, headers_to_proto, remove_connection_headers},
+        request::{WholeRequest, remove_connection_headers},
     },
-    names::{InstanceName, ServiceName},
-    peers,
+    names::ServiceName,
 };
 
-/// Instances that one request is sent to at most, those that refuse it without running it included.
-const MAX_PLACEMENTS: usize = 4;
 /// When a refused caller may try again, as a part of the time within which it wants its answer:
 /// early enough for an answer in time, and spread so that callers do not come back together.
 const RETRY_AFTER_PART: std::ops::Range<f64> = 0.25..0.75;
@@ -40,8 +35,6 @@
 const MAX_ROOT_WAIT_PART: u32 = 10;
 /// Time between two looks at the room.
 const ROOT_WAIT_INTERVAL: Duration = Duration::from_millis(20);
-/// Time after the deadline in which a reply of another node still comes.
-const REPLY_GRACE: Duration = ANSWER_GRACE.saturating_add(Duration::from_millis(50));
 
 /// The listener for callers on this machine and for the upstream's own calls.
 #[derive(Debug)]
@@ -343,12 +336,14 @@
     undispatched: Undispatched,
     charge: Option<Charge>,
 ) -> Outcome {
-    let (mut outcome, usage, refused) = run_attempts(node, admitted, request, undispatched).await;
+    let Ended { mut outcome, usage, refused } =
+        attempts::run(node, &admitted.route, &admitted.call, request, undispatched).await;
     if let Some(charge) = charge.filter(|_| matches!(outcome, Outcome::NotRun(_))) {
         charge.give_back(node);
     }
     if let Some(parent) = &admitted.parent {
-        parent.call_ended(&usage, refused);
+        let failed = !matches!(&outcome, Outcome::Whole(answer) if answer.status.is_success());
+        parent.call_ended(&usage, refused, failed);
     }
     if matches!(&outcome, Outcome::Whole(answer) if answer.status.is_success()) {
         node.learned.lock().learn(&admitted.call.route, &usage);
@@ -359,294 +354,6 @@
     outcome
 }
 
-/// Makes attempts until one is final; tells what they used, and whether a call was refused.
-async fn run_attempts<D: Dialect>(
-    node: &Arc<Node<D>>,
-    admitted: &Admitted,
-    request: WholeRequest,
-    mut undispatched: Undispatched,
-) -> (Outcome, Usage, bool) {
-    let mut call = admitted.call.clone();
-    let mut tried: SmallVec<[InstanceName; 4]> = SmallVec::new();
-    let mut usage = Usage::default();
-    let mut reached = 0;
-    let mut may_have_run: Option<Unknown> = None;
-    {
-        let learned = node.learned.lock();
-        let below = learned.of(&call.route);
-        node.retries.lock().request(clock::now(), &call.service, below);
-    }
-    loop {
-        let (instance, guarded) =
-            attempt(node, &admitted.route, &call, request.clone(), undispatched, &tried).await;
-        usage.merge(&guarded.usage);
-        if guarded.reached_upstream {
-            reached += 1;
-            call.repeated = true;
-        }
-        let again = match &guarded.outcome {
-            Outcome::Whole(_) => return (guarded.outcome, usage, guarded.refused_below),
-            Outcome::NotRun(not_run) => {
-                let elsewhere = matches!(
-                    not_run.reason,
-                    Reason::NoUpstream | Reason::Leaving | Reason::PeerFailed | Reason::Overload
-                );
-                elsewhere.then(|| not_run.try_again())
-            }
-            Outcome::Unknown(unknown) => {
-                may_have_run = Some(unknown.clone());
-                let repeatable = call.idempotent && unknown.reason != Reason::DeadlinePassed;
-                repeatable.then(|| unknown.try_again())
-            }
-        };
-        let found = instance.is_some();
-        tried.extend(instance);
-        let may_try = found
-            && again.is_some()
-            && clock::now() < call.deadline
-            && tried.len() < MAX_PLACEMENTS
-            && reached < admitted.route.max_attempts
-            && (reached == 0 || take_retry(node, &call));
-        match again.filter(|_| may_try) {
-            Some(again) => undispatched = again,
-            // A refusal after an attempt that may have run must not be reported as not run.
-            None => {
-                let refused = matches!(&guarded.outcome, Outcome::NotRun(_));
-                let outcome = may_have_run.map_or(guarded.outcome, Outcome::Unknown);
-                return (outcome, usage, refused);
-            }
-        }
-    }
-}
-
-/// Takes the right to let a request that has reached an upstream reach another one.
-fn take_retry<D: Dialect>(node: &Node<D>, call: &Call) -> bool {
-    let fleet = node.members.load().len();
-    let learned = node.learned.lock();
-    let below = learned.of(&call.route);
-    node.retries.lock().take(clock::now(), &call.service, below, fleet)
-}
-
-async fn attempt<D: Dialect>(
-    node: &Arc<Node<D>>,
-    route: &Route,
-    call: &Call,
-    request: WholeRequest,
-    undispatched: Undispatched,
-    tried: &[InstanceName],
-) -> (Option<InstanceName>, Guarded) {
-    let members = node.members.load_full();
-    let ready: SmallVec<[(&Arc<Member>, u32); 16]> = members
-        .of(&call.service)
-        .iter()
-        .filter(|member| !tried.contains(&member.record.instance))
-        .filter_map(|member| Some((member, member.ready_upstream()?.slots)))
-        .collect();
-    let candidates: SmallVec<[Candidate<'_>; 16]> = ready
-        .iter()
-        .map(|(member, slots)| Candidate {
-            instance: &member.record.instance,
-            same_zone: member.record.address.zone == node.settings.zone,
-            slots: *slots,
-        })
-        .collect();
-    let now = clock::now();
-    let chosen = node.placement.lock().choose(now, &route.name, route.answer_within, &candidates);
-    let Some(index) = chosen else {
-        let detail = format!("no instance of {} takes requests", call.service);
-        let not_run = undispatched.refuse(Reason::NoUpstream, detail);
-        return (None, Guarded::not_run(Outcome::NotRun(not_run)));
-    };
-    let member = ready[index].0;
-    let mut used = Used::begin(node, member, call);
-    let guarded = match member.record.instance == node.settings.instance {
-        true => node.guard.run(call.clone(), request, undispatched).await,
-        false => forward(node, member, call, request, undispatched).await,
-    };
-    used.ended(&guarded);
-    drop(used);
-    let now = clock::now();
-    let load = {
-        let names = members.of(&call.service).iter().map(|member| &member.record.instance);
-        node.placement.lock().load_of(now, names)
-    };
-    if let Some(load) = load {
-        node.root_admission.lock().reported(now, &call.service, load, now);
-    }
-    (Some(member.record.instance.clone()), guarded)
-}
-
-/// Counts an attempt at an instance, also when the caller goes away in its course.
-struct Used<'a, D: Dialect> {
-    node: &'a Node<D>,
-    instance: &'a InstanceName,
-    route: &'a Arc<str>,
-    end: AttemptEnd,
-    report: Option<LoadReport>,
-}
-
-impl<'a, D: Dialect> Used<'a, D> {
-    fn begin(node: &'a Node<D>, member: &'a Member, call: &'a Call) -> Self {
-        let (instance, route) = (&member.record.instance, &call.route);
-        node.placement.lock().started(clock::now(), instance);
-        Self { node, instance, route, end: AttemptEnd::Abandoned, report: None }
-    }
-
-    fn ended(&mut self, guarded: &Guarded) {
-        self.report = guarded.load;
-        self.end = match &guarded.outcome {
-            Outcome::Whole(answer) if answer.status.is_server_error() => {
-                // An upstream that passes on a refusal from below is not at fault.
-                match guarded.refused_below {
-                    true => AttemptEnd::Refused,
-                    false => AttemptEnd::Failed,
-                }
-            }
-            Outcome::Whole(_) => AttemptEnd::Answered,
-            Outcome::NotRun(not_run) => match not_run.reason {
-                Reason::PeerFailed | Reason::NoUpstream => AttemptEnd::Unreachable,
-                _ if guarded.reached_upstream => AttemptEnd::Failed,
-                _ => AttemptEnd::Refused,
-            },
-            Outcome::Unknown(unknown) => match unknown.reason {
-                Reason::PeerFailed => AttemptEnd::Unreachable,
-                _ => AttemptEnd::Failed,
-            },
-        };
-    }
-}
-
-impl<D: Dialect> Drop for Used<'_, D> {
-    fn drop(&mut self) {
-        let mut placement = self.node.placement.lock();
-        placement.finished(clock::now(), self.instance, self.route, self.end, self.report);
-    }
-}
-
-async fn forward<D: Dialect>(
-    node: &Node<D>,
-    member: &Member,
-    call: &Call,
-    request: WholeRequest,
-    undispatched: Undispatched,
-) -> Guarded {
-    let not_sent = |undispatched: Undispatched, reason, detail: String| {
-        Guarded::not_run(Outcome::NotRun(undispatched.refuse(reason, detail)))
-    };
-    let remaining = call.deadline.saturating_sub(clock::now());
-    if remaining.is_zero() {
-        let detail = "the deadline has passed".to_owned();
-        return not_sent(undispatched, Reason::DeadlinePassed, detail);
-    }
-    let message = to_message(call, request, remaining);
-    let mut peer = node.peer(member.record.address.peer_address);
-    let forwarding = Forwarding::begin(undispatched);
-    let unknown = |forwarding: Forwarding, reason, detail: String| Guarded {
-        reached_upstream: true,
-        ..Guarded::not_run(forwarding.unknown(reason, detail))
-    };
-    let reply = match timeout(remaining + REPLY_GRACE, peer.forward(message)).await {
-        Ok(Ok(reply)) => reply.into_inner(),
-        Ok(Err(status)) => {
-            let detail = format!("{} did not answer: {}", member.record.instance, status.message());
-            if peers::not_connected(&status) {
-                return not_sent(forwarding.not_sent(), Reason::PeerFailed, detail);
-            }
-            return unknown(forwarding, Reason::PeerFailed, detail);
-        }
-        Err(_) => {
-            let detail = format!("no answer of {} in time", member.record.instance);
-            return unknown(forwarding, Reason::DeadlinePassed, detail);
-        }
-    };
-    take_reply(node, forwarding, reply)
-}
-
-fn to_message(call: &Call, request: WholeRequest, remaining: Duration) -> proto::ForwardRequest {
-    let name = |name: &Option<Arc<str>>| name.as_deref().unwrap_or_default().to_owned();
-    proto::ForwardRequest {
-        request_id: call.request_id.to_string(),
-        service: call.service.to_string(),
-        method: request.method.as_str().to_owned(),
-        authority: request.authority.to_string(),
-        path: request.path.to_string(),
-        headers: headers_to_proto(&request.headers),
-        body: request.body,
-        remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
-        idempotent: call.idempotent,
-        organisation: name(&call.organisation),
-        caller_service: call.caller_service.to_string(),
-        rank: call.rank,
-        root_organisation: name(&call.root_organisation),
-        depth: call.depth,
-        repeated: call.repeated,
-        route: call.route.to_string(),
-    }
-}
-
-/// Takes the reply of another node, and what it tells of the services below.
-fn take_reply<D: Dialect>(
-    node: &Node<D>,
-    forwarding: Forwarding,
-    reply: proto::ForwardReply,
-) -> Guarded {
-    let now = clock::now();
-    let mut usage = Usage::default();
-    let mut root_admission = node.root_admission.lock();
-    for used in &reply.uses {
-        let service: ServiceName = used.service.as_str().into();
-        if used.load_permille > 0 {
-            let at = now.saturating_sub(Duration::from_millis(u64::from(used.load_age_ms)));
-            let load = f64::from(used.load_permille) / 1000.0;
-            root_admission.reported(now, &service, load, at);
-        }
-        usage.services.push(ServiceUse {
-            service,
-            held_s: f64::from(used.held_us) / 1e6,
-            arrivals: f64::from(used.arrivals),
-        });
-    }
-    drop(root_admission);
-    Guarded {
-        reached_upstream: reply.reached_upstream,
-        load: reply.load.map(|load| LoadReport {
-            running: load.running,
-            waiting: load.waiting,
-            limit: load.limit,
-            mean_s: f64::from(load.mean_us) / 1e6,
-            route_s: f64::from(load.route_us) / 1e6,
-        }),
-        usage,
-        refused_below: reply.refused_below,
-        outcome: read_outcome(forwarding, reply),
-    }
-}
-
-fn read_outcome(forwarding: Forwarding, reply: proto::ForwardReply) -> Outcome {
-    let reason = Reason::from_name(&reply.reason).unwrap_or(Reason::PeerFailed);
-    match reply.outcome() {
-        proto::Outcome::Whole => {
-            let status = u16::try_from(reply.status).ok();
-            match status.and_then(|status| StatusCode::from_u16(status).ok()) {
-                Some(status) => forwarding.answered(Answer {
-                    status,
-                    headers: headers_from_proto(reply.headers),
-                    body: reply.body,
-                }),
-                None => forwarding.unknown(Reason::PeerFailed, "the answer has no status"),
-            }
-        }
-        proto::Outcome::NotRun => {
-            let not_run =
-                NotRun { reason, detail: reply.detail, retry_after: None, covers_request: true };
-            Outcome::NotRun(forwarding.not_run(not_run).1)
-        }
-        proto::Outcome::Unknown | proto::Outcome::Unspecified => {
-            forwarding.unknown(reason, reply.detail)
-        }
-    }
-}
-
 fn response<D: Dialect>(outcome: Outcome, request_id: Option<&str>) -> Response<Bytes> {
     let (status, retry_after, detail) = match outcome {
         Outcome::Whole(answer) => {
--- /dev/null
+++ b/src/mesh/forward.rs
@@ -0,0 +1,148 @@
+//! Forwarding of a request to the node beside its upstream, and what the reply tells.
+
+use std::{sync::Arc, time::Duration};
+
+use http::StatusCode;
+use tokio::time::timeout;
+
+use crate::{
+    call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched},
+    clock,
+    mesh::{
+        Call, Dialect, Guarded, LoadReport, Member, Node, ServiceUse, Usage,
+        guard::ANSWER_GRACE,
+        proto,
+        request::{WholeRequest, headers_from_proto, headers_to_proto},
+    },
+    names::ServiceName,
+    peers,
+};
+
+/// Time after the deadline in which a reply of another node still comes.
+const REPLY_GRACE: Duration = ANSWER_GRACE.saturating_add(Duration::from_millis(50));
+
+/// Forwards a request to the node of a member.
+pub async fn forward<D: Dialect>(
+    node: &Node<D>,
+    member: &Member,
+    call: &Call,
+    request: WholeRequest,
+    undispatched: Undispatched,
+) -> Guarded {
+    let not_sent = |undispatched: Undispatched, reason, detail: String| {
+        Guarded::not_run(Outcome::NotRun(undispatched.refuse(reason, detail)))
+    };
+    let remaining = call.deadline.saturating_sub(clock::now());
+    if remaining.is_zero() {
+        let detail = "the deadline has passed".to_owned();
+        return not_sent(undispatched, Reason::DeadlinePassed, detail);
+    }
+    let message = to_message(call, request, remaining);
+    let mut peer = node.peer(member.record.address.peer_address);
+    let forwarding = Forwarding::begin(undispatched);
+    let unknown = |forwarding: Forwarding, reason, detail: String| Guarded {
+        reached_upstream: true,
+        ..Guarded::not_run(forwarding.unknown(reason, detail))
+    };
+    let reply = match timeout(remaining + REPLY_GRACE, peer.forward(message)).await {
+        Ok(Ok(reply)) => reply.into_inner(),
+        Ok(Err(status)) => {
+            let detail = format!("{} did not answer: {}", member.record.instance, status.message());
+            if peers::not_connected(&status) {
+                return not_sent(forwarding.not_sent(), Reason::PeerFailed, detail);
+            }
+            return unknown(forwarding, Reason::PeerFailed, detail);
+        }
+        Err(_) => {
+            let detail = format!("no answer of {} in time", member.record.instance);
+            return unknown(forwarding, Reason::DeadlinePassed, detail);
+        }
+    };
+    take_reply(node, forwarding, reply)
+}
+
+fn to_message(call: &Call, request: WholeRequest, remaining: Duration) -> proto::ForwardRequest {
+    let name = |name: &Option<Arc<str>>| name.as_deref().unwrap_or_default().to_owned();
+    proto::ForwardRequest {
+        request_id: call.request_id.to_string(),
+        service: call.service.to_string(),
+        method: request.method.as_str().to_owned(),
+        authority: request.authority.to_string(),
+        path: request.path.to_string(),
+        headers: headers_to_proto(&request.headers),
+        body: request.body,
+        remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+        idempotent: call.idempotent,
+        organisation: name(&call.organisation),
+        caller_service: call.caller_service.to_string(),
+        rank: call.rank,
+        root_organisation: name(&call.root_organisation),
+        depth: call.depth,
+        repeated: call.repeated,
+        route: call.route.to_string(),
+    }
+}
+
+/// Takes the reply of another node, and what it tells of the services below.
+fn take_reply<D: Dialect>(
+    node: &Node<D>,
+    forwarding: Forwarding,
+    reply: proto::ForwardReply,
+) -> Guarded {
+    let now = clock::now();
+    let mut usage = Usage::default();
+    let mut root_admission = node.root_admission.lock();
+    for used in &reply.uses {
+        let service: ServiceName = used.service.as_str().into();
+        if used.load_permille > 0 {
+            let at = now.saturating_sub(Duration::from_millis(u64::from(used.load_age_ms)));
+            let load = f64::from(used.load_permille) / 1000.0;
+            root_admission.reported(now, &service, load, at);
+        }
+        usage.services.push(ServiceUse {
+            service,
+            held_s: f64::from(used.held_us) / 1e6,
+            arrivals: f64::from(used.arrivals),
+        });
+    }
+    drop(root_admission);
+    Guarded {
+        reached_upstream: reply.reached_upstream,
+        load: reply.load.map(|load| LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            limit: load.limit,
+            mean_s: f64::from(load.mean_us) / 1e6,
+            route_s: f64::from(load.route_us) / 1e6,
+        }),
+        usage,
+        refused_below: reply.refused_below,
+        failed_below: reply.failed_below,
+        outcome: read_outcome(forwarding, reply),
+    }
+}
+
+fn read_outcome(forwarding: Forwarding, reply: proto::ForwardReply) -> Outcome {
+    let reason = Reason::from_name(&reply.reason).unwrap_or(Reason::PeerFailed);
+    match reply.outcome() {
+        proto::Outcome::Whole => {
+            let status = u16::try_from(reply.status).ok();
+            match status.and_then(|status| StatusCode::from_u16(status).ok()) {
+                Some(status) => forwarding.answered(Answer {
+                    status,
+                    headers: headers_from_proto(reply.headers),
+                    body: reply.body,
+                }),
+                None => forwarding.unknown(Reason::PeerFailed, "the answer has no status"),
+            }
+        }
+        proto::Outcome::NotRun => {
+            let not_run =
+                NotRun { reason, detail: reply.detail, retry_after: None, covers_request: true };
+            Outcome::NotRun(forwarding.not_run(not_run).1)
+        }
+        proto::Outcome::Unknown | proto::Outcome::Unspecified => {
+            forwarding.unknown(reason, reply.detail)
+        }
+    }
+}
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -60,6 +60,8 @@
     pub usage: Usage,
     /// It failed since a call below it was refused.
     pub refused_below: bool,
+    /// A call below it has not succeeded.
+    pub failed_below: bool,
 }
 
 impl Guarded {
@@ -71,6 +73,7 @@
             load: None,
             usage: Usage::default(),
             refused_below: false,
+            failed_below: false,
         }
     }
 }
@@ -268,6 +271,7 @@
         let mut usage = entry.call.used_below();
         usage.add(&call.service, held.as_secs_f64(), 1.0);
         let refused_below = entry.call.was_refused_below();
+        let failed_below = entry.call.has_failed_below();
         let mut reached_upstream = true;
         let outcome = match sent {
             Ok(Ok(answer)) => {
@@ -291,7 +295,7 @@
             }
             Err(_) => dispatch.unknown(Reason::DeadlinePassed, "no answer in time"),
         };
-        Guarded { outcome, reached_upstream, load: None, usage, refused_below }
+        Guarded { outcome, reached_upstream, load: None, usage, refused_below, failed_below }
     }
 
     fn serving(&self, call: &Call) -> Option<Arc<Upstream>> {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 //! node chooses an instance of the service and forwards the request to the node beside it, which
 //! guards its upstream. What a platform calls things is behind the trait [`Dialect`].
 
+mod attempts;
 mod bounds;
 mod call;
 mod catalog;
@@ -13,6 +14,7 @@
 mod dialect;
 mod directory;
 mod entry;
+mod forward;
 mod guard;
 mod node;
 mod operators;
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -103,6 +103,7 @@
         }),
         uses: uses(node, service, &guarded.usage),
         refused_below: guarded.refused_below,
+        failed_below: guarded.failed_below,
         ..Default::default()
     };
     match guarded.outcome {
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -75,6 +75,9 @@
     /// The request failed since a call below it was refused.
     #[prost(bool, tag = "10")]
     pub refused_below: bool,
+    /// A call below it has not succeeded.
+    #[prost(bool, tag = "11")]
+    pub failed_below: bool,
 }
 /// Work at the upstream beside a node.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/mesh/retry_budget.rs
+++ b/src/mesh/retry_budget.rs
@@ -20,11 +20,15 @@
 
 /// Parts of a window that are counted apart.
 const SLICES: u32 = 20;
-/// Part of the bound that repeats of a service's own requests may use; the rest is for repeats of
-/// requests above that make their calls again.
-const DIRECT_PART: f64 = 0.55;
-/// Part of the bound for those, at each of up to six levels of calls above.
+/// Part of the bound that is used.
+const USED_PART: f64 = 0.97;
+/// Part of it that repeats of the requests above may cause, at each level; the rest is for repeats
+/// of the request itself.
 const ABOVE_PART: f64 = 0.07;
+/// Levels of calls above a request that are told apart.
+const MAX_LEVELS: u32 = 6;
+/// Part of the allowance that is kept from chains with the weakest claim.
+const CLAIM_PART: f64 = 0.9;
 /// Part of the allowance that does not depend on the number of requests which is used: the nodes
 /// do not agree on their number at every moment.
 const SLACK_PART: f64 = 0.4;
@@ -43,8 +47,9 @@
 /// What a node counts for one service.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
-    /// Requests to the service that began here, and their repeats.
-    requests: f64,
+    /// Parts of the bound for repeats of requests to the service that began here, one for each
+    /// request, and those repeats.
+    direct_parts: f64,
     repeats: f64,
     /// Requests that those to other services are expected to cause, and the same of repeats.
     requests_below: f64,
@@ -53,7 +58,7 @@
 
 impl Counts {
     fn add(&mut self, other: Self) {
-        self.requests += other.requests;
+        self.direct_parts += other.direct_parts;
         self.repeats += other.repeats;
         self.requests_below += other.requests_below;
         self.repeats_below += other.repeats_below;
@@ -108,10 +113,18 @@
         }
     }
 
-    /// A request to a service begins; `below` is what its route uses of other services.
-    pub fn request(&mut self, now: Timestamp, service: &ServiceName, below: Option<&Usage>) {
+    /// A request to a service begins, with `depth` calls above it; `below` is what its route uses
+    /// of other services.
+    pub fn request(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        depth: u32,
+        below: Option<&Usage>,
+    ) {
         let slice = self.slice(now);
-        let counts = Counts { requests: 1.0, ..Counts::default() };
+        let direct_parts = USED_PART - ABOVE_PART * f64::from(depth.min(MAX_LEVELS));
+        let counts = Counts { direct_parts, ..Counts::default() };
         self.window(service).add(slice, counts);
         for used in others(service, below) {
             let counts = Counts { requests_below: used.arrivals, ..Counts::default() };
@@ -119,19 +132,23 @@
         }
     }
 
-    /// Takes the right to send a request once more; `fleet` is the number of nodes.
+    /// Takes the right to let a request reach one more upstream, in a fleet of this many nodes.
+    /// `claim` is 0 for chains that may use the whole allowance, and 1 for those that are the first
+    /// to go without.
     pub fn take(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         below: Option<&Usage>,
         fleet: usize,
+        claim: f64,
     ) -> bool {
         let slice = self.slice(now);
         let RetryBound { ratio, slack, .. } = self.bound;
         let slack = slack * SLACK_PART / fleet.max(1) as f64;
         let own = self.window(service).sum(slice);
-        if own.repeats + 1.0 > ratio * DIRECT_PART * own.requests + slack {
+        let allowed = ratio * own.direct_parts + slack;
+        if own.repeats + 1.0 > allowed || own.repeats > allowed * (1.0 - CLAIM_PART * claim) {
             return false;
         }
         for used in others(service, below) {
--- a/src/mesh/running.rs
+++ b/src/mesh/running.rs
@@ -19,12 +19,16 @@
     pub call: Call,
     below: Mutex<Usage>,
     refused_below: AtomicBool,
+    failed_below: AtomicBool,
 }
 
 impl RunningCall {
     /// A call that the upstream made for the request has ended.
-    pub fn call_ended(&self, usage: &Usage, refused: bool) {
+    pub fn call_ended(&self, usage: &Usage, refused: bool, failed: bool) {
         self.below.lock().merge(usage);
+        if failed {
+            self.failed_below.store(true, Ordering::Relaxed);
+        }
         if refused {
             self.refused_below.store(true, Ordering::Relaxed);
         }
@@ -35,6 +39,11 @@
         self.below.lock().clone()
     }
 
+    /// A call below the request has not succeeded.
+    pub fn has_failed_below(&self) -> bool {
+        self.failed_below.load(Ordering::Relaxed)
+    }
+
     /// A call below the request was refused for overload.
     pub fn was_refused_below(&self) -> bool {
         self.refused_below.load(Ordering::Relaxed)
@@ -72,6 +81,7 @@
             call,
             below: Mutex::default(),
             refused_below: AtomicBool::new(false),
+            failed_below: AtomicBool::new(false),
         });
         self.calls.lock().insert(call.call.request_id.clone(), call.clone());
         RunningEntry { call, calls: self }
--- a/tests/mesh_retry_budget.rs
+++ b/tests/mesh_retry_budget.rs
@@ -69,9 +69,9 @@
                 left -= 1.0;
                 let budget = &mut budgets[random.random_range(0..NODES)];
                 let usage = below(level);
-                budget.request(now, &name, Some(&usage));
+                budget.request(now, &name, level as u32, Some(&usage));
                 counts.0.entry((*service, step)).or_default().0 += 1.0;
-                if budget.take(now, &name, Some(&usage), NODES) {
+                if budget.take(now, &name, Some(&usage), NODES, 0.0) {
                     for used in &usage.services {
                         let (service, _) =
                             CHAIN.iter().find(|(it, _)| **it == *used.service).expect("known");
@@ -101,10 +101,45 @@
     let mut repeated = 0;
     for request in 0..1000u32 {
         let now = Duration::from_millis(50) * request;
-        budget.request(now, &name, None);
-        if request % 20 == 0 && budget.take(now, &name, None, NODES) {
+        budget.request(now, &name, 0, None);
+        if request % 20 == 0 && budget.take(now, &name, None, NODES, 0.0) {
             repeated += 1;
         }
     }
     assert_eq!(repeated, 50);
 }
+
+/// Chains of five calls in a row to a service that refuses more than half of what reaches it; returns
+/// which of them complete, with the claim that each has.
+fn chains_at_a_refusing_service(claims: impl Fn(&mut ChaCha8Rng) -> f64) -> Vec<(f64, bool)> {
+    let mut random = ChaCha8Rng::seed_from_u64(4);
+    let mut budget = RetryBudget::new(BOUND);
+    let name: ServiceName = "fleet".into();
+    let mut chains = Vec::new();
+    for chain in 0..6000u32 {
+        let claim = claims(&mut random);
+        let served = |call: u32| {
+            let now = Duration::from_millis(5) * chain + Duration::from_millis(1) * call;
+            budget.request(now, &name, 3, None);
+            let mut served = random.random_range(0.0..1.0) < 0.45;
+            while !served && budget.take(now, &name, None, 1, claim) {
+                served = random.random_range(0.0..1.0) < 0.45;
+            }
+            served
+        };
+        chains.push((claim, (0..5).all(served)));
+    }
+    chains
+}
+
+/// Guards against repeats that are spread over all chains, so that hardly one completes.
+#[test]
+fn scarce_repeats_go_to_the_strongest_claims() {
+    let complete = |chains: &[(f64, bool)]| chains.iter().filter(|(_, it)| *it).count();
+    let even = chains_at_a_refusing_service(|_| 0.0);
+    let claimed = chains_at_a_refusing_service(|random| random.random_range(0.0..1.0));
+    let (before, after) = (complete(&even), complete(&claimed));
+    assert!(after * 10 > before * 13, "{after} chains complete in place of {before}");
+    let strong: Vec<_> = claimed.into_iter().filter(|(claim, _)| *claim < 0.02).collect();
+    assert!(complete(&strong) * 10 > strong.len() * 8, "{} of {}", complete(&strong), strong.len());
+}
