Operators' pages, reference, sample and tests of a node in a mesh

All findings about mesh settings come together. docs/platform.md, docs/OPERATIONS.md, docs/metrics-mesh.md, DEVELOPERS.md.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -13,6 +13,7 @@
     config::{Document, ResourceKind},
     control::{client::AdminClient, fleet, help, resource},
     findings,
+    mesh::RawMeshSettings,
     settings::RawSettings,
 };
 
@@ -27,6 +28,16 @@
 This page is made by `hibiscusctl reference settings > docs/settings.md`; a test compares it with
 the program.";
 
+const MESH_SETTINGS_PAGE: &str = "\
+The settings file of `hibiscusd mesh`, a node on the operators' platform, in JSON;
+sample/settings-mesh.json is an example, deploy/settings.json the template that the platform fills
+in. A node reads it at its start, on SIGHUP, and when the file changes; instance, zone and addresses
+need a restart. `hibiscusd mesh --settings FILE --check` checks a file. The names under `bounds` are
+the platform's; those that the node does not use are passed over.
+
+This page is made by `hibiscusctl reference settings-mesh > docs/settings-mesh.md`; a test compares
+it with the program.";
+
 const CONFIGURATION_PAGE: &str = "\
 The operators' configuration, in JSON; sample/configuration.json is an example. It is one document
 at the platform that `hibiscusctl` changes, as a whole with `apply FILE` or one resource at a time.
@@ -140,9 +151,13 @@
 fn reference(name: &str) -> anyhow::Result<String> {
     let page = match name {
         "settings" => findings::reference::<RawSettings>("Settings", SETTINGS_PAGE),
+        "settings-mesh" => {
+            findings::reference::<RawMeshSettings>("Settings in a mesh", MESH_SETTINGS_PAGE)
+        }
         "configuration" => findings::reference::<Document>("Configuration", CONFIGURATION_PAGE),
         _ => {
-            let message = format!("expected settings or configuration, found {name}");
+            let message =
+                format!("expected settings, settings-mesh or configuration, found {name}");
             return Err(UsageError(message).into());
         }
     };
--- a/src/control/help.rs
+++ b/src/control/help.rs
@@ -17,7 +17,7 @@
   get                 print the accepted configuration
   apply FILE          replace the configuration by FILE
   check FILE          check a configuration file
-  reference NAME      print the reference page of \"settings\" or \"configuration\"
+  reference NAME      print the reference page of \"settings\", \"settings-mesh\" or \"configuration\"
 
 Fleet:
   status              who is served how well, what is refused and why
@@ -165,7 +165,7 @@
 const REFERENCE: &str = "\
 hibiscusctl reference: prints a reference page
 
-Usage: hibiscusctl reference settings|configuration
+Usage: hibiscusctl reference settings|settings-mesh|configuration
 ";
 
 const STATUS: &str = "\
--- a/src/findings/mod.rs
+++ b/src/findings/mod.rs
@@ -116,6 +116,14 @@
     check_input(path.display().to_string(), &read_text(path)?)
 }
 
+/// Reads `path` and checks its text against the schema of `T` and the given rules.
+pub fn check_file_with<T: JsonSchema + DeserializeOwned>(
+    path: &Path,
+    check_rules: impl Fn(&Value, &mut Collector),
+) -> Result<T, Findings> {
+    check_with(path.display().to_string(), &read_text(path)?, check_rules)
+}
+
 /// Reads `path` and checks its text as [`check`] does.
 pub fn check_file<T: JsonSchema + DeserializeOwned>(path: &Path) -> Result<T, Findings> {
     check(path.display().to_string(), &read_text(path)?)
--- a/src/mesh/attempts.rs
+++ b/src/mesh/attempts.rs
@@ -34,6 +34,10 @@
     pub usage: Usage,
     /// It, or a call below it, was refused for lack of room.
     pub refused: bool,
+    /// Number of attempts.
+    pub attempts: usize,
+    /// Instance of the last attempt; none where no instance took requests.
+    pub instance: Option<InstanceName>,
 }
 
 /// What the attempts so far have left.
@@ -69,7 +73,7 @@
         let (instance, guarded) =
             attempt(node, route, &call, request.clone(), undispatched, &progress.tried).await;
         let found = instance.is_some();
-        progress.tried.extend(instance);
+        progress.tried.extend(instance.clone());
         progress.attempts += 1;
         progress.usage.merge(&guarded.usage);
         if guarded.reached_upstream {
@@ -91,7 +95,7 @@
         });
         match again {
             Some(again) => undispatched = again,
-            None => return progress.end(guarded),
+            None => return progress.end(guarded, instance),
         }
         match guarded.outcome {
             Outcome::Whole(answer) => progress.failed = Some(answer),
@@ -102,8 +106,8 @@
 }
 
 impl Progress {
-    fn end(self, last: Guarded) -> Ended {
-        let (usage, refused_below) = (self.usage, last.refused_below);
+    fn end(self, last: Guarded, instance: Option<InstanceName>) -> Ended {
+        let (usage, refused_below, attempts) = (self.usage, last.refused_below, self.attempts);
         let (outcome, refused) = match (last.outcome, self.failed, self.may_have_run) {
             (whole @ Outcome::Whole(_), _, _) => (whole, refused_below),
             (_, Some(answer), _) => (Outcome::Whole(answer), false),
@@ -112,7 +116,7 @@
             (Outcome::NotRun(_), None, Some(unknown)) => (Outcome::Unknown(unknown), true),
             (unknown @ Outcome::Unknown(_), None, _) => (unknown, false),
         };
-        Ended { outcome, usage, refused }
+        Ended { outcome, usage, refused, attempts, instance }
     }
 }
 
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -19,6 +19,7 @@
         request::{WholeRequest, remove_connection_headers},
     },
     names::ServiceName,
+    store::ObjectVersion,
 };
 
 /// When a refused caller may try again, as a part of the time within which it wants its answer:
@@ -119,11 +120,28 @@
         }
     };
     let request = whole_request(parts, body);
-    let outcome = run(&node, &admitted, request, undispatched, charge).await;
+    let unfinished = Unfinished(&admitted.call);
+    let ended = run(&node, &admitted, request, undispatched, charge).await;
+    std::mem::forget(unfinished);
     let took = clock::now().saturating_sub(arrived);
-    node.metrics.ended(origin::<D>(request_id.as_deref()), &outcome, took);
-    log_outcome(&admitted, &outcome, took);
-    response::<D>(outcome, request_id.as_deref())
+    node.metrics.ended(origin::<D>(request_id.as_deref()), &ended.outcome, took);
+    log_end(&admitted, &ended, took, node.catalog_version());
+    response::<D>(ended.outcome, request_id.as_deref())
+}
+
+/// Writes that a request was given up because its caller went away.
+struct Unfinished<'a>(&'a Call);
+
+impl Drop for Unfinished<'_> {
+    fn drop(&mut self) {
+        let call = self.0;
+        log::info!(
+            target: "hibiscusdoor::request",
+            request:% = call.request_id, route:% = call.route, service:% = call.service,
+            depth = call.depth, left_ms = millis(call.deadline.saturating_sub(clock::now()));
+            "abandoned: the caller has gone"
+        );
+    }
 }
 
 /// Where a request began, as far as its id tells.
@@ -134,8 +152,8 @@
     }
 }
 
-fn log_outcome(admitted: &Admitted, outcome: &Outcome, took: Duration) {
-    let (kind, reason, detail) = match outcome {
+fn log_end(admitted: &Admitted, ended: &Ended, took: Duration, configuration: ObjectVersion) {
+    let (kind, reason, detail) = match &ended.outcome {
         Outcome::Whole(answer) => ("answered", "", answer.status.to_string()),
         Outcome::NotRun(it) => ("refused", it.reason.as_str(), it.detail.clone()),
         Outcome::Unknown(it) => ("failed", it.reason.as_str(), it.detail.clone()),
@@ -145,7 +163,9 @@
         target: "hibiscusdoor::request",
         request:% = call.request_id, route:% = call.route, service:% = call.service,
         organisation = call.organisation.as_deref().unwrap_or_default(),
-        rank = call.rank, depth = call.depth, reason = reason, took_ms = millis(took),
+        rank = call.rank, depth = call.depth, reason = reason,
+        instance = ended.instance.as_deref().unwrap_or_default(), attempts = ended.attempts,
+        configuration = configuration, took_ms = millis(took),
         left_ms = millis(call.deadline.saturating_sub(clock::now()));
         "{kind}: {detail}"
     );
@@ -335,23 +355,24 @@
     request: WholeRequest,
     undispatched: Undispatched,
     charge: Option<Charge>,
-) -> Outcome {
-    let Ended { mut outcome, usage, refused } =
+) -> Ended {
+    let mut ended =
         attempts::run(node, &admitted.route, &admitted.call, request, undispatched).await;
+    let outcome = &mut ended.outcome;
     if let Some(charge) = charge.filter(|_| matches!(outcome, Outcome::NotRun(_))) {
         charge.give_back(node);
     }
+    let succeeded = matches!(outcome, Outcome::Whole(answer) if answer.status.is_success());
     if let Some(parent) = &admitted.parent {
-        let failed = !matches!(&outcome, Outcome::Whole(answer) if answer.status.is_success());
-        parent.call_ended(&usage, refused, failed);
+        parent.call_ended(&ended.usage, ended.refused, !succeeded);
     }
-    if matches!(&outcome, Outcome::Whole(answer) if answer.status.is_success()) {
-        node.learned.lock().learn(&admitted.call.route, &usage);
+    if succeeded {
+        node.learned.lock().learn(&admitted.call.route, &ended.usage);
     }
-    if let Outcome::NotRun(not_run) = &mut outcome {
+    if let Outcome::NotRun(not_run) = outcome {
         not_run.retry_after.get_or_insert_with(|| retry_after(&admitted.route));
     }
-    outcome
+    ended
 }
 
 fn response<D: Dialect>(outcome: Outcome, request_id: Option<&str>) -> Response<Bytes> {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -7,7 +7,7 @@
 use serde_json::{Map, Value};
 
 use crate::{
-    findings::{self, Collector, Findings, Input},
+    findings::{self, Collector, Findings},
     mesh::{Bounds, Dialect},
     names::{InstanceName, ServiceName, ZoneName},
     settings::{RawLog, check_log_modules, parse_address},
@@ -17,6 +17,7 @@
 
 /// Settings as they stand in the file.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
 pub struct RawMeshSettings {
     /// Name of the instance, unique in the fleet.
     #[schemars(length(min = 1, max = 63))]
@@ -35,6 +36,7 @@
     /// Address that other nodes are told for `listen.peers`, where it is another one, as behind a
     /// port forwarding.
     #[serde(default)]
+    #[schemars(extend("format" = "ip-address-and-port"))]
     pub announced_peers: Option<String>,
     /// The platform's object store.
     pub store: RawStore,
@@ -51,6 +53,7 @@
 
 /// Listening addresses, each an IP address and a port.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
 pub struct RawMeshListen {
     /// For callers on this machine, and for the upstream's own calls.
     #[schemars(extend("format" = "ip-address-and-port"))]
@@ -71,6 +74,7 @@
 
 /// The platform's object store.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
 pub struct RawStore {
     /// IP address and port.
     #[schemars(extend("format" = "ip-address-and-port"))]
@@ -151,16 +155,19 @@
     pub operators: SocketAddr,
 }
 
-impl Input for RawMeshSettings {
-    fn check_rules(value: &Value, collector: &mut Collector) {
-        check_log_modules(value, collector);
-    }
-}
-
 impl MeshSettings {
     /// Reads and checks a settings file.
     pub fn from_file<D: Dialect>(path: &Path) -> Result<Self, Findings> {
-        let raw = findings::check_input_file::<RawMeshSettings>(path)?;
+        let raw = findings::check_file_with::<RawMeshSettings>(path, |value, collector| {
+            check_log_modules(value, collector);
+            if let Some(bounds) = value["bounds"].as_object() {
+                D::bounds(bounds, "/bounds", collector);
+            }
+            let seeds = value["seeds"].as_array().into_iter().flatten().enumerate();
+            for (index, seed) in seeds.filter_map(|(index, seed)| Some((index, seed.as_str()?))) {
+                parse_address(collector, &format!("/seeds/{index}"), seed);
+            }
+        })?;
         Self::from_raw::<D>(path.display().to_string(), raw)
     }
 
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -27,6 +27,14 @@
     assert_eq!(code, EXIT_USAGE);
 }
 
+/// Guards against the same faults in the settings of a node in a mesh.
+fn check_mesh_settings(name: &str, expected: &[&str]) {
+    let file = format!("tests/bad/settings-mesh/{name}.json");
+    let (code, text) = run("hibiscusd", &["mesh", "--settings", &file, "--check"]);
+    assert_findings(&text, &file, expected);
+    assert_eq!(code, EXIT_USAGE);
+}
+
 /// Guards against the same faults in the configuration.
 fn check_configuration(name: &str, expected: &[&str]) {
     let file = format!("tests/bad/configuration/{name}.json");
@@ -117,9 +125,32 @@
 cases! {
     check_reference_page:
     settings_page_matches_the_program("settings"),
+    mesh_settings_page_matches_the_program("settings-mesh"),
     configuration_page_matches_the_program("configuration"),
 }
 
+cases! {
+    check_mesh_settings:
+    mesh_settings_with_several_faults(
+        "several",
+        &[
+            "/announced_peers: expected an IP address and a port, as in 127.0.0.1:7000, found \"127.0.0.1\"",
+            "/upstream: expected an IP address and a port, as in 127.0.0.1:7000, found \"bole:80\"",
+            "/bounds/drain: expected a time, as in \"1500ms\", found \"soon\"",
+            "/bounds/retryBudgetRatio: expected a ratio, found -1",
+            "/seeds/0: expected an IP address and a port, as in 127.0.0.1:7000, found nowhere",
+        ],
+    ),
+    mesh_settings_with_wrong_fields(
+        "fields",
+        &[
+            "/store/timeout_ms: expected a number of at least 10, found 5",
+            "/store: expected the field \"address\", found none",
+            "/zones: expected a known field, found an unknown field",
+        ],
+    ),
+}
+
 cases! {
     check_settings:
     settings_address_twice(
--- /dev/null
+++ b/tests/mesh_operators.rs
@@ -0,0 +1,69 @@
+//! What a node in a mesh shows its operators.
+
+#[path = "soak/mod.rs"]
+mod fleet;
+
+use std::{
+    collections::BTreeSet,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use fleet::{plan::services, world::World};
+use hibiscusdoor::standin::{HttpReply, http_call, new_client};
+use http::Method;
+use tokio::time::sleep;
+
+/// Longest wait for a condition of the fleet.
+const WAIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(100);
+
+async fn get(world: &World, path: &str) -> anyhow::Result<HttpReply> {
+    let url = format!("http://{}{path}", world.operators(0));
+    http_call(&new_client(), Method::GET, &url, &[], "").await
+}
+
+/// Guards against a metric that nobody can interpret, a page that names one that is gone, and a state
+/// dump that does not tell what the node believes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pages_tell_what_a_node_believes() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let program = Path::new(env!("CARGO_BIN_EXE_hibiscusd"));
+    let network = u16::try_from(40_000 + std::process::id() % 20_000)?;
+    let world = World::start(program, folder.path(), services().len(), network).await?;
+    world.start_callers(1);
+    let page = include_str!("../docs/metrics-mesh.md");
+    let named: BTreeSet<&str> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split('`').next())
+        .map(|name| name.trim_end_matches("_total"))
+        .collect();
+    let until = Instant::now() + WAIT;
+    // The upstream announces itself, and requests come, within the first second or two.
+    loop {
+        sleep(POLL).await;
+        let Ok(reply) = get(&world, "/metrics").await else { continue };
+        let text = String::from_utf8(reply.body.to_vec())?;
+        let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+        let served: BTreeSet<&str> = help.filter_map(|line| line.split(' ').next()).collect();
+        let answered = text.lines().any(|line| {
+            line.starts_with("hibiscusdoor_requests_total") && line.contains("outcome=\"whole\"")
+        });
+        let all_known = get(&world, "/state").await?.json()["instances"] == services().len();
+        if served == named && answered && all_known {
+            break;
+        }
+        assert!(Instant::now() < until, "named {named:?}, served {served:?}: {text}");
+    }
+    let state = get(&world, "/state").await?.json();
+    assert_eq!(state["instance"], "node-0", "{state}");
+    assert_eq!(state["instances"], services().len(), "{state}");
+    assert_eq!(state["revision"], 1, "{state}");
+    assert_eq!(state["upstream"], "u-0-0", "{state}");
+    assert_eq!(state["out_of_use"].as_array().map(Vec::len), Some(0), "{state}");
+    assert_eq!(get(&world, "/healthz").await?.status, 200);
+    assert_eq!(get(&world, "/other").await?.status, 404);
+    world.stop_callers().await;
+    Ok(())
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,20 +4,8 @@
 //! promises are checked against that. `SOAK_SEEDS=100..150` runs other seeds, `SOAK_NODES=60` a
 //! larger fleet, `SOAK_LENGTH_S=30` a longer time; `SOAK_KEEP=1` keeps the logs.
 
-#[path = "soak/callers.rs"]
-mod callers;
-#[path = "soak/plan.rs"]
-mod plan;
-#[path = "soak/proxy.rs"]
-mod proxy;
-#[path = "soak/record.rs"]
-mod record;
-#[path = "soak/store.rs"]
-mod store;
-#[path = "soak/upstream.rs"]
-mod upstream;
-#[path = "soak/world.rs"]
-mod world;
+#[path = "soak/mod.rs"]
+mod fleet;
 
 use std::{
     ops::Range,
@@ -31,7 +19,7 @@
     time::{sleep, sleep_until},
 };
 
-use world::World;
+use fleet::{plan, world::World};
 
 /// Seeds of a run in CI.
 const CI_SEEDS: Range<u64> = 1..3;
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -20,7 +20,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{
+use super::{
     plan::{HOST, ORGANISATIONS, services},
     record::{Record, Seen, Sent},
     upstream::answer_body,
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
-use crate::record::Rate;
+use super::record::Rate;
 
 /// Host of callers' routes.
 pub const HOST: &str = "soak.example";
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -24,7 +24,7 @@
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::{
+use super::{
     plan::{CALL_HOST, CHAIN_PREFIX, ServicePlan},
     record::{Record, Run},
 };
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use crate::{
+use super::{
     callers::Caller,
     plan::{self, Fault, ORGANISATIONS},
     proxy::{LinkFault, Proxy},
@@ -355,6 +355,11 @@
         Ok(())
     }
 
+    /// Address of a node's listener for operators.
+    pub fn operators(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.nodes[index].address, OPERATORS)
+    }
+
     /// Nodes whose process has ended by itself.
     pub fn ended_nodes(&self) -> Vec<usize> {
         let mut ended = Vec::new();
