--- a/src/bin/hibiscusd.rs
+++ b/src/bin/hibiscusd.rs
@@ -112,7 +112,9 @@
         signals.spawn(reload_on_signal(reload.clone()));
         let result = mesh::run::<OperatorsPlatform>(settings, listeners, shutdown, reload).await;
         signals.shutdown().await;
-        exit_code(result)
+        let code = exit_code(result);
+        telemetry::flush_lines();
+        code
     })
 }
 
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -7,6 +7,7 @@
         atomic::{AtomicU64, Ordering},
         mpsc,
     },
+    time::{Duration, Instant},
 };
 
 use fern::Dispatch;
@@ -28,6 +29,9 @@
 
 /// Lines that wait to be written; what comes beyond them is dropped and counted.
 const MAX_WAITING_LINES: usize = 4096;
+/// Longest wait for them at the end of a process, and the time between two looks.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+const FLUSH_CHECK: Duration = Duration::from_millis(2);
 
 /// Where log lines go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,7 +77,16 @@
     DROPPED_LINES.load(Ordering::Relaxed)
 }
 
+/// Waits, for a short time, until the lines that wait have been written; for the end of a process.
+pub fn flush_lines() {
+    let until = Instant::now() + FLUSH_TIMEOUT;
+    while WAITING_LINES.load(Ordering::Acquire) > 0 && Instant::now() < until {
+        std::thread::sleep(FLUSH_CHECK);
+    }
+}
+
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+static WAITING_LINES: AtomicU64 = AtomicU64::new(0);
 
 /// Makes an output that never blocks.
 fn queued_output() -> anyhow::Result<fern::Output> {
@@ -84,6 +97,7 @@
         while let Ok(line) = lines.recv() {
             // A closed output cannot be reported anywhere; the node works on without it.
             let _ = writeln!(output, "{line}");
+            WAITING_LINES.fetch_sub(1, Ordering::AcqRel);
             let dropped = dropped_lines();
             if dropped > reported {
                 reported = dropped;
@@ -96,7 +110,10 @@
         }
     })?;
     Ok(fern::Output::call(move |record| {
+        // Counted first, so that the writer never counts down from zero.
+        WAITING_LINES.fetch_add(1, Ordering::AcqRel);
         if sender.try_send(record.args().to_string()).is_err() {
+            WAITING_LINES.fetch_sub(1, Ordering::AcqRel);
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
     }))
--- a/tests/mesh_operators.rs
+++ b/tests/mesh_operators.rs
@@ -9,7 +9,10 @@
     time::{Duration, Instant},
 };
 
-use fleet::{plan::services, world::World};
+use fleet::{
+    plan::{Fault, services},
+    world::World,
+};
 use hibiscusdoor::standin::{HttpReply, http_call, new_client};
 use http::Method;
 use tokio::time::sleep;
@@ -67,3 +70,24 @@
     world.stop_callers().await;
     Ok(())
 }
+
+/// Guards against a stop that the log does not show: lines that still waited for the writer were lost
+/// with the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_is_logged() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let program = Path::new(env!("CARGO_BIN_EXE_hibiscusd"));
+    let network = u16::try_from(20_000 + std::process::id() % 20_000)?;
+    let world = World::start(program, folder.path(), 1, network).await?;
+    let until = Instant::now() + WAIT;
+    while !matches!(get(&world, "/healthz").await, Ok(reply) if reply.status == 200) {
+        assert!(Instant::now() < until, "the node does not start");
+        sleep(POLL).await;
+    }
+    world.clone().strike(program, Fault::StopNode(0)).await?;
+    let log = std::fs::read_to_string(folder.path().join("node-0.log"))?;
+    for line in ["node is stopping", "node has stopped"] {
+        assert!(log.contains(line), "no line {line:?}: {log}");
+    }
+    Ok(())
+}
