--- a/tests/mesh_root_admission.rs
+++ b/tests/mesh_root_admission.rs
@@ -61,8 +61,8 @@
             match entry.check(now, &usage, urgency) {
                 RootVerdict::Admit => {
                     seen.admitted[rank] += 1.0;
-                    for step in lead..lead + spread {
-                        due_s[step] += HELD_S / spread as f64;
+                    for step_s in due_s.iter_mut().skip(lead).take(spread) {
+                        *step_s += HELD_S / spread as f64;
                     }
                 }
                 RootVerdict::Refuse { .. } => seen.refused[rank] += 1.0,
