Bind a departure whose upstream's start is not known

Ruled out: other nodes (the request came from the same node) and the leave grace (1 s). The two new cases of tests/mesh_registry.rs take that heartbeat without the change.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Timestamp,
+    clock::{self, Timestamp},
     mesh::{
         Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
         LearnedUse, LiveSettings, Members, MeshMetrics, MeshSettings, Placement, RateHome,
@@ -188,7 +188,7 @@
 
     /// The upstream beside the node has left, so the instance goes for good.
     pub fn upstream_has_left(&self) -> bool {
-        self.registry.lock().has_left()
+        self.registry.lock().has_left(clock::now())
     }
 
     /// Service beside the node.
@@ -209,7 +209,7 @@
             Some(upstream) => upstream.heartbeat.service.clone(),
             None => self.live.load().service.clone(),
         };
-        let stays = upstream.filter(|_| !(self.is_leaving() && registry.has_left()));
+        let stays = upstream.filter(|_| !(self.is_leaving() && registry.has_left(clock::now())));
         let upstream = stays.map(|it| UpstreamRecord {
             id: it.heartbeat.upstream.clone(),
             slots: it.heartbeat.slots,
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -11,6 +11,10 @@
     names::InstanceName,
 };
 
+/// Time after the departure of an upstream that was not heard of before in which messages under its id
+/// are taken for late ones; they may be seconds late.
+const LATE_MESSAGES: Duration = Duration::from_secs(15);
+
 /// The upstream beside the node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Upstream {
@@ -39,8 +43,17 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     current: Option<Upstream>,
-    /// The upstream that left last, by id and start.
-    departed: Option<(InstanceName, u64)>,
+    /// The upstream that left last, by id.
+    departed: Option<(InstanceName, DepartedStart)>,
+}
+
+/// Which start of an upstream has left.
+#[derive(Debug, Clone, Copy)]
+enum DepartedStart {
+    /// The one at this time, and those before it.
+    Known(u64),
+    /// No heartbeat of it was heard here; messages under its id are late ones until this time.
+    Unknown(Timestamp),
 }
 
 impl Registry {
@@ -52,7 +65,7 @@
     /// Takes a heartbeat.
     pub fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) -> Heard {
         let start = (heartbeat.started_unix_ms, heartbeat.sequence);
-        if self.has_departed(&heartbeat) {
+        if self.has_departed(now, &heartbeat) {
             return Heard::Late;
         }
         let Some(known) = &self.current else {
@@ -76,23 +89,37 @@
 
     /// The upstream has left; it still serves for a short time.
     pub fn left(&mut self, now: Timestamp, upstream: &str) -> Heard {
-        let Some(known) = self.current.as_mut().filter(|it| *it.heartbeat.upstream == *upstream)
-        else {
+        let is_current =
+            self.current.as_ref().is_some_and(|it| *it.heartbeat.upstream == *upstream);
+        if !is_current && self.has_left(now) {
+            // What is known of the departure of the present one must not be lost.
             return Heard::Late;
+        }
+        let known = self.current.as_mut().filter(|it| *it.heartbeat.upstream == *upstream);
+        let start = match known.as_ref().map(|known| known.heartbeat.started_unix_ms) {
+            Some(started_unix_ms) if started_unix_ms > 0 => DepartedStart::Known(started_unix_ms),
+            _ => DepartedStart::Unknown(now + LATE_MESSAGES),
         };
-        self.departed = Some((known.heartbeat.upstream.clone(), known.heartbeat.started_unix_ms));
+        self.departed = Some((upstream.into(), start));
+        let Some(known) = known else { return Heard::Late };
         known.leaving_since.get_or_insert(now);
         Heard::Changed
     }
 
     /// The upstream has said that it leaves for good.
-    pub fn has_left(&self) -> bool {
-        self.current.as_ref().is_some_and(|current| self.has_departed(&current.heartbeat))
+    pub fn has_left(&self, now: Timestamp) -> bool {
+        self.current.as_ref().is_some_and(|current| self.has_departed(now, &current.heartbeat))
     }
 
-    fn has_departed(&self, heartbeat: &Heartbeat) -> bool {
-        self.departed.as_ref().is_some_and(|(upstream, started_unix_ms)| {
-            *upstream == heartbeat.upstream && heartbeat.started_unix_ms <= *started_unix_ms
+    fn has_departed(&self, now: Timestamp, heartbeat: &Heartbeat) -> bool {
+        self.departed.as_ref().is_some_and(|(upstream, start)| {
+            *upstream == heartbeat.upstream
+                && match start {
+                    DepartedStart::Known(started_unix_ms) => {
+                        heartbeat.started_unix_ms <= *started_unix_ms
+                    }
+                    DepartedStart::Unknown(until) => now < *until,
+                }
         })
     }
 
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -22,6 +22,8 @@
 
 const READY: UpstreamState = UpstreamState::Ready;
 const DRAINING: UpstreamState = UpstreamState::Draining;
+/// Time of a look at a departure.
+const NOW: Duration = Duration::from_secs(100);
 const GRACE: Duration = Duration::from_secs(1);
 
 /// One message and what it must change: upstream, start, sequence, state, effect.
@@ -65,13 +67,13 @@
     let now = Duration::from_secs(100);
     registry.heard(now, heartbeat("a", 5, 1, READY));
     assert_eq!(registry.left(now, "a"), Heard::Changed);
-    assert!(registry.has_left());
+    assert!(registry.has_left(NOW));
     assert_eq!(registry.heard(now, heartbeat("a", 5, 2, READY)), Heard::Late);
     let known = registry.current().expect("an upstream");
     assert!(!known.takes_requests(now + GRACE, GRACE));
     assert!(!known.is_ready());
     assert_eq!(registry.heard(now, heartbeat("a", 6, 1, READY)), Heard::Replaced);
-    assert!(!registry.has_left());
+    assert!(!registry.has_left(NOW));
 }
 
 /// Guards against a departure of an upstream that is no longer there.
@@ -82,3 +84,25 @@
     assert_eq!(registry.left(Duration::from_secs(2), "a"), Heard::Late);
     assert!(registry.current().expect("an upstream").is_ready());
 }
+
+/// Guards against a late heartbeat that brings a departed upstream back where its start was not known:
+/// a node had just restarted and found it by its health (hunt-3fd5-7 at tesfaye-ice: a request reached
+/// it 2.5 s after the departure was acknowledged), or had not heard of it at all.
+fn a_departure_binds_without_a_known_start(found_by_health: bool) {
+    let mut registry = Registry::default();
+    let mut now = NOW;
+    if found_by_health {
+        assert_eq!(registry.heard(now, heartbeat("a", 0, 0, READY)), Heard::Replaced);
+    }
+    now += Duration::from_millis(700);
+    registry.left(now, "a");
+    now += Duration::from_millis(2200);
+    assert_eq!(registry.heard(now, heartbeat("a", 5, 29, READY)), Heard::Late);
+    assert!(!registry.current().is_some_and(|known| known.takes_requests(now, GRACE)));
+    assert_eq!(registry.heard(now, heartbeat("b", 6, 1, READY)), Heard::Replaced);
+}
+
+crate::cases! { a_departure_binds_without_a_known_start:
+    of_an_upstream_found_by_its_health(true),
+    of_an_upstream_not_heard_of(false),
+}
