--- /dev/null
+++ b/src/experiment/world/hops.rs
@@ -0,0 +1,218 @@
+//! Calls at the node where they enter: choice of a target, attempts and their ends.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+
+use crate::{
+    admission::OwnTime,
+    call::Reason,
+    experiment::world::{
+        CONNECT_TIMEOUT, Control, End, Event, Policy, Stage, Visit, World, slab::Id,
+    },
+    names::InstanceName,
+    retry::{AttemptEnd, may_retry},
+    routing::{AttemptResult, Candidate, Pressure},
+};
+
+impl World<'_> {
+    pub(super) fn begin_hop(&mut self, id: Id) {
+        self.counts.calls += 1;
+        if let Some(hop) = self.hops.get(id) {
+            self.nodes[hop.node].retries.request();
+        }
+        self.attempt(id);
+    }
+
+    pub(super) fn attempt(&mut self, id: Id) {
+        self.counts.attempts += 1;
+        let Some(hop) = self.hops.get(id) else { return };
+        let listed: Vec<usize> = self.by_service[hop.service]
+            .iter()
+            .copied()
+            .filter(|node| self.nodes[*node].listed)
+            .collect();
+        if listed.is_empty() {
+            self.end_hop(id, End::NotRun(Reason::NoUpstream), &[]);
+            return;
+        }
+        let origin = hop.node;
+        let target = match self.control {
+            Control::Hibiscusdoor | Control::Without(_) => {
+                let random = self.control.is_without(Policy::Routing);
+                let names: Vec<(InstanceName, bool)> = listed
+                    .iter()
+                    .map(|node| {
+                        let node = &self.nodes[*node];
+                        (node.name.clone(), node.zone == self.nodes[origin].zone)
+                    })
+                    .collect();
+                let candidates: Vec<Candidate<'_>> = names
+                    .iter()
+                    .map(|(instance, same_zone)| Candidate { instance, same_zone: *same_zone })
+                    .collect();
+                let targets = &mut self.nodes[origin].targets;
+                let chosen = match random {
+                    true => self.random.random_range(0..candidates.len()),
+                    false => targets.choose(self.now, &candidates, &hop.tried).unwrap_or(0),
+                };
+                targets.started(self.now, candidates[chosen].instance);
+                listed[chosen]
+            }
+            Control::None | Control::Fixed => {
+                let fresh: Vec<usize> = listed
+                    .iter()
+                    .copied()
+                    .filter(|node| !hop.tried.contains(&self.nodes[*node].name))
+                    .collect();
+                let open = if fresh.is_empty() { listed } else { fresh };
+                open[self.random.random_range(0..open.len())]
+            }
+        };
+        hop.tried.push(self.nodes[target].name.clone());
+        let retries_left = hop.budget.send_down();
+        let visit = self.visits.insert(Visit {
+            hop: id,
+            node: target,
+            stage: Stage::Travelling,
+            begun_at: self.now,
+            arrived_at: self.now,
+            own_time: OwnTime::start(self.now),
+            retries_left,
+            pressures: Vec::new(),
+            load: None,
+            end: End::Whole,
+        });
+        if let Some(hop) = self.hops.get(id) {
+            hop.visit = Some(visit);
+        }
+        if !self.nodes[target].alive {
+            self.lose(visit, End::NotRun(Reason::PeerFailed), CONNECT_TIMEOUT);
+            return;
+        }
+        self.schedule(self.delay(origin, target), Event::Visit(visit));
+    }
+
+    /// The attempt ends without a reply after a time.
+    pub(super) fn lose(&mut self, id: Id, end: End, after: Duration) {
+        if let Some(visit) = self.visits.get(id) {
+            visit.stage = Stage::Replying;
+            visit.end = end;
+            visit.pressures.clear();
+            visit.load = None;
+            if end != End::NotRun(Reason::PeerFailed) {
+                visit.retries_left = 0;
+            }
+            self.schedule(after, Event::Reply(id));
+        }
+    }
+
+    pub(super) fn reply(&mut self, id: Id) {
+        let Some(visit) = self.visits.remove(id) else { return };
+        let Some(hop) = self.hops.get(visit.hop) else { return };
+        hop.visit = None;
+        hop.budget.come_back(visit.retries_left);
+        let target = self.nodes[visit.node].name.clone();
+        let origin = hop.node;
+        let (end, attempt) = match visit.end {
+            End::Whole => (None, AttemptResult::Answered),
+            End::RefusedBelow => (None, AttemptResult::Refused),
+            End::NotRun(reason @ Reason::PeerFailed) => {
+                (Some(AttemptEnd::NotRun(reason)), AttemptResult::Failed)
+            }
+            End::NotRun(reason) => (Some(AttemptEnd::NotRun(reason)), AttemptResult::Refused),
+            End::Unknown(reason) => {
+                hop.may_have_run = true;
+                (Some(AttemptEnd::Unknown(reason)), AttemptResult::Failed)
+            }
+        };
+        let again = match self.control {
+            Control::Hibiscusdoor | Control::Without(_) => {
+                let latency = self.now.saturating_sub(visit.begun_at);
+                self.nodes[origin]
+                    .targets
+                    .finished(self.now, &target, attempt, latency, visit.load);
+                end.is_some_and(|end| self.may_try_again(visit.hop, end))
+            }
+            Control::None | Control::Fixed => {
+                // Not even plain retries run a non-idempotent request twice.
+                let repeatable = !matches!(visit.end, End::Unknown(_));
+                let again = visit.end != End::Whole && repeatable && hop.plain_retries > 0;
+                hop.plain_retries -= u32::from(again);
+                again
+            }
+        };
+        if again {
+            let root = self.hops.get(visit.hop).map(|hop| hop.root);
+            if let Some(root) = root.and_then(|root| self.roots.get(root)) {
+                root.retries += 1;
+                self.counts.most_retries = self.counts.most_retries.max(root.retries);
+            }
+            self.attempt(visit.hop);
+            return;
+        }
+        self.end_hop(visit.hop, visit.end, &visit.pressures);
+    }
+
+    pub(super) fn may_try_again(&mut self, id: Id, end: AttemptEnd) -> bool {
+        let Some(hop) = self.hops.get(id) else { return false };
+        let class = self.roots.get(hop.root).map_or(0, |root| root.class);
+        let idempotent = self.deployment.classes[class].idempotent;
+        let names: Vec<InstanceName> = self.by_service[hop.service]
+            .iter()
+            .map(|node| &self.nodes[*node])
+            .filter(|node| node.listed)
+            .map(|node| node.name.clone())
+            .collect();
+        let candidates: Vec<Candidate<'_>> =
+            names.iter().map(|instance| Candidate { instance, same_zone: false }).collect();
+        let untried = names.iter().any(|name| !hop.tried.contains(name));
+        let node = &mut self.nodes[hop.node];
+        let room = node.targets.has_room(self.now, &candidates, &hop.tried);
+        self.now < hop.deadline
+            && untried
+            && may_retry(end, idempotent, room)
+            && hop.budget.left() > 0
+            && node.retries.take_retry()
+            && hop.budget.spend()
+    }
+
+    pub(super) fn end_hop(&mut self, id: Id, end: End, pressures: &[Pressure]) {
+        let Some(hop) = self.hops.remove(id) else { return };
+        let end = match end {
+            End::NotRun(_) if hop.may_have_run => End::Unknown(Reason::PeerFailed),
+            end => end,
+        };
+        if let Some(parent) = hop.parent {
+            let now = self.now;
+            let Some(visit) = self.visits.get(parent) else { return };
+            visit.own_time.call_ended(now);
+            visit.retries_left += hop.budget.left();
+            visit.pressures.extend_from_slice(pressures);
+            match end {
+                End::Whole => self.leave_upstream(parent, End::Whole),
+                _ => self.leave_upstream(parent, End::RefusedBelow),
+            }
+            return;
+        }
+        let Some(root) = self.roots.get(hop.root) else { return };
+        root.hop = None;
+        let (sending, class, organisation) = (root.sending, root.class, root.organisation);
+        let mut delay = Duration::ZERO;
+        if self.control.has_decisions() {
+            let refused = end != End::Whole;
+            let counted = refused && !self.control.is_without(Policy::Proportion);
+            let node = &mut self.nodes[hop.node];
+            let organisation = Some(self.organisations[organisation].clone());
+            let importance = self.deployment.classes[class].importance;
+            if !self.control.is_without(Policy::Pressure) {
+                node.first_hop.learn(self.now, &self.routes[class], pressures);
+            }
+            node.first_hop.ended(self.now, &self.routes[class], importance, &organisation, counted);
+            node.retries.ended(self.now, refused);
+            delay = node.retries.retry_after();
+        }
+        let reply = Event::CallerReply(hop.root, sending, end, delay);
+        self.schedule(self.deployment.clients, reply);
+    }
+}
--- /dev/null
+++ b/src/experiment/world/visits.rs
@@ -0,0 +1,255 @@
+//! Attempts at a target: admission before the upstream, its work and its slots.
+
+use crate::{
+    admission::{Action, Arrival, Completion, OwnTime, Refusal, Ticket},
+    call::Reason,
+    experiment::world::{
+        Control, End, Event, FIXED_LIMIT_FACTOR, Hop, PHASES, PLAIN_RETRIES, Policy, Stage, Visit,
+        World, slab::Id,
+    },
+    retry::HopBudget,
+    routing::Pressure,
+};
+
+impl World<'_> {
+    pub(super) fn visit(&mut self, id: Id) {
+        let Some(visit) = self.visits.get(id) else { return };
+        if visit.stage != Stage::Travelling {
+            return;
+        }
+        visit.arrived_at = self.now;
+        let index = visit.node;
+        let hop_id = visit.hop;
+        let Some(hop) = self.hops.get(hop_id) else { return };
+        let (root, deadline, depth) = (hop.root, hop.deadline, hop.depth);
+        let Some(root) = self.roots.get(root) else { return };
+        let (class, organisation) = (root.class, root.organisation);
+        let node = &mut self.nodes[index];
+        match self.control {
+            Control::Hibiscusdoor | Control::Without(_) => {
+                node.tickets += 1;
+                // The visit is found again from the low half.
+                let ticket = Ticket((node.tickets << 32) | u64::from(id.0));
+                if let Some(visit) = self.visits.get(id) {
+                    visit.stage = Stage::Waiting(ticket);
+                }
+                let actions = node.admission.arrive(
+                    self.now,
+                    Arrival {
+                        ticket,
+                        importance: self.deployment.classes[class].importance,
+                        organisation: Some(self.organisations[organisation].clone()),
+                        begun: depth > 0,
+                        deadline,
+                        own_time: None,
+                    },
+                );
+                self.carry_out(index, &actions);
+            }
+            Control::Fixed => {
+                let limit = (f64::from(node.announced) * FIXED_LIMIT_FACTOR) as usize;
+                if node.in_flight >= limit {
+                    self.finish_visit(id, End::NotRun(Reason::Overload));
+                } else {
+                    self.enter_upstream(id);
+                }
+            }
+            Control::None => {
+                if node.in_flight >= node.connections {
+                    self.finish_visit(id, End::NotRun(Reason::Overload));
+                } else {
+                    self.enter_upstream(id);
+                }
+            }
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, node: usize, actions: &[Action]) {
+        for action in actions {
+            let ticket = match action {
+                Action::Start(ticket) | Action::Wait(ticket, _) | Action::Refuse(ticket, _) => {
+                    *ticket
+                }
+            };
+            let index = (ticket.0 & u64::from(u32::MAX)) as u32;
+            let id = self.visits.id_at(index);
+            let Some(visit) = self.visits.get(id) else { continue };
+            if visit.stage != Stage::Waiting(ticket) || visit.node != node {
+                continue;
+            }
+            match action {
+                Action::Start(_) => self.enter_upstream(id),
+                Action::Wait(_, until) => self.schedule_at(*until, Event::GiveUp(id)),
+                Action::Refuse(_, refusal) => self.refuse(id, *refusal),
+            }
+        }
+    }
+
+    pub(super) fn refuse(&mut self, id: Id, refusal: Refusal) {
+        let Some(visit) = self.visits.get(id) else { return };
+        let (node, arrived_at, hop) = (visit.node, visit.arrived_at, visit.hop);
+        if let Some(hop) = self.hops.get(hop)
+            && let Some(root) = self.roots.get(hop.root)
+            && root.class == 0
+            && refusal == Refusal::Overload
+            && self.nodes[node].lesser_start > arrived_at
+        {
+            self.counts.inversions += 1;
+        }
+        let reason = match refusal {
+            Refusal::Overload => Reason::Overload,
+            Refusal::DeadlinePassed => Reason::DeadlinePassed,
+        };
+        self.finish_visit(id, End::NotRun(reason));
+    }
+
+    pub(super) fn give_up(&mut self, id: Id) {
+        let Some(visit) = self.visits.get(id) else { return };
+        let Stage::Waiting(ticket) = visit.stage else { return };
+        let node = visit.node;
+        if let Some(refusal) = self.nodes[node].admission.give_up(self.now, ticket) {
+            self.refuse(id, refusal);
+        }
+    }
+
+    pub(super) fn enter_upstream(&mut self, id: Id) {
+        let Some(visit) = self.visits.get(id) else { return };
+        visit.own_time = OwnTime::start(self.now);
+        visit.stage = Stage::Queued;
+        let (index, hop) = (visit.node, visit.hop);
+        let class = self.hops.get(hop).map(|hop| hop.root);
+        let class = class.and_then(|root| self.roots.get(root)).map(|root| root.class);
+        let node = &mut self.nodes[index];
+        if class.is_some_and(|class| class > 0) {
+            node.lesser_start = self.now;
+        }
+        node.in_flight += 1;
+        if node.busy < node.slots {
+            self.start_work(id);
+        } else {
+            node.queue.push_back(id);
+        }
+    }
+
+    pub(super) fn start_work(&mut self, id: Id) {
+        let Some(visit) = self.visits.get(id) else { return };
+        visit.stage = Stage::Working;
+        let index = visit.node;
+        let phases: f64 = (0..PHASES).map(|_| self.exponential()).sum();
+        let node = &mut self.nodes[index];
+        node.busy += 1;
+        let slow = if node.service == self.deployment.deepest() { self.slow } else { 1.0 };
+        let factor = phases / f64::from(PHASES) * slow * node.speed;
+        let time = self.deployment.services[node.service].time.mul_f64(factor);
+        self.schedule(time, Event::WorkDone(id));
+    }
+
+    pub(super) fn work_done(&mut self, id: Id) {
+        let now = self.now;
+        let Some(visit) = self.visits.get(id) else { return };
+        if visit.stage != Stage::Working {
+            return;
+        }
+        let (index, hop) = (visit.node, visit.hop);
+        let Some(service) = self.deployment.services[self.nodes[index].service].calls else {
+            self.leave_upstream(id, End::Whole);
+            return;
+        };
+        visit.own_time.call_began(now);
+        // Half of what is left goes to the call, as in the daemon.
+        let taken = visit.retries_left.div_ceil(2);
+        visit.retries_left -= taken;
+        let Some(parent) = self.hops.get(hop) else { return };
+        let (root, deadline, depth) = (parent.root, parent.deadline, parent.depth + 1);
+        let below = self.hops.insert(Hop {
+            root,
+            parent: Some(id),
+            node: index,
+            service,
+            deadline,
+            depth,
+            budget: HopBudget::new(taken),
+            plain_retries: PLAIN_RETRIES,
+            tried: Vec::new(),
+            may_have_run: false,
+            visit: None,
+        });
+        if let Some(visit) = self.visits.get(id) {
+            visit.stage = Stage::Calling(below);
+        }
+        self.begin_hop(below);
+    }
+
+    pub(super) fn leave_upstream(&mut self, id: Id, end: End) {
+        let Some(visit) = self.visits.get(id) else { return };
+        let completion = match end {
+            _ if self.control.is_without(Policy::AdaptiveLimit) => Completion::Aborted,
+            End::Whole if self.control.is_without(Policy::OwnTime) => Completion::Answered {
+                own_time: visit.own_time.total(self.now),
+                total_time: visit.own_time.total(self.now),
+            },
+            End::Whole => Completion::Answered {
+                own_time: visit.own_time.own(self.now),
+                total_time: visit.own_time.total(self.now),
+            },
+            _ => Completion::Aborted,
+        };
+        let node = visit.node;
+        visit.stage = Stage::Replying;
+        self.free_slot(node, completion);
+        self.finish_visit(id, end);
+    }
+
+    pub(super) fn free_slot(&mut self, index: usize, completion: Completion) {
+        let node = &mut self.nodes[index];
+        node.busy -= 1;
+        if let Some(next) = node.queue.pop_front() {
+            self.start_work(next);
+        }
+        self.leave_gate(index, completion);
+    }
+
+    pub(super) fn leave_gate(&mut self, index: usize, completion: Completion) {
+        let node = &mut self.nodes[index];
+        node.in_flight -= 1;
+        if self.control.has_decisions() {
+            let actions = node.admission.finish(self.now, completion);
+            self.carry_out(index, &actions);
+        }
+    }
+
+    pub(super) fn finish_visit(&mut self, id: Id, end: End) {
+        let Some(visit) = self.visits.get(id) else { return };
+        visit.stage = Stage::Replying;
+        visit.end = end;
+        let node = &self.nodes[visit.node];
+        if self.control.has_decisions() {
+            visit.load = Some(u32::from(node.admission.load(self.now)));
+            visit.pressures.push(Pressure {
+                service: self.deployment.services[node.service].name.clone(),
+                shed_below: node.admission.shed_below(self.now),
+            });
+        }
+        let (target, hop) = (visit.node, visit.hop);
+        let Some(origin) = self.hops.get(hop).map(|hop| hop.node) else { return };
+        self.schedule(self.delay(origin, target), Event::Reply(id));
+    }
+
+    pub(super) fn cancel_at_target(&mut self, id: Id, visit: &Visit) {
+        match visit.stage {
+            Stage::Travelling | Stage::Replying => {}
+            Stage::Waiting(ticket) => {
+                self.nodes[visit.node].admission.cancel(ticket);
+            }
+            Stage::Queued => {
+                self.nodes[visit.node].queue.retain(|queued| *queued != id);
+                self.leave_gate(visit.node, Completion::Aborted);
+            }
+            Stage::Working => self.free_slot(visit.node, Completion::Aborted),
+            Stage::Calling(below) => {
+                self.cancel_hop(below);
+                self.free_slot(visit.node, Completion::Aborted);
+            }
+        }
+    }
+}
