One watch at the platform for configuration and table

Both actors held the same loop, and neither listed the kind again where the platform no longer keeps the changes after its version: such a reader failed each second for good. The shared one lists.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -17,13 +17,12 @@
     node::{
         Shared,
         members::{ConfigurationWasRead, MembersActor, until},
+        watch::Watch,
     },
     peers::proto::{ConfigurationReply, ConfigurationRequest, configuration_reply::Content},
-    store::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _, Store, WATCH_TIMEOUT},
+    store::{KIND_CONFIGURATION, NAME_CURRENT, ObjectApi as _},
 };
 
-/// Pause after a watch failed. The platform counts every call, and pulls go on meanwhile.
-const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time between two looks at the evidence; a small part of the second that evidence takes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that a peer gets to answer; a document of 1 MB takes milliseconds.
@@ -61,29 +60,12 @@
     }
 }
 
-/// Holds a watch at the platform while this node is one of the readers of its zone.
+/// Follows the configuration at the platform.
 async fn watch(shared: Arc<Shared>, members: ActorRef<MembersActor>) {
-    let mut after = 0;
+    let mut watch = Watch::new(shared.clone(), KIND_CONFIGURATION, NAME_CURRENT);
     loop {
-        let is_alone = matches!(shared.platform, Store::Embedded(_));
-        if !is_alone && !shared.evidence.load().is_reader {
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            continue;
-        }
-        let began = clock::now();
-        let listing = match shared.platform.watch(KIND_CONFIGURATION, after, WATCH_TIMEOUT).await {
-            Ok(listing) => listing,
-            Err(error) => {
-                log::warn!("watching the configuration failed: {error}");
-                tokio::time::sleep(WATCH_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        after = listing.version;
-        let current = listing.objects.into_iter().find(|object| &*object.name == NAME_CURRENT);
-        if let Some(value) = current.and_then(|object| object.value) {
-            take_platform_value(&shared, &members, began, value).await;
-        }
+        let (began, value) = watch.next().await;
+        take_platform_value(&shared, &members, began, value).await;
     }
 }
 
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -23,19 +23,15 @@
         Action, Adoption, Event, Identity, Membership, Row, RowState, TICK_INTERVAL, Table,
     },
     names::ServiceName,
-    node::{Lifecycle, Shared},
+    node::{Lifecycle, Shared, watch::Watch},
     peers::proto::{EvidenceReply, EvidenceRequest},
     store::{
         KIND_CONFIGURATION, KIND_TABLES, NAME_CURRENT, ObjectApi as _, ObjectVersion, StoreError,
-        WATCH_TIMEOUT,
     },
 };
 
 /// Time that a node gets to answer a pull.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between two looks at whether this node is to hold a watch.
-const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-const WATCH_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Load byte of a node whose upstream serves nothing.
 const NOT_SERVING: u8 = 255;
 
@@ -375,27 +371,11 @@
     }
 }
 
-/// Holds a watch on the table while this node is one of the readers of its zone.
+/// Follows the table at the platform.
 async fn watch(shared: Arc<Shared>, actor: ActorRef<MembersActor>) {
-    let mut after = 0;
+    let mut watch = Watch::new(shared.clone(), KIND_TABLES, shared.settings.shard.clone());
     loop {
-        if !shared.evidence.load().is_reader {
-            tokio::time::sleep(READER_CHECK_INTERVAL).await;
-            continue;
-        }
-        let began = clock::now();
-        let listing = match shared.platform.watch(KIND_TABLES, after, WATCH_TIMEOUT).await {
-            Ok(listing) => listing,
-            Err(error) => {
-                log::warn!("watching the membership table failed: {error}");
-                tokio::time::sleep(WATCH_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        after = listing.version;
-        let shard = &shared.settings.shard;
-        let own = listing.objects.into_iter().find(|object| object.name == *shard);
-        let Some(value) = own.and_then(|object| object.value) else { continue };
+        let (began, value) = watch.next().await;
         match serde_json::from_value(value) {
             Ok(table) => {
                 if actor.tell(Happened(Event::TableSeen { began, table })).await.is_err() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod shared;
 mod upstream;
 mod upstream_service;
+mod watch;
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
