One mean time of requests, one conversion to milliseconds

The limits and the guard held the same decayed mean, and a dozen places converted durations. A finished request is told by a flag in place of a forgotten value, and the decision on another attempt no longer changes the list of tried instances.

--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -196,5 +196,5 @@
 
 fn left_ms(until: Timestamp, now: Timestamp) -> u64 {
     let left: Duration = until.saturating_sub(now);
-    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    clock::millis(left)
 }
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -77,9 +77,7 @@
     let rows = evidence.rows.iter().map(|row| RowRevision {
         instance: row.instance.clone(),
         revision: row.revision,
-        age_ms: row
-            .at
-            .map(|at| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)),
+        age_ms: row.at.map(|at| clock::millis(now.saturating_sub(at))),
     });
     FleetRevisions { asked: shared.settings.instance.clone(), rows: rows.collect() }
 }
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -10,7 +10,10 @@
 
 use std::time::Duration;
 
-use crate::{admission::Limit, clock::Timestamp};
+use crate::{
+    admission::{Limit, MeanTime},
+    clock::Timestamp,
+};
 
 /// The lower level as a part of the limit, in the search and after it.
 const SEARCH_LEVEL: f64 = 0.5;
@@ -46,8 +49,6 @@
 const RAMP: Duration = Duration::from_secs(2);
 /// Weight of a new completion in the mean own time.
 const MEAN_WEIGHT: f64 = 0.05;
-/// Without completions for this long, the mean says nothing about the next request.
-const MEAN_LIFETIME: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Level {
@@ -79,8 +80,7 @@
     binding: u32,
     sum_s: f64,
     high_mean_s: f64,
-    mean_s: f64,
-    mean_at: Timestamp,
+    own_time: MeanTime,
     mean_total_s: f64,
 }
 
@@ -99,8 +99,7 @@
             binding: 0,
             sum_s: 0.0,
             high_mean_s: 0.0,
-            mean_s: 0.0,
-            mean_at: now,
+            own_time: MeanTime::new(MEAN_WEIGHT),
             mean_total_s: 0.0,
         }
     }
@@ -119,14 +118,11 @@
     }
 
     fn own_time(&self, now: Timestamp) -> Duration {
-        match now < self.mean_at + MEAN_LIFETIME {
-            true => self.mean_own_time(),
-            false => Duration::ZERO,
-        }
+        self.own_time.recent(now)
     }
 
     fn mean_own_time(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s)
+        self.own_time.last()
     }
 
     fn completed(
@@ -139,11 +135,7 @@
         let total_s = total_time.as_secs_f64();
         self.mean_total_s += MEAN_WEIGHT * (total_s - self.mean_total_s);
         let own_s = own_time.as_secs_f64();
-        self.mean_s = match self.mean_s > 0.0 {
-            true => self.mean_s + MEAN_WEIGHT * (own_s - self.mean_s),
-            false => own_s,
-        };
-        self.mean_at = now;
+        self.own_time.learn(now, own_time);
         if now < self.measure_from {
             return;
         }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,6 +5,7 @@
 
 mod gate;
 mod limit;
+mod mean_time;
 mod own_time;
 mod queue;
 mod slot_limit;
@@ -15,6 +16,7 @@
 
 pub use gate::{Entrant, Gate, GateFigures, Slot};
 pub use limit::ConcurrencyLimit;
+pub use mean_time::MeanTime;
 pub use own_time::OwnTime;
 pub use queue::{FairQueue, Waiting};
 pub use slot_limit::SlotLimit;
--- a/src/admission/slot_limit.rs
+++ b/src/admission/slot_limit.rs
@@ -2,28 +2,28 @@
 
 use std::time::Duration;
 
-use crate::{admission::Limit, clock::Timestamp};
+use crate::{
+    admission::{Limit, MeanTime},
+    clock::Timestamp,
+};
 
 /// Part of the slots that is used: upstreams slow down when they are nearly full, and probes and
 /// new connections hold slots for a moment.
 const USED_PART: f64 = 0.94;
 /// Weight of a new completion in the mean time.
 const MEAN_WEIGHT: f64 = 0.05;
-/// Without completions for this long, the mean says nothing about the next request.
-const MEAN_LIFETIME: Duration = Duration::from_secs(1);
 
 /// A limit a little below the announced slots.
 #[derive(Debug)]
 pub struct SlotLimit {
     limit: u32,
-    mean_s: f64,
-    mean_at: Timestamp,
+    mean_time: MeanTime,
 }
 
 impl Limit for SlotLimit {
-    fn new(now: Timestamp, slots: u32) -> Self {
+    fn new(_now: Timestamp, slots: u32) -> Self {
         let limit = (f64::from(slots) * USED_PART).floor().max(1.0) as u32;
-        Self { limit, mean_s: 0.0, mean_at: now }
+        Self { limit, mean_time: MeanTime::new(MEAN_WEIGHT) }
     }
 
     fn current(&self, _now: Timestamp) -> u32 {
@@ -31,14 +31,11 @@
     }
 
     fn own_time(&self, now: Timestamp) -> Duration {
-        match now < self.mean_at + MEAN_LIFETIME {
-            true => self.mean_own_time(),
-            false => Duration::ZERO,
-        }
+        self.mean_time.recent(now)
     }
 
     fn mean_own_time(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s)
+        self.mean_time.last()
     }
 
     fn completed(
@@ -49,11 +46,6 @@
         _at_limit: bool,
     ) {
         // A request holds its slot also while it waits for its calls.
-        let total_s = total_time.as_secs_f64();
-        self.mean_s = match self.mean_s > 0.0 {
-            true => self.mean_s + MEAN_WEIGHT * (total_s - self.mean_s),
-            false => total_s,
-        };
-        self.mean_at = now;
+        self.mean_time.learn(now, total_time);
     }
 }
--- a/src/call/context.rs
+++ b/src/call/context.rs
@@ -7,7 +7,7 @@
 use uuid::Uuid;
 
 use crate::{
-    clock::Timestamp,
+    clock::{self, Timestamp},
     config::Importance,
     names::{ClassName, OrganisationName, RequestId, ServiceName},
     peers::proto,
@@ -117,7 +117,7 @@
         organisation: context.organisation.as_deref().unwrap_or_default().to_owned(),
         class: context.class.to_string(),
         service: context.service.to_string(),
-        remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        remaining_ms: clock::millis(remaining),
         depth: context.depth,
         retry_budget: context.retry_budget,
         idempotent: context.idempotent,
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -22,3 +22,13 @@
 pub fn unix_now() -> UnixTime {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO)
 }
+
+/// Whole milliseconds of a time.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Whole milliseconds of a time, for messages.
+pub fn millis_u32(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/experiment/plan.rs
+++ b/src/experiment/plan.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    clock,
     config::{Importance, Target},
     names::ServiceName,
     scenario::{Statement, When, parse},
@@ -178,7 +179,7 @@
     let within = statement.time("within", Duration::from_secs(1))?;
     let target = Target {
         must_get_through: statement.argument("through", 0.0)?,
-        answer_within_ms: u64::try_from(within.as_millis()).unwrap_or(u64::MAX),
+        answer_within_ms: clock::millis(within),
     };
     let service: String = statement.argument("service", String::new())?;
     Ok(Class {
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -20,7 +20,10 @@
     plan::{Plan, Stream},
     report::{Ending, Recorder, Report},
 };
-use crate::standin::{HttpClient, HttpReply, http_call, new_client};
+use crate::{
+    clock,
+    standin::{HttpClient, HttpReply, http_call, new_client},
+};
 
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 const OUTCOME: &str = "hibiscus-outcome";
@@ -76,7 +79,7 @@
     let reports = recorders.iter();
     let streams =
         reports.map(|(name, recorder)| recorder.lock().report(name, plan.duration)).collect();
-    let duration_ms = u64::try_from(plan.duration.as_millis()).unwrap_or(u64::MAX);
+    let duration_ms = clock::millis(plan.duration);
     Report { duration_ms, streams }
 }
 
--- a/src/mesh/attempts.rs
+++ b/src/mesh/attempts.rs
@@ -81,18 +81,19 @@
             progress.ran += u32::from(!matches!(guarded.outcome, Outcome::NotRun(_)));
             call.repeated = true;
         }
+        // Where all have been tried, some refused the request without running it, which they may do
+        // by chance.
+        let from_the_start = !found && progress.reached > 0 && !progress.tried.is_empty();
         let again = again(&call, &guarded).filter(|_| {
-            let all_tried = !found && progress.reached > 0 && !progress.tried.is_empty();
-            if all_tried {
-                // The rest refused it without running it, which they may do by chance.
-                progress.tried.clear();
-            }
-            (found || all_tried)
+            (found || from_the_start)
                 && clock::now() < call.deadline
                 && progress.attempts < MAX_ATTEMPTS
                 && progress.ran < route.max_attempts
                 && (progress.reached == 0 || take_repeat(node, &call))
         });
+        if from_the_start {
+            progress.tried.clear();
+        }
         match again {
             Some(again) => undispatched = again,
             None => return progress.end(guarded, instance),
--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -78,7 +78,7 @@
 }
 
 fn age_ms<D: Dialect>(node: &Node<D>) -> u64 {
-    u64::try_from(node.proof.age(clock::now()).as_millis()).unwrap_or(u64::MAX)
+    clock::millis(node.proof.age(clock::now()))
 }
 
 /// Asks a node that claims to know of a newer read or a newer configuration.
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -120,25 +120,31 @@
         }
     };
     let request = whole_request(parts, body);
-    let unfinished = Unfinished(&admitted.call);
+    let mut finish = Finish { call: &admitted.call, is_finished: false };
     let ended = run(&node, &admitted, request, undispatched, charge).await;
-    std::mem::forget(unfinished);
+    finish.is_finished = true;
     let took = clock::now().saturating_sub(arrived);
     node.metrics.ended(origin::<D>(request_id.as_deref()), &ended.outcome, took);
     log_end(&admitted, &ended, took, node.catalog_version());
     response::<D>(ended.outcome, request_id.as_deref())
 }
 
-/// Writes that a request was given up because its caller went away.
-struct Unfinished<'a>(&'a Call);
+/// Writes that a request was given up where it ends before it is finished: its caller has gone.
+struct Finish<'a> {
+    call: &'a Call,
+    is_finished: bool,
+}
 
-impl Drop for Unfinished<'_> {
+impl Drop for Finish<'_> {
     fn drop(&mut self) {
-        let call = self.0;
+        if self.is_finished {
+            return;
+        }
+        let call = self.call;
         log::info!(
             target: "hibiscusdoor::request",
             request:% = call.request_id, route:% = call.route, service:% = call.service,
-            depth = call.depth, left_ms = millis(call.deadline.saturating_sub(clock::now()));
+            depth = call.depth, left_ms = clock::millis(call.deadline.saturating_sub(clock::now()));
             "abandoned: the caller has gone"
         );
     }
@@ -165,16 +171,12 @@
         organisation = call.organisation.as_deref().unwrap_or_default(),
         rank = call.rank, depth = call.depth, reason = reason,
         instance = ended.instance.as_deref().unwrap_or_default(), attempts = ended.attempts,
-        configuration = configuration, took_ms = millis(took),
-        left_ms = millis(call.deadline.saturating_sub(clock::now()));
+        configuration = configuration, took_ms = clock::millis(took),
+        left_ms = clock::millis(call.deadline.saturating_sub(clock::now()));
         "{kind}: {detail}"
     );
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn whole_request(parts: Parts, body: Bytes) -> WholeRequest {
     let authority = authority(&parts).unwrap_or_default().into();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).into();
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -71,7 +71,7 @@
         path: request.path.to_string(),
         headers: headers_to_proto(&request.headers),
         body: request.body,
-        remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+        remaining_ms: clock::millis_u32(remaining),
         idempotent: call.idempotent,
         organisation: name(&call.organisation),
         caller_service: call.caller_service.to_string(),
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -20,9 +20,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::{Completion, Entrant, Gate, GateFigures, Refusal, Slot, SlotLimit},
+    admission::{Completion, Entrant, Gate, GateFigures, MeanTime, Refusal, Slot, SlotLimit},
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
-    clock::{self, Timestamp},
+    clock,
     config::Importance,
     http_client::{ConnectFailure, Connection, ConnectionPool, SendFailure},
     mesh::{
@@ -47,8 +47,6 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Weight of a new request in the mean time of its route.
 const ROUTE_WEIGHT: f64 = 0.1;
-/// Without an answer for this long, the mean time of a route says nothing about its next request.
-const ROUTE_TIME_LIFETIME: Duration = Duration::from_secs(1);
 
 /// The end of a request at the guard.
 #[derive(Debug)]
@@ -91,8 +89,8 @@
     upstream: ArcSwapOption<Upstream>,
     gate: Gate<SlotLimit>,
     connections: ConnectionPool,
-    /// Mean time of each route's requests in seconds, and when it was learned last.
-    route_s: Mutex<HashMap<Arc<str>, (f64, Timestamp)>>,
+    /// Mean time of each route's requests.
+    route_times: Mutex<HashMap<Arc<str>, MeanTime>>,
     refusing: AtomicBool,
     dialect: PhantomData<D>,
 }
@@ -105,7 +103,7 @@
             upstream: ArcSwapOption::empty(),
             gate: Gate::default(),
             connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_ANSWER_BYTES),
-            route_s: Mutex::default(),
+            route_times: Mutex::default(),
             refusing: AtomicBool::new(false),
             dialect: PhantomData,
         }
@@ -328,28 +326,21 @@
     }
 
     fn learn(&self, route: &Arc<str>, held: Duration) {
-        let (held_s, now) = (held.as_secs_f64(), clock::now());
-        let mut routes = self.route_s.lock();
+        let mut routes = self.route_times.lock();
         match routes.get_mut(route) {
-            Some((mean_s, learned_at)) => {
-                *mean_s += ROUTE_WEIGHT * (held_s - *mean_s);
-                *learned_at = now;
-            }
+            Some(mean) => mean.learn(clock::now(), held),
             None => {
-                routes.insert(route.clone(), (held_s, now));
+                let mut mean = MeanTime::new(ROUTE_WEIGHT);
+                mean.learn(clock::now(), held);
+                routes.insert(route.clone(), mean);
             }
         }
     }
 
-    /// Mean time of a route's requests; zero where none was answered lately, so that a route whose
-    /// requests are refused as too slow is tried again.
+    /// Mean time of a route's requests; zero where none was answered lately.
     fn own_time(&self, route: &str) -> Duration {
-        match self.route_s.lock().get(route) {
-            Some((mean_s, learned_at)) if clock::now() < *learned_at + ROUTE_TIME_LIFETIME => {
-                Duration::from_secs_f64(*mean_s)
-            }
-            _ => Duration::ZERO,
-        }
+        let routes = self.route_times.lock();
+        routes.get(route).map_or(Duration::ZERO, |mean| mean.recent(clock::now()))
     }
 
     fn load(&self, route: &str) -> Option<LoadReport> {
@@ -359,7 +350,7 @@
             waiting: u32::try_from(figures.waiting).unwrap_or(u32::MAX),
             limit: figures.limit,
             mean_s: figures.mean_s,
-            route_s: self.route_s.lock().get(route).map_or(0.0, |(mean_s, _)| *mean_s),
+            route_s: self.route_times.lock().get(route).map_or(0.0, |it| it.last().as_secs_f64()),
         })
     }
 }
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -171,10 +171,7 @@
             upstream_ready: upstream.is_some_and(|it| it.is_ready()),
             revision: node.catalog.load().as_ref().map(|catalog| catalog.revision),
             configuration_version: node.catalog_version(),
-            proof_age_ms: node
-                .proof
-                .known_age(now)
-                .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            proof_age_ms: node.proof.known_age(now).map(|age| clock::millis(age)),
             first_hub: node.is_first_hub(now),
             instances: members.len(),
             out_of_use: out_of_use.map(|member| member.record.instance.clone()).collect(),
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -141,7 +141,7 @@
             held_us: micros(used.held_s),
             arrivals: used.arrivals as u32,
             load_permille: (load * 1000.0).ceil() as u32,
-            load_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            load_age_ms: clock::millis_u32(age),
         }
     });
     used.collect()
--- a/src/node/loans.rs
+++ b/src/node/loans.rs
@@ -275,7 +275,7 @@
 
 /// Rounds down, so that a term never becomes longer on the wire.
 fn whole_ms(term: Duration) -> u64 {
-    u64::try_from(term.as_millis()).unwrap_or(u64::MAX)
+    clock::millis(term)
 }
 
 fn count_bytes(counters: &LoanCounters, message: &impl prost::Message) {
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -496,7 +496,7 @@
     proto::QuarantineEntry {
         fingerprint: Bytes::copy_from_slice(&entry.fingerprint),
         crashes: u32::try_from(entry.crashes.len()).unwrap_or(u32::MAX),
-        remaining_ms: u64::try_from(entry.remaining.as_millis()).unwrap_or(u64::MAX),
+        remaining_ms: clock::millis(entry.remaining),
         crash_ids: entry.crashes.iter().map(|id| Bytes::copy_from_slice(id.as_bytes())).collect(),
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::{
+    clock,
     mesh::{AnswerHead, CallHead, ReportedLoad, UpstreamHead},
     names::InstanceName,
 };
@@ -59,7 +60,7 @@
     if let Some(organisation) = head.organisation {
         set(TENANT, organisation);
     }
-    let remaining_ms = u64::try_from(head.remaining.as_millis()).unwrap_or(u64::MAX);
+    let remaining_ms = clock::millis(head.remaining);
     headers.insert(DEADLINE_MS, HeaderValue::from(remaining_ms));
 }
 
