Keep the departure of an upstream over a restart of its node

A node that restarts beside a draining upstream heard nothing of that, and a late heartbeat, or the upstream's good health, made it ready again. The record at the hubs now holds the position of the message that it rests on, and a new process takes the departure from it. The five cases of tests/mesh_registry.rs need the new call; the same steps without it ended with a ready upstream.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -42,6 +42,21 @@
     pub slots: u32,
     /// It takes new work.
     pub ready: bool,
+    /// It has said that it leaves for good.
+    pub left: bool,
+    /// Time of its start in milliseconds since 1970, and number of its message that made the record
+    /// what it is. A later process of the node tells late messages by them.
+    pub started_unix_ms: u64,
+    /// See `started_unix_ms`.
+    pub sequence: u64,
+}
+
+impl UpstreamRecord {
+    /// Tells whether two records differ in more than the message that they rest on.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        (&self.id, self.slots, self.ready, self.left)
+            == (&other.id, other.slots, other.ready, other.left)
+    }
 }
 
 /// What a node tells of itself.
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -17,9 +17,9 @@
 use crate::{
     clock::{self, Timestamp},
     mesh::{
-        Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
-        LearnedUse, LiveSettings, Members, MeshMetrics, MeshSettings, Placement, RateHome,
-        RateStock, Registry, RetryBound, RetryBudget, RootAdmission, UpstreamRecord,
+        Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, Heard, InstanceAddress,
+        InstanceRecord, LearnedUse, LiveSettings, Members, MeshMetrics, MeshSettings, Placement,
+        RateHome, RateStock, Registry, RetryBound, RetryBudget, RootAdmission, UpstreamRecord,
         proto::mesh_client::MeshClient,
     },
     names::{Incarnation, InstanceName, ServiceName},
@@ -214,11 +214,18 @@
             id: it.heartbeat.upstream.clone(),
             slots: it.heartbeat.slots,
             ready: it.is_ready(),
+            left: registry.has_left(clock::now()),
+            started_unix_ms: it.heartbeat.started_unix_ms,
+            sequence: it.heartbeat.sequence,
         });
         drop(registry);
         let mut own = self.own.lock();
         let leaving = self.is_leaving();
-        if own.leaving == leaving && own.service == service && own.upstream == upstream {
+        let same_upstream = match (&own.upstream, &upstream) {
+            (Some(told), Some(upstream)) => told.says_the_same(upstream),
+            (told, upstream) => told.is_none() && upstream.is_none(),
+        };
+        if own.leaving == leaving && own.service == service && same_upstream {
             return;
         }
         own.leaving = leaving;
@@ -238,6 +245,29 @@
         }
     }
 
+    /// Takes what an earlier process of this node told of the upstream.
+    pub fn take_earlier_record(&self, record: &InstanceRecord) {
+        if record.incarnation == self.incarnation {
+            return;
+        }
+        let Some(earlier) = &record.upstream else { return };
+        let upstream = {
+            let mut registry = self.registry.lock();
+            match registry.heard_earlier(clock::now(), earlier) {
+                Heard::Changed => registry.current().cloned(),
+                _ => None,
+            }
+        };
+        if let Some(upstream) = upstream {
+            log::info!(
+                upstream:% = earlier.id, left = earlier.left;
+                "the upstream was leaving before this process started"
+            );
+            self.guard.set_upstream(upstream);
+            self.update_record();
+        }
+    }
+
     fn publish(&self, own: &InstanceRecord) {
         let mut directory = self.directory.lock();
         directory.merge(own.clone());
@@ -265,7 +295,7 @@
             return;
         }
         let was_hub = self.is_first_hub(now);
-        self.first_hub_at_ms.store(millis(now), Ordering::Release);
+        self.first_hub_at_ms.store(clock::millis(now), Ordering::Release);
         let mut directory = self.directory.lock();
         if !was_hub {
             directory.begin_hearing();
@@ -278,7 +308,7 @@
     /// Tells whether the node acts as the first hub.
     pub fn is_first_hub(&self, now: Timestamp) -> bool {
         let at_ms = self.first_hub_at_ms.load(Ordering::Acquire);
-        at_ms > 0 && millis(now) < at_ms + HUB_LIFETIME_MS
+        at_ms > 0 && clock::millis(now) < at_ms + HUB_LIFETIME_MS
     }
 
     /// Another node claims to know of a newer configuration or proof.
@@ -301,10 +331,6 @@
     }
 }
 
-fn millis(time: Timestamp) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// When the newest read of the store began that showed the configuration to be current.
 #[derive(Debug, Default)]
 pub struct FreshnessProof {
@@ -315,7 +341,7 @@
 impl FreshnessProof {
     /// A read that began at `began` has shown the configuration to be current.
     pub fn shown(&self, began: Timestamp) {
-        self.began_ms.fetch_max(millis(began), Ordering::AcqRel);
+        self.began_ms.fetch_max(clock::millis(began), Ordering::AcqRel);
     }
 
     /// Age of the newest proof; very long where there is none.
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -144,6 +144,14 @@
     /// The process that tells it, drawn at random at its start.
     #[prost(uint64, tag = "12")]
     pub incarnation: u64,
+    /// Start and sequence of the upstream's last message when the record was made.
+    #[prost(uint64, tag = "13")]
+    pub upstream_started_unix_ms: u64,
+    #[prost(uint64, tag = "14")]
+    pub upstream_sequence: u64,
+    /// The upstream has said that it leaves for good.
+    #[prost(bool, tag = "15")]
+    pub upstream_left: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncRequest {
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     clock::Timestamp,
-    mesh::{Heartbeat, UpstreamState},
+    mesh::{Heartbeat, UpstreamRecord, UpstreamState},
     names::InstanceName,
 };
 
@@ -45,6 +45,8 @@
     current: Option<Upstream>,
     /// The upstream that left last, by id.
     departed: Option<(InstanceName, DepartedStart)>,
+    /// The last message that an earlier process of the node made a record of.
+    earlier: Option<UpstreamRecord>,
 }
 
 /// Which start of an upstream has left.
@@ -65,7 +67,7 @@
     /// Takes a heartbeat.
     pub fn heard(&mut self, now: Timestamp, heartbeat: Heartbeat) -> Heard {
         let start = (heartbeat.started_unix_ms, heartbeat.sequence);
-        if self.has_departed(now, &heartbeat) {
+        if self.has_departed(now, &heartbeat) || self.was_overtaken(&heartbeat) {
             return Heard::Late;
         }
         let Some(known) = &self.current else {
@@ -95,17 +97,52 @@
             // What is known of the departure of the present one must not be lost.
             return Heard::Late;
         }
-        let known = self.current.as_mut().filter(|it| *it.heartbeat.upstream == *upstream);
-        let start = match known.as_ref().map(|known| known.heartbeat.started_unix_ms) {
-            Some(started_unix_ms) if started_unix_ms > 0 => DepartedStart::Known(started_unix_ms),
-            _ => DepartedStart::Unknown(now + LATE_MESSAGES),
+        let known = self.current.as_ref().filter(|it| *it.heartbeat.upstream == *upstream);
+        let started_unix_ms = known.map_or(0, |known| known.heartbeat.started_unix_ms);
+        self.depart(now, upstream, started_unix_ms)
+    }
+
+    /// Takes the departure of an upstream that was started at this time, 0 where that is not known.
+    fn depart(&mut self, now: Timestamp, upstream: &str, started_unix_ms: u64) -> Heard {
+        let start = match started_unix_ms {
+            0 => DepartedStart::Unknown(now + LATE_MESSAGES),
+            _ => DepartedStart::Known(started_unix_ms),
         };
         self.departed = Some((upstream.into(), start));
-        let Some(known) = known else { return Heard::Late };
-        known.leaving_since.get_or_insert(now);
+        if !self.has_left(now) {
+            return Heard::Late;
+        }
+        let Some(current) = &mut self.current else { return Heard::Late };
+        current.leaving_since.get_or_insert(now);
         Heard::Changed
     }
 
+    /// An earlier process of the node has told this of the upstream.
+    pub fn heard_earlier(&mut self, now: Timestamp, earlier: &UpstreamRecord) -> Heard {
+        if earlier.left {
+            return match self.has_left(now) {
+                true => Heard::Unchanged,
+                false => self.depart(now, &earlier.id, earlier.started_unix_ms),
+            };
+        }
+        let position = |it: &UpstreamRecord| (it.started_unix_ms, it.sequence);
+        if self.earlier.as_ref().is_none_or(|known| position(known) < position(earlier)) {
+            self.earlier = Some(earlier.clone());
+        }
+        match &mut self.current {
+            Some(current) if !earlier.ready && is_overtaken(&current.heartbeat, earlier) => {
+                current.leaving_since.get_or_insert(now);
+                Heard::Changed
+            }
+            _ => Heard::Unchanged,
+        }
+    }
+
+    fn was_overtaken(&self, heartbeat: &Heartbeat) -> bool {
+        // Of a message that is not newer only one that would undo a departure does harm.
+        self.earlier.as_ref().is_some_and(|it| !it.ready && is_overtaken(heartbeat, it))
+    }
+
     /// The upstream has said that it leaves for good.
     pub fn has_left(&self, now: Timestamp) -> bool {
         self.current.as_ref().is_some_and(|current| self.has_departed(now, &current.heartbeat))
@@ -139,6 +176,13 @@
     }
 }
 
+/// Tells whether a message of an upstream came before the one that a record of it rests on.
+fn is_overtaken(heartbeat: &Heartbeat, record: &UpstreamRecord) -> bool {
+    heartbeat.upstream == record.id
+        && (heartbeat.started_unix_ms, heartbeat.sequence)
+            < (record.started_unix_ms, record.sequence)
+}
+
 impl Upstream {
     /// Tells whether a new request may be sent, `grace` after the upstream said that it leaves.
     pub fn takes_requests(&self, now: Timestamp, grace: Duration) -> bool {
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -146,7 +146,7 @@
         hub_incarnation: contact.hub_incarnation,
         hub_sequence: contact.hub_sequence,
         catalog_version: node.catalog_version(),
-        proof_age_ms: millis(node.proof.age(asked)),
+        proof_age_ms: clock::millis_u32(node.proof.age(asked)),
         wants: wants
             .iter()
             .map(|want| proto::Want {
@@ -207,12 +207,13 @@
     if records.is_empty() {
         return outdated;
     }
-    let mut changed = false;
+    let (mut changed, mut earlier) = (false, Vec::new());
     let mut directory = node.directory.lock();
     for record in records {
         let silent = record.silent;
         let Some(record) = from_proto(record) else { continue };
         if record.instance == node.settings.instance {
+            earlier.push(record);
             continue;
         }
         let instance = record.instance.clone();
@@ -229,6 +230,10 @@
     if changed {
         node.members.store(Arc::new(directory.members()));
     }
+    drop(directory);
+    for record in &earlier {
+        node.take_earlier_record(record);
+    }
     outdated
 }
 
@@ -273,7 +278,7 @@
     let grants = if request.as_hub { grant(node, &wants) } else { Vec::new() };
     let grants = grants.into_iter().map(|grant| proto::Grant {
         tokens: grant.tokens,
-        retry_after_ms: millis(grant.retry_after),
+        retry_after_ms: clock::millis_u32(grant.retry_after),
     });
     let claimed = Duration::from_millis(u64::from(request.proof_age_ms));
     let is_fresher =
@@ -293,7 +298,7 @@
             .collect(),
         catalog_version: node.catalog_version(),
         proof_age_ms: match node.catalog.load().is_some() {
-            true => millis(node.proof.age(now)),
+            true => clock::millis_u32(node.proof.age(now)),
             false => NO_PROOF_MS,
         },
         catalog: source
@@ -377,6 +382,9 @@
         ready: upstream.is_some_and(|it| it.ready),
         silent,
         incarnation: record.incarnation,
+        upstream_started_unix_ms: upstream.map_or(0, |it| it.started_unix_ms),
+        upstream_sequence: upstream.map_or(0, |it| it.sequence),
+        upstream_left: upstream.is_some_and(|it| it.left),
     }
 }
 
@@ -393,6 +401,9 @@
         id: record.upstream.into(),
         slots: record.slots,
         ready: record.ready,
+        left: record.upstream_left,
+        started_unix_ms: record.upstream_started_unix_ms,
+        sequence: record.upstream_sequence,
     });
     Some(InstanceRecord {
         instance: record.instance.into(),
@@ -406,10 +417,6 @@
     })
 }
 
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Time of the read behind a proof of this age, where the question was asked at `asked`.
 ///
 /// The answer was made after the question was sent, so the read cannot have begun earlier than
--- a/tests/mesh_directory.rs
+++ b/tests/mesh_directory.rs
@@ -19,7 +19,14 @@
         address: address(1),
         leaving: false,
         service: "orders".into(),
-        upstream: Some(UpstreamRecord { id: "u".into(), slots: 4, ready }),
+        upstream: Some(UpstreamRecord {
+            id: "u".into(),
+            slots: 4,
+            ready,
+            left: false,
+            started_unix_ms: 1,
+            sequence: 1,
+        }),
     }
 }
 
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use hibiscusdoor::mesh::{Heard, Heartbeat, Registry, UpstreamState};
+use hibiscusdoor::mesh::{Heard, Heartbeat, Registry, UpstreamRecord, UpstreamState};
 
 fn heartbeat(upstream: &str, started: u64, sequence: u64, state: UpstreamState) -> Heartbeat {
     Heartbeat {
@@ -106,3 +106,46 @@
     of_an_upstream_found_by_its_health(true),
     of_an_upstream_not_heard_of(false),
 }
+
+/// What an earlier process of the node told of upstream `a`, which was draining.
+fn earlier(left: bool, started_unix_ms: u64, sequence: u64) -> UpstreamRecord {
+    UpstreamRecord { id: "a".into(), slots: 10, ready: false, left, started_unix_ms, sequence }
+}
+
+/// Guards against a node that restarts beside a draining upstream and takes a late message, or the
+/// upstream's good health, for a sign that it takes requests again.
+fn a_restart_does_not_undo_a_departure(
+    before: Option<Step>,
+    record: UpstreamRecord,
+    after: &[Step],
+    takes_requests: bool,
+) {
+    let mut registry = Registry::default();
+    let mut now = NOW;
+    let mut hear = |registry: &mut Registry, steps: &[Step]| {
+        for (upstream, started, sequence, state, effect) in steps {
+            now += Duration::from_millis(100);
+            let heard = registry.heard(now, heartbeat(upstream, *started, *sequence, *state));
+            assert_eq!(heard, *effect, "{upstream} {started} {sequence}");
+        }
+    };
+    hear(&mut registry, before.as_slice());
+    registry.heard_earlier(NOW + Duration::from_millis(100), &record);
+    hear(&mut registry, after);
+    let known = registry.current().filter(|it| it.takes_requests(NOW + GRACE * 3, GRACE));
+    assert_eq!(known.is_some(), takes_requests);
+}
+
+crate::cases! { a_restart_does_not_undo_a_departure:
+    where_a_late_heartbeat_follows(
+        None, earlier(false, 5, 8), &[("a", 5, 7, READY, Heard::Late)], false),
+    where_the_upstream_was_found_by_its_health(
+        Some(("a", 0, 0, READY, Heard::Replaced)), earlier(false, 5, 8), &[], false),
+    where_the_upstream_had_left(
+        None, earlier(true, 5, 8), &[("a", 5, 9, READY, Heard::Late)], false),
+    unless_a_later_heartbeat_says_so(
+        Some(("a", 0, 0, READY, Heard::Replaced)),
+        earlier(false, 5, 8), &[("a", 5, 9, READY, Heard::Replaced)], true),
+    unless_the_upstream_has_started_again(
+        None, earlier(false, 5, 8), &[("a", 6, 1, READY, Heard::Replaced)], true),
+}
