Keep a hub's work apart from the size of the fleet

The ranking is now kept until the set of addresses changes, the home number lies in the account, changes are found by their number, and contacts are counted every 50 ms.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -9,6 +9,7 @@
     cmp::Ordering,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    ops::Bound,
     sync::Arc,
     time::Duration,
 };
@@ -23,6 +24,9 @@
 /// A node that a hub has not heard for this long gets no requests; nodes ask their hubs several
 /// times in it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1300);
+/// Time for which a count of the instances that were heard is kept: a hub is asked hundreds of times
+/// a second, and the time after which an instance no longer counts is a dozen times longer.
+const COUNT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Where an instance is, as the store keeps it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -33,6 +37,9 @@
     pub peer_address: SocketAddr,
 }
 
+/// Where the instances are, by name. Views of the fleet share it until it changes.
+pub type Addresses = Arc<BTreeMap<InstanceName, InstanceAddress>>;
+
 /// The upstream beside a node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamRecord {
@@ -144,7 +151,7 @@
 pub struct Members {
     services: HashMap<ServiceName, Vec<Arc<Member>>>,
     /// Where each instance is, by name; those of the store that told nothing yet included.
-    addresses: BTreeMap<InstanceName, InstanceAddress>,
+    addresses: Addresses,
 }
 
 impl Members {
@@ -159,7 +166,7 @@
     }
 
     /// All instances by name.
-    pub fn addresses(&self) -> &BTreeMap<InstanceName, InstanceAddress> {
+    pub fn addresses(&self) -> &Addresses {
         &self.addresses
     }
 
@@ -196,19 +203,28 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<InstanceName, Entry>,
-    stored: BTreeMap<InstanceName, InstanceAddress>,
+    /// The instances by the number of their last change.
+    changes: BTreeMap<u64, InstanceName>,
+    stored: Addresses,
     sequence: u64,
+    /// How many instances were heard lately, and until when that count is taken for good.
+    contacts: usize,
+    contacts_until: Timestamp,
 }
 
 impl Directory {
     /// Takes the addresses that the store keeps. Instances that it no longer has are forgotten.
-    pub fn stored(&mut self, addresses: BTreeMap<InstanceName, InstanceAddress>) {
+    pub fn stored(&mut self, mut addresses: BTreeMap<InstanceName, InstanceAddress>) {
         // An instance that was heard since may have registered after the list was read.
         self.entries.retain(|name, entry| addresses.contains_key(name) || !entry.member.silent);
-        self.stored = addresses;
+        let entries = &self.entries;
+        self.changes.retain(|_, name| entries.contains_key(name));
         for entry in self.entries.values().filter(|entry| !entry.member.record.is_gone()) {
             let record = &entry.member.record;
-            self.stored.insert(record.instance.clone(), record.address.clone());
+            addresses.insert(record.instance.clone(), record.address.clone());
+        }
+        if addresses != *self.stored {
+            self.stored = Arc::new(addresses);
         }
     }
 
@@ -221,12 +237,20 @@
             Some(Order::Older | Order::Unordered) => return Merged::Outdated,
         }
         let heard_at = known.and_then(|known| known.heard_at);
-        match record.is_gone() {
-            true => drop(self.stored.remove(&record.instance)),
-            false => drop(self.stored.insert(record.instance.clone(), record.address.clone())),
+        let address = (!record.is_gone()).then_some(&record.address);
+        if self.stored.get(&record.instance) != address {
+            let stored = Arc::make_mut(&mut self.stored);
+            match address {
+                Some(address) => drop(stored.insert(record.instance.clone(), address.clone())),
+                None => drop(stored.remove(&record.instance)),
+            }
         }
         self.sequence += 1;
         let name = record.instance.clone();
+        if let Some(known) = self.entries.get(&name) {
+            self.changes.remove(&known.changed);
+        }
+        self.changes.insert(self.sequence, name.clone());
         let member = Arc::new(Member { record, silent: false });
         self.entries.insert(name, Entry { member, changed: self.sequence, heard_at });
         Merged::Taken
@@ -239,6 +263,8 @@
             return false;
         }
         self.sequence += 1;
+        self.changes.remove(&entry.changed);
+        self.changes.insert(self.sequence, entry.member.record.instance.clone());
         entry.changed = self.sequence;
         Arc::make_mut(&mut entry.member).silent = silent;
         true
@@ -256,6 +282,7 @@
         for entry in self.entries.values_mut() {
             entry.heard_at = None;
         }
+        self.contacts_until = Timestamp::ZERO;
     }
 
     /// Looks which instances have not been heard lately; only a hub hears all. True where that
@@ -276,10 +303,14 @@
         !silent.is_empty()
     }
 
-    /// Instances that were heard within `lifetime`.
-    pub fn contacts(&self, now: Timestamp, lifetime: Duration) -> usize {
-        let recent = |entry: &&Entry| entry.heard_at.is_some_and(|at| now <= at + lifetime);
-        self.entries.values().filter(recent).count()
+    /// Instances that were heard within `lifetime`; counted anew every [`COUNT_INTERVAL`].
+    pub fn contacts(&mut self, now: Timestamp, lifetime: Duration) -> usize {
+        if now >= self.contacts_until {
+            let recent = |entry: &&Entry| entry.heard_at.is_some_and(|at| now <= at + lifetime);
+            self.contacts = self.entries.values().filter(recent).count();
+            self.contacts_until = now + COUNT_INTERVAL;
+        }
+        self.contacts
     }
 
     /// Record of an instance.
@@ -289,10 +320,12 @@
 
     /// What has changed since a change that the asker knows of.
     pub fn changes_since(&self, known: u64) -> Changes {
-        let changed = self.entries.values().filter(|entry| entry.changed > known);
+        let changed = self.changes.range((Bound::Excluded(known), Bound::Unbounded));
         Changes {
             sequence: self.sequence,
-            members: changed.map(|entry| entry.member.clone()).collect(),
+            members: changed
+                .filter_map(|(_, name)| Some(self.entries.get(name)?.member.clone()))
+                .collect(),
         }
     }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -44,13 +44,14 @@
     UpstreamState,
 };
 pub use directory::{
-    Changes, Directory, InstanceAddress, InstanceRecord, Member, Members, Merged, UpstreamRecord,
+    Addresses, Changes, Directory, InstanceAddress, InstanceRecord, Member, Members, Merged,
+    UpstreamRecord,
 };
 pub use guard::{Guard, Guarded};
 pub use node::{FreshnessProof, Node};
 pub use operators::{MeshMetrics, Origin};
 pub use placement::{AttemptEnd, Candidate, LoadReport, Placement};
-pub use rates::{CONTACT_LIFETIME, Grant, RateHome, RateStock, Token, Want};
+pub use rates::{CONTACT_LIFETIME, Grant, HomeNumber, RateHome, RateStock, Token, Want};
 pub use registry::{Heard, Registry, Upstream};
 pub use retry_budget::{RetryBound, RetryBudget};
 pub use root_admission::{RootAdmission, RootVerdict};
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -41,6 +41,7 @@
 const STOCK_LIFETIME: Duration = Duration::from_secs(1);
 /// Longest time that an empty home is not asked again.
 const MAX_DRY: Duration = Duration::from_millis(100);
+const HASH_PURPOSE: &str = "hibiscusdoor 2026 home of an organisation";
 
 /// A home's answer to one want.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -125,8 +126,9 @@
     pub returned: f64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Account {
+    home: HomeNumber,
     stock: f64,
     /// Requests that wait for a token.
     waiting: u32,
@@ -138,6 +140,17 @@
     token_at: Timestamp,
 }
 
+/// Decides which hub is the home of an organisation.
+pub type HomeNumber = u16;
+
+/// The number that decides which hub is the home of an organisation.
+pub fn home_number(organisation: &str) -> HomeNumber {
+    let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
+    hasher.update(organisation.as_bytes());
+    let hash = hasher.finalize();
+    HomeNumber::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])
+}
+
 /// What came of asking for a token.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Token {
@@ -163,7 +176,10 @@
     pub fn take(&mut self, now: Timestamp, organisation: &OrganisationName, again: bool) -> Token {
         let account = match self.accounts.get_mut(organisation) {
             Some(account) => account,
-            None => self.accounts.entry(organisation.clone()).or_default(),
+            None => {
+                let account = Account::new(home_number(organisation));
+                self.accounts.entry(organisation.clone()).or_insert(account)
+            }
         };
         if !again {
             account.count(now);
@@ -203,15 +219,11 @@
         }
     }
 
-    /// What is to be drawn now, for the organisations that `homed` names.
-    pub fn wants(
-        &mut self,
-        now: Timestamp,
-        homed: impl Fn(&OrganisationName) -> bool,
-    ) -> Vec<Want> {
+    /// What is to be drawn now, for the organisations whose home number `homed` takes.
+    pub fn wants(&mut self, now: Timestamp, homed: impl Fn(HomeNumber) -> bool) -> Vec<Want> {
         let mut wants = Vec::new();
         for (organisation, account) in &mut self.accounts {
-            if !homed(organisation) {
+            if !homed(account.home) {
                 continue;
             }
             account.decay(now);
@@ -255,6 +267,19 @@
 }
 
 impl Account {
+    fn new(home: HomeNumber) -> Self {
+        Self {
+            home,
+            stock: 0.0,
+            waiting: 0,
+            demand_per_s: 0.0,
+            counted_at: Timestamp::ZERO,
+            last_taken: Timestamp::ZERO,
+            dry_until: Timestamp::ZERO,
+            token_at: Timestamp::ZERO,
+        }
+    }
+
     fn count(&mut self, now: Timestamp) {
         self.decay(now);
         self.demand_per_s += 1.0 / DEMAND_MEMORY.as_secs_f64();
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::{self, Timestamp},
     mesh::{
-        CONTACT_LIFETIME, Dialect, Grant, InstanceAddress, InstanceRecord, Merged, Node,
+        Addresses, CONTACT_LIFETIME, Dialect, Grant, InstanceAddress, InstanceRecord, Merged, Node,
         UpstreamRecord, Want, configuration, pause::jittered, proto,
     },
     names::InstanceName,
@@ -83,7 +83,7 @@
 
 /// Keeps the node in contact with the hub of a number.
 pub async fn run<D: Dialect>(node: Arc<Node<D>>, number: usize) {
-    let mut missed = Missed::default();
+    let (mut missed, mut ranking) = (Missed::default(), Ranking::default());
     let mut sync_now = node.sync_now.subscribe();
     let mut contacts: HashMap<InstanceName, Contact> = HashMap::new();
     loop {
@@ -94,10 +94,10 @@
             tokio::time::sleep(SYNC_INTERVAL).await;
             continue;
         }
-        let ranked = ranked(members.addresses().keys(), number);
-        let hub = ranked.into_iter().find(|instance| !missed.passes_over(instance, began)).cloned();
+        ranking.update(members.addresses(), number);
+        let hub = ranking.order.iter().find(|it| !missed.passes_over(it, began)).cloned();
         let now = clock::now();
-        let wants = node.stock.lock().wants(now, |name| home_of(name, hubs) == number);
+        let wants = node.stock.lock().wants(now, |home| usize::from(home) % hubs == number);
         match hub {
             Some(hub) if hub != node.settings.instance => {
                 let address = members.addresses()[&hub].clone();
@@ -344,27 +344,28 @@
     instances.div_ceil(INSTANCES_PER_HUB).clamp(1, MAX_HUBS)
 }
 
-/// Number of the hub that holds an organisation's tokens.
-fn home_of(organisation: &str, hubs: usize) -> usize {
-    let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
-    hasher.update(organisation.as_bytes());
-    let hash = hasher.finalize();
-    usize::from(u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])) % hubs
+/// The instances in the order in which they stand for the hub of a number. It is worked out when the
+/// set of instances changes, and not at each exchange: it takes a hash for each of them.
+#[derive(Debug, Default)]
+struct Ranking {
+    addresses: Addresses,
+    order: Vec<InstanceName>,
 }
 
-/// The instances in the order in which they stand for the hub of a number.
-fn ranked<'a>(
-    instances: impl Iterator<Item = &'a InstanceName>,
-    number: usize,
-) -> Vec<&'a InstanceName> {
-    let mut ranked: Vec<&InstanceName> = instances.collect();
-    ranked.sort_by_cached_key(|instance| {
-        let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
-        hasher.update(&number.to_le_bytes());
-        hasher.update(instance.as_bytes());
-        *hasher.finalize().as_bytes()
-    });
-    ranked
+impl Ranking {
+    fn update(&mut self, addresses: &Addresses, number: usize) {
+        if Arc::ptr_eq(addresses, &self.addresses) {
+            return;
+        }
+        self.addresses = addresses.clone();
+        self.order = addresses.keys().cloned().collect();
+        self.order.sort_by_cached_key(|instance| {
+            let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
+            hasher.update(&number.to_le_bytes());
+            hasher.update(instance.as_bytes());
+            *hasher.finalize().as_bytes()
+        });
+    }
 }
 
 fn to_proto(record: &InstanceRecord, silent: bool) -> proto::InstanceRecord {
--- a/tests/mesh_directory.rs
+++ b/tests/mesh_directory.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use hibiscusdoor::mesh::{Directory, InstanceAddress, InstanceRecord, Merged, UpstreamRecord};
+use proptest::prelude::*;
 
 fn address(number: u8) -> InstanceAddress {
     InstanceAddress { zone: "bole".into(), peer_address: ([10, 0, 0, number], 7000).into() }
@@ -124,3 +125,97 @@
     assert_eq!(directory.members().len(), 1);
     assert_eq!(ready(&directory, "orders"), 0);
 }
+
+/// Guards against a ranking of all instances at every exchange: it is kept for as long as the views of
+/// the fleet share their addresses.
+#[test]
+fn addresses_are_shared_until_they_change() {
+    let mut directory = Directory::default();
+    directory.merge(record("a", 1, 1, true));
+    let before = directory.members().addresses().clone();
+    directory.merge(record("a", 1, 2, false));
+    directory.stored([("a".into(), address(1))].into());
+    assert!(Arc::ptr_eq(&before, directory.members().addresses()));
+    directory.stored([("a".into(), address(1)), ("b".into(), address(2))].into());
+    assert_eq!(directory.members().addresses().len(), 2);
+    directory.merge(InstanceRecord { address: address(3), ..record("b", 1, 1, true) });
+    assert_eq!(directory.members().addresses()["b"], address(3));
+}
+
+/// What happens at a hub.
+#[derive(Debug, Clone)]
+enum Step {
+    Record {
+        instance: usize,
+        generation: u64,
+        sequence: u64,
+        ready: bool,
+    },
+    Silence {
+        instance: usize,
+        silent: bool,
+    },
+    Stored {
+        instances: usize,
+    },
+    /// A node asks for what has changed.
+    Ask,
+}
+
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn step() -> impl Strategy<Value = Step> {
+    let instance = 0..NAMES.len();
+    prop_oneof![
+        (instance.clone(), 1..4_u64, 1..6_u64, any::<bool>()).prop_map(
+            |(instance, generation, sequence, ready)| Step::Record {
+                instance,
+                generation,
+                sequence,
+                ready
+            }
+        ),
+        (instance, any::<bool>()).prop_map(|(instance, silent)| Step::Silence { instance, silent }),
+        (0..=NAMES.len()).prop_map(|instances| Step::Stored { instances }),
+        Just(Step::Ask),
+    ]
+}
+
+proptest! {
+    /// Guards against a change that a hub forgets to tell, or tells without end.
+    #[test]
+    fn a_node_that_asks_knows_what_its_hub_knows(steps in prop::collection::vec(step(), 1..60)) {
+        let (mut hub, mut node) = (Directory::default(), Directory::default());
+        let mut known = 0;
+        for step in steps.into_iter().chain([Step::Ask]) {
+            match step {
+                Step::Record { instance, generation, sequence, ready } => {
+                    hub.merge(record(NAMES[instance], generation, sequence, ready));
+                }
+                Step::Silence { instance, silent } => {
+                    hub.merge_silence(NAMES[instance], silent);
+                }
+                Step::Stored { instances } => {
+                    let stored = NAMES.iter().take(instances);
+                    hub.stored(stored.map(|name| ((*name).into(), address(1))).collect());
+                }
+                Step::Ask => {
+                    let changes = hub.changes_since(known);
+                    known = changes.sequence;
+                    prop_assert!(changes.members.len() <= NAMES.len());
+                    for member in changes.members {
+                        node.merge(member.record.clone());
+                        node.merge_silence(&member.record.instance, member.silent);
+                    }
+                    for member in hub.members().all() {
+                        // A hub may forget a silent instance, of which the node keeps a later record.
+                        let order = |it: &InstanceRecord| (it.generation, it.sequence);
+                        let known = node.record_of(&member.record.instance).map(order);
+                        prop_assert!(known >= Some(order(&member.record)));
+                    }
+                    prop_assert_eq!(hub.changes_since(known).members.len(), 0);
+                }
+            }
+        }
+    }
+}
