Bound requests that crash upstreams over the fleet

A request that crashes each upstream which runs it was bounded by its attempts only: each time its caller sent it again, one more upstream went down. A node now reports what ran in its upstream when connections broke and nobody listened any more; the first hub counts crashes by id, and nodes refuse a request that was there at three. What ended well within 20 s at the same upstream is not blamed. Decisions in mesh/crashes.rs, tests in tests/mesh_crashes.rs; the quarantine of once/ serves both.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -16,6 +16,7 @@
         RunningCall,
         attempts::{self, Ended},
         charge::{self, Charge},
+        fingerprint,
         request::{WholeRequest, remove_connection_headers},
     },
     names::ServiceName,
@@ -99,6 +100,8 @@
     let request_id = head.request_id.clone();
     let undispatched = Undispatched::new(true);
     let admitted = admit(&node, &head, &parts, arrived);
+    let request = whole_request(&mut parts, body);
+    let admitted = admitted.and_then(|it| refuse_quarantined(&node, it, &request));
     let charged = match &admitted {
         Ok(admitted) => charge_and_begin(&node, admitted).await,
         Err(_) => Ok(None),
@@ -119,7 +122,6 @@
             return response::<D>(outcome, request_id.as_deref());
         }
     };
-    let request = whole_request(parts, body);
     let mut finish = Finish { call: &admitted.call, is_finished: false };
     let ended = run(&node, &admitted, request, undispatched, charge).await;
     finish.is_finished = true;
@@ -177,13 +179,33 @@
     );
 }
 
-fn whole_request(parts: Parts, body: Bytes) -> WholeRequest {
-    let authority = authority(&parts).unwrap_or_default().into();
+/// Takes the headers out of the head; the host is in the authority then.
+fn whole_request(parts: &mut Parts, body: Bytes) -> WholeRequest {
+    let authority = authority(parts).unwrap_or_default().into();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).into();
-    let mut headers = parts.headers;
+    let mut headers = std::mem::take(&mut parts.headers);
     remove_connection_headers(&mut headers);
     headers.remove(header::HOST);
-    WholeRequest { method: parts.method, authority, path, headers, body }
+    WholeRequest { method: parts.method.clone(), authority, path, headers, body }
+}
+
+/// Refuses a request that has crashed upstreams before it is charged.
+fn refuse_quarantined<D: Dialect>(
+    node: &Node<D>,
+    admitted: Admitted,
+    request: &WholeRequest,
+) -> Result<Admitted, EntryRefusal> {
+    let crashes = node.guard.crashes.lock();
+    if crashes.is_empty() {
+        return Ok(admitted);
+    }
+    match crashes.quarantined(clock::now(), &fingerprint(&admitted.call, request)) {
+        None => Ok(admitted),
+        Some(retry_after) => {
+            let detail = "the request has crashed upstreams".to_owned();
+            Err(EntryRefusal { reason: Reason::Quarantined, detail, retry_after })
+        }
+    }
 }
 
 fn authority(parts: &Parts) -> Option<&str> {
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -26,9 +26,10 @@
     config::Importance,
     http_client::{ConnectFailure, Connection, ConnectionPool, SendFailure},
     mesh::{
-        Call, Dialect, LoadReport, RunningCalls, Upstream, UpstreamHead, Usage,
-        request::WholeRequest,
+        Call, Crashes, Dialect, LoadReport, RunningCalls, Upstream, UpstreamHead, Usage,
+        crash_check::CrashCheck, fingerprint, request::WholeRequest,
     },
+    once::Fingerprint,
 };
 
 /// Idle connections to the upstream that are kept.
@@ -89,6 +90,9 @@
     upstream: ArcSwapOption<Upstream>,
     gate: Gate<SlotLimit>,
     connections: ConnectionPool,
+    /// Requests that were running when an upstream crashed.
+    pub crashes: Mutex<Crashes>,
+    crash_check: CrashCheck,
     /// Mean time of each route's requests.
     route_times: Mutex<HashMap<Arc<str>, MeanTime>>,
     refusing: AtomicBool,
@@ -103,6 +107,8 @@
             upstream: ArcSwapOption::empty(),
             gate: Gate::default(),
             connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_ANSWER_BYTES),
+            crashes: Mutex::default(),
+            crash_check: CrashCheck::default(),
             route_times: Mutex::default(),
             refusing: AtomicBool::new(false),
             dialect: PhantomData,
@@ -115,6 +121,7 @@
     upstream: Arc<Upstream>,
     connection: Connection,
     message: Request<Full<Bytes>>,
+    fingerprint: Fingerprint,
     slot: Slot<'a, SlotLimit>,
 }
 
@@ -221,6 +228,11 @@
         if self.serving(call).is_none() {
             return Err(undispatched.refuse(Reason::NoUpstream, "no upstream of the service here"));
         }
+        let fingerprint = fingerprint(call, &request);
+        if self.crashes.lock().quarantined(clock::now(), &fingerprint).is_some() {
+            let detail = "the request has crashed upstreams";
+            return Err(undispatched.refuse(Reason::Quarantined, detail));
+        }
         let entrant = Entrant {
             importance: Importance(u32::MAX - call.rank),
             organisation: call.root_organisation.clone(),
@@ -257,7 +269,9 @@
             }
         };
         match message::<D>(call, &upstream, request) {
-            Ok(message) => Ok((Prepared { upstream, connection, message, slot }, undispatched)),
+            Ok(message) => {
+                Ok((Prepared { upstream, connection, message, fingerprint, slot }, undispatched))
+            }
             Err(detail) => Err(undispatched.refuse(Reason::BadRequest, detail)),
         }
     }
@@ -268,7 +282,7 @@
         call: Call,
         undispatched: Undispatched,
     ) -> Guarded {
-        let Prepared { upstream, connection, message, slot } = prepared;
+        let Prepared { upstream, connection, message, fingerprint, slot } = prepared;
         let begun = clock::now();
         let remaining = call.deadline.saturating_sub(begun);
         let request_id = call.request_id.clone();
@@ -296,6 +310,7 @@
                     slot.answered(Completion::Answered { own_time: held, total_time: held });
                     self.learn(&call.route, held);
                 }
+                self.crashes.lock().survived(clock::now(), &fingerprint);
                 answered::<D>(dispatch, answer)
             }
             Ok(Err(SendFailure::Unsent(unsent, detail))) => {
@@ -308,6 +323,9 @@
                     cause = detail;
                     "no whole answer of the upstream"
                 );
+                if let Some(crash) = self.crash_check.crash(upstream.heartbeat.address).await {
+                    self.crashes.lock().crashed(clock::now(), &fingerprint, crash);
+                }
                 dispatch.unknown(Reason::UpstreamFailed, detail)
             }
             Err(_) => dispatch.unknown(Reason::DeadlinePassed, "no answer in time"),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -11,6 +11,8 @@
 mod charge;
 mod configuration;
 mod control;
+mod crash_check;
+mod crashes;
 mod dialect;
 mod directory;
 mod entry;
@@ -39,6 +41,7 @@
 pub use call::{Call, LearnedUse, ServiceUse, Usage};
 pub use catalog::{CallerLimits, Catalog, CatalogParts, Destination, Organisation, Route, Service};
 pub use configuration::CatalogSource;
+pub use crashes::{Crashes, fingerprint};
 pub use dialect::{
     AnswerHead, CallHead, Dialect, Heartbeat, ReportedLoad, UpstreamHead, UpstreamMessage,
     UpstreamState,
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -151,6 +151,8 @@
     out_of_use: Vec<InstanceName>,
     gate: Option<GateFigures>,
     loads: Vec<ServiceLoad>,
+    /// Requests that have crashed upstreams and no longer run.
+    quarantined: usize,
     dropped_log_lines: u64,
 }
 
@@ -171,7 +173,7 @@
             upstream_ready: upstream.is_some_and(|it| it.is_ready()),
             revision: node.catalog.load().as_ref().map(|catalog| catalog.revision),
             configuration_version: node.catalog_version(),
-            proof_age_ms: node.proof.known_age(now).map(|age| clock::millis(age)),
+            proof_age_ms: node.proof.known_age(now).map(clock::millis),
             first_hub: node.is_first_hub(now),
             instances: members.len(),
             out_of_use: out_of_use.map(|member| member.record.instance.clone()).collect(),
@@ -183,6 +185,7 @@
                     allowance_per_s,
                 })
                 .collect(),
+            quarantined: node.guard.crashes.lock().quarantined_count(now),
             dropped_log_lines: telemetry::dropped_lines(),
         }
     }
@@ -203,6 +206,11 @@
         gauge("instances", "Instances that the node knows", self.instances as f64);
         gauge("instances_out_of_use", "Those that take no work", self.out_of_use.len() as f64);
         gauge("first_hub", "1 where the node is the fleet's first hub", f64::from(self.first_hub));
+        gauge(
+            "requests_quarantined",
+            "Requests that have crashed upstreams and no longer run",
+            self.quarantined as f64,
+        );
         if let Some(gate) = &self.gate {
             gauge("upstream_running", "Requests at the upstream", f64::from(gate.in_flight));
             gauge("upstream_waiting", "Requests that wait before it", gate.waiting as f64);
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -179,6 +179,12 @@
     /// learns its own past, and that of the others, from them.
     #[prost(message, repeated, tag = "9")]
     pub later: ::prost::alloc::vec::Vec<InstanceRecord>,
+    /// Requests that were running at crashes, where the hub has not heard of them.
+    #[prost(message, repeated, tag = "10")]
+    pub crashed: ::prost::alloc::vec::Vec<CrashedRequest>,
+    /// What the asker has of the hub's requests that must not run.
+    #[prost(uint64, tag = "11")]
+    pub verdicts: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncReply {
@@ -207,6 +213,23 @@
     pub known_sequence: u64,
     #[prost(uint64, tag = "10")]
     pub known_incarnation: u64,
+    /// Requests that must not run, where they changed since what the asker has.
+    #[prost(uint64, tag = "11")]
+    pub verdicts: u64,
+    #[prost(message, repeated, tag = "12")]
+    pub crashed: ::prost::alloc::vec::Vec<CrashedRequest>,
+}
+/// A request that was running at crashes of upstreams.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashedRequest {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub fingerprint: ::prost::bytes::Bytes,
+    /// One id of 16 bytes for each crash, so that one that is reported twice counts once.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub crash_ids: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Time until this is forgotten.
+    #[prost(uint32, tag = "3")]
+    pub remaining_ms: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Want {
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -82,6 +82,11 @@
         self.part = if part > 0.5 { 1.0 } else { part * MINORITY_PART };
     }
 
+    /// Part of the rates that this home grants; none where the node is no home.
+    pub fn part(&self, now: Timestamp) -> Option<f64> {
+        self.acted_at.filter(|at| now <= *at + HOME_BREAK).map(|_| self.part)
+    }
+
     /// Moves tokens to an entry; `returned` come back from it.
     pub fn draw(
         &mut self,
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -8,7 +8,9 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use tokio::time::{Instant, sleep_until, timeout};
+use uuid::Uuid;
 
 use crate::{
     clock::{self, Timestamp},
@@ -17,6 +19,7 @@
         UpstreamRecord, Want, configuration, pause::jittered, proto,
     },
     names::InstanceName,
+    once::QuarantineEntry,
 };
 
 /// Instances for each hub.
@@ -49,6 +52,10 @@
     known: (u64, u64),
     /// Instances of which the hub told outdated records.
     outdated: Vec<InstanceName>,
+    /// Number of the own change up to which the hub has heard of crashes, and that of the hub's
+    /// change up to which its verdicts are known.
+    crashes_told: u64,
+    verdicts: u64,
 }
 
 /// What the asked node is to the asker.
@@ -140,6 +147,14 @@
 ) -> Result<(), String> {
     let own = node.own_record();
     let asked = clock::now();
+    let is_first = role == Role::FirstHub;
+    let (crash_changes, crashed) = {
+        let crashes = node.guard.crashes.lock();
+        match is_first && crashes.changes() != contact.crashes_told {
+            true => crashes.reports(asked),
+            false => (contact.crashes_told, Vec::new()),
+        }
+    };
     let request = proto::SyncRequest {
         instance: node.settings.instance.to_string(),
         record: ((own.generation, own.sequence) != contact.known).then(|| to_proto(&own, false)),
@@ -157,6 +172,8 @@
             .collect(),
         as_hub: role != Role::Peer,
         later: later_records(node, std::mem::take(&mut contact.outdated)),
+        crashed: crashed.iter().map(crashed_to_proto).collect(),
+        verdicts: contact.verdicts,
     };
     let mut peer = node.peer(address.peer_address);
     let reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
@@ -164,11 +181,16 @@
         Ok(Err(status)) => return Err(status.message().to_owned()),
         Err(_) => return Err(format!("no answer within {SYNC_TIMEOUT:?}")),
     };
+    // A hub that has restarted has forgotten what it was told.
+    let heard = reply.hub_incarnation == contact.hub_incarnation || contact.hub_incarnation == 0;
+    contact.crashes_told = if heard { crash_changes } else { 0 };
+    contact.verdicts = reply.verdicts;
     contact.hub_incarnation = reply.hub_incarnation;
     contact.hub_sequence = reply.hub_sequence;
     contact.known = (reply.known_generation, reply.known_sequence);
     node.raise_generation(reply.known_generation, reply.known_incarnation);
     contact.outdated = take_records(node, reply.records, role);
+    take_crashed(node, &reply.crashed);
     configuration::take_from_peer(
         node,
         asked,
@@ -237,6 +259,25 @@
     outdated
 }
 
+/// Takes what another node knows of requests that were running at crashes.
+fn take_crashed<D: Dialect>(node: &Node<D>, crashed: &[proto::CrashedRequest]) {
+    if crashed.is_empty() {
+        return;
+    }
+    let entries: Vec<QuarantineEntry> = crashed.iter().filter_map(crashed_from_proto).collect();
+    if entries.len() < crashed.len() {
+        log::warn!(entries = crashed.len() - entries.len(); "unreadable reports of crashes");
+    }
+    let now = clock::now();
+    let mut crashes = node.guard.crashes.lock();
+    let before = crashes.quarantined_count(now);
+    crashes.merge(now, &entries);
+    let quarantined = crashes.quarantined_count(now);
+    if quarantined != before {
+        log::warn!(quarantined = quarantined; "requests that crashed upstreams no longer run");
+    }
+}
+
 /// Takes the later records of a node that this one told outdated ones.
 fn take_later<D: Dialect>(node: &Node<D>, records: Vec<proto::InstanceRecord>) {
     let is_own = |record: &proto::InstanceRecord| *record.instance == *node.settings.instance;
@@ -253,6 +294,7 @@
     let instance: InstanceName = request.instance.into();
     let record = request.record.and_then(from_proto);
     take_later(node, request.later);
+    take_crashed(node, &request.crashed);
     let (changes, known) = {
         let mut directory = node.directory.lock();
         let mut changed = record.is_some_and(|record| directory.merge(record) == Merged::Taken);
@@ -287,6 +329,17 @@
         // What a node claims may have been true when it was sent; only an answer proves.
         node.fresher_peer(&instance);
     }
+    let known_verdicts = match request.hub_incarnation == node.incarnation {
+        true => request.verdicts,
+        false => 0,
+    };
+    let (verdicts, crashed) = {
+        let crashes = node.guard.crashes.lock();
+        match crashes.changes() == known_verdicts {
+            true => (known_verdicts, Vec::new()),
+            false => crashes.verdicts(now),
+        }
+    };
     let source = node.source.load();
     proto::SyncReply {
         hub_incarnation: node.incarnation,
@@ -310,6 +363,8 @@
         known_generation: known.as_ref().map_or(0, |known| known.generation),
         known_sequence: known.as_ref().map_or(0, |known| known.sequence),
         known_incarnation: known.as_ref().map_or(0, |known| known.incarnation),
+        verdicts,
+        crashed: crashed.iter().map(crashed_to_proto).collect(),
     }
 }
 
@@ -418,6 +473,23 @@
     })
 }
 
+fn crashed_to_proto(entry: &QuarantineEntry) -> proto::CrashedRequest {
+    proto::CrashedRequest {
+        fingerprint: Bytes::copy_from_slice(&entry.fingerprint),
+        crash_ids: entry.crashes.iter().map(|id| Bytes::copy_from_slice(id.as_bytes())).collect(),
+        remaining_ms: clock::millis_u32(entry.remaining),
+    }
+}
+
+fn crashed_from_proto(message: &proto::CrashedRequest) -> Option<QuarantineEntry> {
+    let crashes = message.crash_ids.iter().map(|id| Uuid::from_slice(id).ok());
+    Some(QuarantineEntry {
+        fingerprint: message.fingerprint.as_ref().try_into().ok()?,
+        crashes: crashes.collect::<Option<_>>()?,
+        remaining: Duration::from_millis(u64::from(message.remaining_ms)),
+    })
+}
+
 /// Time of the read behind a proof of this age, where the question was asked at `asked`.
 ///
 /// The answer was made after the question was sent, so the read cannot have begun earlier than
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -679,7 +679,7 @@
 }
 
 fn refusal_response(not_run: NotRun) -> Response<Full<Bytes>> {
-    let retry_after_ms = not_run.retry_after.map(|delay| clock::millis(delay));
+    let retry_after_ms = not_run.retry_after.map(clock::millis);
     let status = not_run.status();
     let body = RefusalBody {
         outcome: "not-run".to_owned(),
--- a/src/once/quarantine.rs
+++ b/src/once/quarantine.rs
@@ -7,8 +7,10 @@
 
 use crate::{clock::Timestamp, names::OrganisationName};
 
-/// Crashes after which a request no longer runs.
-const MAX_CRASHES: usize = 2;
+/// Crashes after which a request no longer runs, where suspects run alone before that.
+const DEFAULT_MAX_CRASHES: usize = 2;
+/// Crashes of an entry that are stored in place.
+const INLINE_CRASHES: usize = 3;
 /// How long a suspect runs alone, and how long a quarantined request is refused.
 const QUARANTINE_TIME: Duration = Duration::from_secs(300);
 /// Entries that are kept. Where more requests crash upstreams within the quarantine time, the
@@ -65,15 +67,15 @@
 pub struct QuarantineEntry {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
-    /// The crashes, at most two.
-    pub crashes: SmallVec<[CrashId; MAX_CRASHES]>,
+    /// The crashes, as many as make a quarantine at most.
+    pub crashes: SmallVec<[CrashId; INLINE_CRASHES]>,
     /// Time until the entry ends.
     pub remaining: Duration,
 }
 
 #[derive(Debug)]
 struct Entry {
-    crashes: SmallVec<[CrashId; MAX_CRASHES]>,
+    crashes: SmallVec<[CrashId; INLINE_CRASHES]>,
     until: Timestamp,
     /// The request ran alone here without a crash; another node's report of the same crash does
     /// not make it suspect again.
@@ -81,16 +83,28 @@
 }
 
 /// The fingerprints that a node knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
+    max_crashes: usize,
     entries: HashMap<Fingerprint, Entry>,
 }
 
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self::new(DEFAULT_MAX_CRASHES)
+    }
+}
+
 impl Quarantine {
+    /// Makes an empty quarantine of requests that were in flight at this many crashes.
+    pub fn new(max_crashes: usize) -> Self {
+        Self { max_crashes, entries: HashMap::new() }
+    }
+
     /// How a request may run now.
     pub fn standing(&self, fingerprint: &Fingerprint, now: Timestamp) -> Standing {
         match self.entries.get(fingerprint) {
-            Some(entry) if entry.until > now => match entry.crashes.len() >= MAX_CRASHES {
+            Some(entry) if entry.until > now => match entry.crashes.len() >= self.max_crashes {
                 true => Standing::Quarantined { remaining: entry.until - now },
                 false if entry.cleared => Standing::Clear,
                 false => Standing::Suspect,
@@ -118,11 +132,12 @@
         }
     }
 
-    /// Takes in what another node knows; the same entry may come any number of times.
-    pub fn merge(&mut self, other: &QuarantineEntry, now: Timestamp) {
+    /// Takes in what another node knows; the same entry may come any number of times. Returns whether
+    /// it told of a crash that was not known.
+    pub fn merge(&mut self, other: &QuarantineEntry, now: Timestamp) -> bool {
         let until = now + other.remaining.min(QUARANTINE_TIME);
         if until <= now || other.crashes.is_empty() {
-            return;
+            return false;
         }
         self.expire(now);
         if !self.entries.contains_key(&other.fingerprint) && self.entries.len() >= MAX_ENTRIES {
@@ -135,15 +150,17 @@
         });
         let before = entry.crashes.len();
         for crash in &other.crashes {
-            if !entry.crashes.contains(crash) && entry.crashes.len() < MAX_CRASHES {
+            if !entry.crashes.contains(crash) && entry.crashes.len() < self.max_crashes {
                 entry.crashes.push(*crash);
             }
         }
-        if entry.crashes.len() > before {
+        let is_news = entry.crashes.len() > before;
+        if is_news {
             entry.cleared = false;
         }
         // Relayed times only shrink, so an entry that goes round among nodes still ends.
         entry.until = entry.until.max(until);
+        is_news
     }
 
     /// What other nodes need to know, the most crashes first, at most `limit` entries.
--- /dev/null
+++ b/tests/mesh_crashes.rs
@@ -0,0 +1,86 @@
+//! Requests that crash upstreams, as nodes report them to their hub and hear of them.
+
+mod support;
+
+use std::time::Duration;
+
+use hibiscusdoor::{
+    mesh::Crashes,
+    once::{CrashId, Fingerprint},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const FATAL: Fingerprint = [7; 32];
+const BYSTANDER: Fingerprint = [8; 32];
+
+/// Brings the hub and the nodes up to date, as their exchanges do.
+fn exchange(hub: &mut Crashes, nodes: &mut [Crashes]) {
+    for node in nodes.iter() {
+        hub.merge(NOW, &node.reports(NOW).1);
+    }
+    for node in nodes {
+        node.merge(NOW, &hub.verdicts(NOW).1);
+    }
+}
+
+/// Guards against a request that comes again at one node after the other and takes an upstream down each
+/// time: it may do so three times in the whole fleet, and what ran beside it once goes on.
+fn crashes_are_counted_over_the_fleet(crashes: &[(usize, u128)], stopped: bool) {
+    let mut hub = Crashes::default();
+    let mut nodes: Vec<Crashes> = (0..5).map(|_| Crashes::default()).collect();
+    for (step, (node, crash)) in crashes.iter().enumerate() {
+        let crash = CrashId::from_u128(*crash);
+        nodes[*node].crashed(NOW, &FATAL, crash);
+        if step == 0 {
+            nodes[*node].crashed(NOW, &BYSTANDER, crash);
+        }
+        exchange(&mut hub, &mut nodes);
+    }
+    for node in &nodes {
+        assert_eq!(node.quarantined(NOW, &FATAL).is_some(), stopped);
+        assert_eq!(node.quarantined(NOW, &BYSTANDER), None);
+    }
+}
+
+crate::cases! { crashes_are_counted_over_the_fleet:
+    three_at_three_nodes(&[(0, 1), (1, 2), (2, 3)], true),
+    three_at_one_node(&[(0, 1), (0, 2), (0, 3)], true),
+    two(&[(0, 1), (1, 2)], false),
+    one_that_is_reported_three_times(&[(0, 1), (0, 1), (0, 1)], false),
+}
+
+/// Guards against a popular request that is shut out since it runs wherever an upstream crashes for
+/// another reason; one that ended well long ago is no longer popular.
+fn survivors_are_not_blamed(survived_at: Duration, blamed: bool) {
+    let mut node = Crashes::default();
+    node.survived(NOW, &FATAL);
+    for number in 1..=3 {
+        let now = NOW + survived_at + Duration::from_millis(number);
+        node.crashed(now, &FATAL, CrashId::from_u128(u128::from(number)));
+    }
+    let now = NOW + survived_at + Duration::from_secs(1);
+    assert_eq!(node.quarantined(now, &FATAL).is_some(), blamed);
+}
+
+crate::cases! { survivors_are_not_blamed:
+    a_moment_after_it_ended_well(Duration::ZERO, false),
+    seconds_after_it_ended_well(Duration::from_secs(9), false),
+    long_after_it_ended_well(Duration::from_secs(30), true),
+}
+
+/// Guards against a hub and its nodes that tell each other the same verdict without end.
+#[test]
+fn a_verdict_is_told_once() {
+    let mut hub = Crashes::default();
+    let mut nodes = [Crashes::default(), Crashes::default()];
+    for number in 1..=3 {
+        nodes[0].crashed(NOW, &FATAL, CrashId::from_u128(number));
+    }
+    exchange(&mut hub, &mut nodes);
+    let changes = |hub: &Crashes, nodes: &[Crashes]| {
+        (hub.changes(), nodes.iter().map(Crashes::changes).collect::<Vec<_>>())
+    };
+    let before = changes(&hub, &nodes);
+    exchange(&mut hub, &mut nodes);
+    assert_eq!(changes(&hub, &nodes), before);
+}
