--- a/src/mesh/charge.rs
+++ b/src/mesh/charge.rs
@@ -32,13 +32,25 @@
     }
 }
 
-/// Takes a token for a request, if need be after a short wait; the error says when the
-/// organisation may have one. None is needed where its rate is not limited.
+/// Why a request has no token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoToken {
+    /// The organisation is over its rate and burst.
+    OverRate {
+        /// When it may have one.
+        retry_after: Duration,
+    },
+    /// The organisation's home has not answered in time.
+    Late,
+}
+
+/// Takes a token for a request, if need be after a short wait. None is needed where the rate of the
+/// organisation is not limited.
 pub async fn charge<D: Dialect>(
     node: &Arc<Node<D>>,
     organisation: &Organisation,
     answer_within: Duration,
-) -> Result<Option<Charge>, Duration> {
+) -> Result<Option<Charge>, NoToken> {
     if organisation.rate_per_s.is_none() {
         return Ok(None);
     }
@@ -64,13 +76,16 @@
                 let _ = timeout(retry_after.max(MIN_PAUSE), granted).await;
                 continue;
             }
-            Token::Dry { retry_after } => return Err(retry_after.max(MIN_RETRY_AFTER)),
+            Token::Dry { retry_after } => {
+                let retry_after = retry_after.max(MIN_RETRY_AFTER);
+                return Err(NoToken::OverRate { retry_after });
+            }
             Token::Draw => {}
         }
         waiting.get_or_insert_with(|| Waiting::begin(node, name));
         node.sync_now.send_replace(());
         if left.is_zero() || timeout(left, granted).await.is_err() {
-            return Err(MIN_RETRY_AFTER);
+            return Err(NoToken::Late);
         }
     }
 }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -15,7 +15,7 @@
         Call, CallHead, Catalog, Dialect, Node, Organisation, Origin, RootVerdict, Route,
         RunningCall,
         attempts::{self, Ended},
-        charge::{self, Charge},
+        charge::{self, Charge, NoToken},
         fingerprint,
         request::{WholeRequest, remove_connection_headers},
     },
@@ -291,9 +291,16 @@
         None => None,
         Some(organisation) => charge::charge(node, organisation, route.answer_within)
             .await
-            .map_err(|retry_after| {
-                let detail = format!("{} is over its rate and burst", organisation.name);
-                EntryRefusal { reason: Reason::OverRate, detail, retry_after }
+            .map_err(|no_token| match no_token {
+                NoToken::OverRate { retry_after } => {
+                    let detail = format!("{} is over its rate and burst", organisation.name);
+                    EntryRefusal { reason: Reason::OverRate, detail, retry_after }
+                }
+                NoToken::Late => {
+                    let detail = format!("no token of {} came in time", organisation.name);
+                    let retry_after = retry_after(route);
+                    EntryRefusal { reason: Reason::Overload, detail, retry_after }
+                }
             })?,
     };
     if admitted.call.depth > 0 {
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -32,6 +32,12 @@
 const INTERVAL_SPREAD: f64 = 0.15;
 /// Shortest time between two exchanges with a hub, when tokens are wanted or a record changes.
 const MIN_SYNC_INTERVAL: Duration = Duration::from_millis(4);
+/// Exchanges a second that one hub has time for beside its requests. Where all nodes want tokens at
+/// once, each exchange carries the wants of a longer time: without this bound, 71 nodes kept the hubs
+/// so busy in a burst that tokens came too late, and half of the requests within the rates were refused.
+const MAX_HUB_EXCHANGES_PER_S: f64 = 2_000.0;
+/// Longest time that the bound lets a want wait; requests wait for a token twice as long.
+const MAX_WANT_DELAY: Duration = Duration::from_millis(60);
 /// Time for the answer of a hub.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without exchanges with an instance that did not answer; it doubles with each miss.
@@ -127,7 +133,7 @@
             }
         }
         node.granted.notify_waiters();
-        sleep_until(began + MIN_SYNC_INTERVAL).await;
+        sleep_until(began + min_interval(members.len())).await;
         // It ends with the node, and the interval passes in any case.
         let _ = timeout(jittered(SYNC_INTERVAL, INTERVAL_SPREAD), sync_now.changed()).await;
     }
@@ -394,6 +400,12 @@
     }
 }
 
+/// Shortest time between two exchanges of a node with one hub.
+fn min_interval(instances: usize) -> Duration {
+    Duration::from_secs_f64(instances as f64 / MAX_HUB_EXCHANGES_PER_S)
+        .clamp(MIN_SYNC_INTERVAL, MAX_WANT_DELAY)
+}
+
 /// Number of hubs of a fleet.
 fn hub_count(instances: usize) -> usize {
     instances.div_ceil(INSTANCES_PER_HUB).clamp(1, MAX_HUBS)
