Move homes of organisations only when the fleet's size changes much

The first hub decides now, with a margin, and tells; added hubs take their part of the organisations only; and a home counts the contacts of its own number. Ruled out: hubs that do not answer before second 3. The cases of tests/mesh_draws.rs need the new decisions.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -24,9 +24,6 @@
 /// A node that a hub has not heard for this long gets no requests; nodes ask their hubs several
 /// times in it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1300);
-/// Time for which a count of the instances that were heard is kept: a hub is asked hundreds of times
-/// a second, and the time after which an instance no longer counts is a dozen times longer.
-const COUNT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Where an instance is, as the store keeps it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -207,9 +204,6 @@
     changes: BTreeMap<u64, InstanceName>,
     stored: Addresses,
     sequence: u64,
-    /// How many instances were heard lately, and until when that count is taken for good.
-    contacts: usize,
-    contacts_until: Timestamp,
 }
 
 impl Directory {
@@ -282,7 +276,6 @@
         for entry in self.entries.values_mut() {
             entry.heard_at = None;
         }
-        self.contacts_until = Timestamp::ZERO;
     }
 
     /// Looks which instances have not been heard lately; only a hub hears all. True where that
@@ -303,16 +296,6 @@
         !silent.is_empty()
     }
 
-    /// Instances that were heard within `lifetime`; counted anew every [`COUNT_INTERVAL`].
-    pub fn contacts(&mut self, now: Timestamp, lifetime: Duration) -> usize {
-        if now >= self.contacts_until {
-            let recent = |entry: &&Entry| entry.heard_at.is_some_and(|at| now <= at + lifetime);
-            self.contacts = self.entries.values().filter(recent).count();
-            self.contacts_until = now + COUNT_INTERVAL;
-        }
-        self.contacts
-    }
-
     /// Record of an instance.
     pub fn record_of(&self, instance: &str) -> Option<&InstanceRecord> {
         self.entries.get(instance).map(|entry| &entry.member.record)
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -54,7 +54,10 @@
 pub use node::{FreshnessProof, Node};
 pub use operators::{MeshMetrics, Origin};
 pub use placement::{AttemptEnd, Candidate, LoadReport, Placement};
-pub use rates::{CONTACT_LIFETIME, Grant, HomeNumber, RateHome, RateStock, Token, Want};
+pub use rates::{
+    CONTACT_LIFETIME, Grant, HomeNumber, Homes, HubNumber, RateHome, RateHomes, RateStock, Token,
+    Want,
+};
 pub use registry::{Heard, Registry, Upstream};
 pub use retry_budget::{RetryBound, RetryBudget};
 pub use root_admission::{RootAdmission, RootVerdict};
@@ -63,4 +66,4 @@
 pub use settings::{
     LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
 };
-pub use sync::min_interval;
+pub use sync::{home_hub, hub_count, min_interval};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -19,7 +19,7 @@
     mesh::{
         Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, Heard, InstanceAddress,
         InstanceRecord, LearnedUse, LiveSettings, Members, MeshMetrics, MeshSettings, Placement,
-        RateHome, RateStock, Registry, RetryBound, RetryBudget, RootAdmission, UpstreamRecord,
+        RateHomes, RateStock, Registry, RetryBound, RetryBudget, RootAdmission, UpstreamRecord,
         proto::mesh_client::MeshClient,
     },
     names::{Incarnation, InstanceName, ServiceName},
@@ -69,7 +69,7 @@
     /// Decides whether a request may be sent again.
     pub retries: Mutex<RetryBudget>,
     /// The token buckets that this node holds for the fleet.
-    pub home: Mutex<RateHome>,
+    pub homes: Mutex<RateHomes>,
     /// The tokens that this entry has drawn.
     pub stock: Mutex<RateStock>,
     /// Marked as changed when a request waits for a token or the node's record changes.
@@ -85,6 +85,8 @@
     fresher_peer: Mutex<Option<InstanceName>>,
     /// Milliseconds since boot at which the node last acted as the first hub.
     first_hub_at_ms: AtomicU64,
+    /// Number of hubs, as the first hub has told.
+    hubs: AtomicUsize,
     leaving: AtomicBool,
 }
 
@@ -121,7 +123,7 @@
             learned: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(retry_bound(&settings.bounds))),
             live: ArcSwap::from_pointee(LiveSettings::of(&settings)),
-            home: Mutex::default(),
+            homes: Mutex::default(),
             stock: Mutex::default(),
             sync_now: watch::Sender::new(()),
             metrics: MeshMetrics::default(),
@@ -131,6 +133,7 @@
             own: Mutex::new(own),
             fresher_peer: Mutex::default(),
             first_hub_at_ms: AtomicU64::new(0),
+            hubs: AtomicUsize::new(1),
             leaving: AtomicBool::new(false),
             settings,
         }
@@ -305,6 +308,19 @@
         }
     }
 
+    /// Number of hubs, 1 until the first hub has told it.
+    pub fn hub_count(&self) -> usize {
+        self.hubs.load(Ordering::Acquire)
+    }
+
+    /// Takes the number of hubs that the first hub has decided on.
+    pub fn set_hub_count(&self, hubs: usize) {
+        let before = self.hubs.swap(hubs, Ordering::AcqRel);
+        if before != hubs {
+            log::info!(hubs = hubs, before = before; "the fleet has another number of hubs");
+        }
+    }
+
     /// Tells whether the node acts as the first hub.
     pub fn is_first_hub(&self, now: Timestamp) -> bool {
         let at_ms = self.first_hub_at_ms.load(Ordering::Acquire);
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -172,9 +172,10 @@
     pub proof_age_ms: u32,
     #[prost(message, repeated, tag = "7")]
     pub wants: ::prost::alloc::vec::Vec<Want>,
-    /// The asker takes the asked node for a hub; otherwise it only wants to know more.
-    #[prost(bool, tag = "8")]
-    pub as_hub: bool,
+    /// One more than the number of the hub that the asker takes the asked node for; 0 where it only
+    /// wants to know more.
+    #[prost(uint32, tag = "8")]
+    pub hub: u32,
     /// Records that the asked node told and the asker has later ones of. A hub that has restarted
     /// learns its own past, and that of the others, from them.
     #[prost(message, repeated, tag = "9")]
@@ -218,6 +219,9 @@
     pub verdicts: u64,
     #[prost(message, repeated, tag = "12")]
     pub crashed: ::prost::alloc::vec::Vec<CrashedRequest>,
+    /// Number of hubs, as the first hub decides it; 0 of another node.
+    #[prost(uint32, tag = "13")]
+    pub hubs: u32,
 }
 /// A request that was running at crashes of upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -10,7 +10,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::{clock::Timestamp, mesh::Organisation, names::OrganisationName};
+use crate::{
+    clock::Timestamp,
+    mesh::{Organisation, sync::home_hub},
+    names::{InstanceName, OrganisationName},
+};
 
 /// Part of its share that a home grants which is in contact with half of the fleet or less: the
 /// other part of the fleet has the whole rate, and the bound on an organisation's requests has
@@ -20,6 +24,9 @@
 /// four times a second. While entries change from one home to another, both may be in contact with
 /// most of them for this long.
 pub const CONTACT_LIFETIME: Duration = Duration::from_millis(700);
+/// Time for which a count of the instances in contact is kept: a home is asked hundreds of times a
+/// second.
+const COUNT_INTERVAL: Duration = Duration::from_millis(50);
 /// A home that was not asked for this long, or was frozen, starts anew with empty buckets.
 const HOME_BREAK: Duration = Duration::from_millis(700);
 /// Tokens that are granted beyond the rate and the burst. Tokens under way, and those at an entry
@@ -82,11 +89,6 @@
         self.part = if part > 0.5 { 1.0 } else { part * MINORITY_PART };
     }
 
-    /// Part of the rates that this home grants; none where the node is no home.
-    pub fn part(&self, now: Timestamp) -> Option<f64> {
-        self.acted_at.filter(|at| now <= *at + HOME_BREAK).map(|_| self.part)
-    }
-
     /// Moves tokens to an entry; `returned` come back from it.
     pub fn draw(
         &mut self,
@@ -120,6 +122,59 @@
     }
 }
 
+/// Number of a hub.
+pub type HubNumber = usize;
+
+#[derive(Debug, Default)]
+struct NumberedHome {
+    home: RateHome,
+    /// When each instance asked last.
+    asked_at: HashMap<InstanceName, Timestamp>,
+    contacts: usize,
+    counted_until: Timestamp,
+}
+
+/// The homes that a node is, by the number of the hub that it is taken for.
+///
+/// Load pattern: one node misses an answer of a hub under load and turns to the next in rank, which is
+/// in contact with the whole fleet as a hub of another number. As a home of this number it has heard of
+/// that one node only, and must not grant a second whole rate.
+#[derive(Debug, Default)]
+pub struct RateHomes {
+    homes: HashMap<HubNumber, NumberedHome>,
+}
+
+impl RateHomes {
+    /// An instance of a fleet of this many asks the node as the hub of a number.
+    pub fn asked(
+        &mut self,
+        now: Timestamp,
+        number: HubNumber,
+        by: &InstanceName,
+        fleet: usize,
+    ) -> &mut RateHome {
+        let numbered = self.homes.entry(number).or_default();
+        numbered.asked_at.insert(by.clone(), now);
+        if now >= numbered.counted_until {
+            numbered.asked_at.retain(|_, at| now <= *at + CONTACT_LIFETIME);
+            numbered.contacts = numbered.asked_at.len();
+            numbered.counted_until = now + COUNT_INTERVAL;
+        }
+        numbered.home.in_contact(now, numbered.contacts, fleet);
+        &mut numbered.home
+    }
+
+    /// Parts of the rates that the node grants now, by the number of the hub.
+    pub fn parts(&self, now: Timestamp) -> Vec<(HubNumber, f64)> {
+        let acting = self.homes.iter().filter_map(|(number, numbered)| {
+            let home = &numbered.home;
+            let acts = home.acted_at.is_some_and(|at| now <= at + HOME_BREAK);
+            acts.then_some((*number, home.part))
+        });
+        acting.collect()
+    }
+}
+
 /// What an entry wants of a home.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Want {
@@ -133,7 +188,7 @@
 
 #[derive(Debug)]
 struct Account {
-    home: HomeNumber,
+    homes: Homes,
     stock: f64,
     /// Requests that wait for a token.
     waiting: u32,
@@ -146,14 +201,37 @@
 }
 
 /// Decides which hub is the home of an organisation.
-pub type HomeNumber = u16;
+pub type HomeNumber = u64;
 
 /// The number that decides which hub is the home of an organisation.
 pub fn home_number(organisation: &str) -> HomeNumber {
     let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
     hasher.update(organisation.as_bytes());
     let hash = hasher.finalize();
-    HomeNumber::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])
+    let (bytes, _) = hash.as_bytes().split_first_chunk().expect("a hash has 32 bytes");
+    HomeNumber::from_le_bytes(*bytes)
+}
+
+/// Where the home of an organisation is; it is worked out when the number of hubs changes.
+#[derive(Debug)]
+pub struct Homes {
+    home: HomeNumber,
+    /// The number of hubs, and the hub that is the home among them.
+    known: Option<(usize, HubNumber)>,
+}
+
+impl Homes {
+    /// Number of the hub that is the home among this many.
+    pub fn hub(&mut self, hubs: usize) -> HubNumber {
+        match self.known {
+            Some((known, hub)) if known == hubs => hub,
+            _ => {
+                let hub = home_hub(self.home, hubs);
+                self.known = Some((hubs, hub));
+                hub
+            }
+        }
+    }
 }
 
 /// What came of asking for a token.
@@ -224,11 +302,11 @@
         }
     }
 
-    /// What is to be drawn now, for the organisations whose home number `homed` takes.
-    pub fn wants(&mut self, now: Timestamp, homed: impl Fn(HomeNumber) -> bool) -> Vec<Want> {
+    /// What is to be drawn now, for the organisations whose homes `homed` takes.
+    pub fn wants(&mut self, now: Timestamp, homed: impl Fn(&mut Homes) -> bool) -> Vec<Want> {
         let mut wants = Vec::new();
         for (organisation, account) in &mut self.accounts {
-            if !homed(account.home) {
+            if !homed(&mut account.homes) {
                 continue;
             }
             account.decay(now);
@@ -274,7 +352,7 @@
 impl Account {
     fn new(home: HomeNumber) -> Self {
         Self {
-            home,
+            homes: Homes { home, known: None },
             stock: 0.0,
             waiting: 0,
             demand_per_s: 0.0,
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -163,7 +163,7 @@
             running = gate.map_or(0, |it| it.in_flight),
             waiting = gate.map_or(0, |it| it.waiting),
             limit = gate.map_or(0, |it| it.limit),
-            home_part = node.home.lock().part(clock::now()),
+            home_parts:? = node.homes.lock().parts(clock::now()),
             loads:? = node.root_admission.lock().figures();
             "state"
         );
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -15,15 +15,18 @@
 use crate::{
     clock::{self, Timestamp},
     mesh::{
-        Addresses, CONTACT_LIFETIME, Dialect, Grant, InstanceAddress, InstanceRecord, Merged, Node,
-        UpstreamRecord, Want, configuration, pause::jittered, proto,
+        Addresses, Dialect, Grant, HomeNumber, HubNumber, InstanceAddress, InstanceRecord, Merged,
+        Node, UpstreamRecord, Want, configuration, pause::jittered, proto,
     },
     names::InstanceName,
     once::QuarantineEntry,
 };
 
 /// Instances for each hub.
-const INSTANCES_PER_HUB: usize = 36;
+const INSTANCES_PER_HUB: usize = 40;
+/// Instances for each hub, over [`INSTANCES_PER_HUB`], beyond which and below which their number changes.
+const MAX_HUB_FILL: f64 = 1.25;
+const MIN_HUB_FILL: f64 = 0.4;
 /// Most hubs, so that contacts do not grow with the square of the fleet.
 pub const MAX_HUBS: usize = 8;
 /// Time between two exchanges with a hub.
@@ -67,17 +70,11 @@
 /// What the asked node is to the asker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Role {
-    FirstHub,
-    OtherHub,
+    /// The hub of a number; the first has the number 0.
+    Hub(HubNumber),
     Peer,
 }
 
-impl Role {
-    fn hub(number: usize) -> Self {
-        if number == 0 { Self::FirstHub } else { Self::OtherHub }
-    }
-}
-
 /// Instances that did not answer.
 #[derive(Debug, Default)]
 struct Missed(HashMap<InstanceName, (Instant, Duration)>);
@@ -95,14 +92,14 @@
 }
 
 /// Keeps the node in contact with the hub of a number.
-pub async fn run<D: Dialect>(node: Arc<Node<D>>, number: usize) {
+pub async fn run<D: Dialect>(node: Arc<Node<D>>, number: HubNumber) {
     let (mut missed, mut ranking) = (Missed::default(), Ranking::default());
     let mut sync_now = node.sync_now.subscribe();
     let mut contacts: HashMap<InstanceName, Contact> = HashMap::new();
     loop {
         let began = Instant::now();
         let members = node.members.load_full();
-        let hubs = hub_count(members.len());
+        let hubs = node.hub_count();
         if number >= hubs {
             tokio::time::sleep(SYNC_INTERVAL).await;
             continue;
@@ -110,12 +107,12 @@
         ranking.update(members.addresses(), number);
         let hub = ranking.order.iter().find(|it| !missed.passes_over(it, began)).cloned();
         let now = clock::now();
-        let wants = node.stock.lock().wants(now, |home| usize::from(home) % hubs == number);
+        let wants = node.stock.lock().wants(now, |homes| homes.hub(hubs) == number);
         match hub {
             Some(hub) if hub != node.settings.instance => {
                 let address = members.addresses()[&hub].clone();
                 let contact = contacts.entry(hub.clone()).or_default();
-                match exchange(&node, &address, contact, &wants, Role::hub(number)).await {
+                match exchange(&node, &address, contact, &wants, Role::Hub(number)).await {
                     Ok(()) => drop(missed.0.remove(&hub)),
                     Err(cause) => {
                         log::warn!(hub:% = hub, cause = cause; "a hub does not answer");
@@ -128,7 +125,10 @@
             // A hub is its own; a node that reaches no other has its part of the rate.
             _ => {
                 node.is_hub(number, now);
-                let grants = grant(&node, &wants);
+                if number == 0 {
+                    node.set_hub_count(hub_count(hubs, members.len()));
+                }
+                let grants = grant(&node, number, &node.settings.instance, &wants);
                 take_grants(&node, &wants, grants);
             }
         }
@@ -153,7 +153,7 @@
 ) -> Result<(), String> {
     let own = node.own_record();
     let asked = clock::now();
-    let is_first = role == Role::FirstHub;
+    let is_first = role == Role::Hub(0);
     let (crash_changes, crashed) = {
         let crashes = node.guard.crashes.lock();
         match is_first && crashes.changes() != contact.crashes_told {
@@ -176,7 +176,10 @@
                 returned: want.returned,
             })
             .collect(),
-        as_hub: role != Role::Peer,
+        hub: match role {
+            Role::Hub(number) => u32::try_from(number + 1).unwrap_or(u32::MAX),
+            Role::Peer => 0,
+        },
         later: later_records(node, std::mem::take(&mut contact.outdated)),
         crashed: crashed.iter().map(crashed_to_proto).collect(),
         verdicts: contact.verdicts,
@@ -197,6 +200,9 @@
     node.raise_generation(reply.known_generation, reply.known_incarnation);
     contact.outdated = take_records(node, reply.records, role);
     take_crashed(node, &reply.crashed);
+    if role == Role::Hub(0) && reply.hubs > 0 {
+        node.set_hub_count(usize::try_from(reply.hubs).unwrap_or(MAX_HUBS).min(MAX_HUBS));
+    }
     configuration::take_from_peer(
         node,
         asked,
@@ -251,7 +257,7 @@
             Merged::Outdated => outdated.push(instance.clone()),
         }
         // Hubs hear an instance at different moments, so only one of them is believed.
-        if role == Role::FirstHub {
+        if role == Role::Hub(0) {
             changed |= directory.merge_silence(&instance, silent);
         }
     }
@@ -323,7 +329,10 @@
             returned: want.returned,
         })
         .collect();
-    let grants = if request.as_hub { grant(node, &wants) } else { Vec::new() };
+    let grants = match usize::try_from(request.hub).unwrap_or(0).checked_sub(1) {
+        Some(number) => grant(node, number, &instance, &wants),
+        None => Vec::new(),
+    };
     let grants = grants.into_iter().map(|grant| proto::Grant {
         tokens: grant.tokens,
         retry_after_ms: clock::millis_u32(grant.retry_after),
@@ -371,17 +380,24 @@
         known_incarnation: known.as_ref().map_or(0, |known| known.incarnation),
         verdicts,
         crashed: crashed.iter().map(crashed_to_proto).collect(),
+        hubs: match node.is_first_hub(now) {
+            true => u32::try_from(node.hub_count()).unwrap_or(0),
+            false => 0,
+        },
     }
 }
 
-fn grant<D: Dialect>(node: &Node<D>, wants: &[Want]) -> Vec<Grant> {
+fn grant<D: Dialect>(
+    node: &Node<D>,
+    number: HubNumber,
+    by: &InstanceName,
+    wants: &[Want],
+) -> Vec<Grant> {
     let now = clock::now();
     let fleet = node.members.load().len();
-    // The hub itself is in contact with itself.
-    let contacts = node.directory.lock().contacts(now, CONTACT_LIFETIME) + 1;
     let catalog = node.catalog.load_full();
-    let mut home = node.home.lock();
-    home.in_contact(now, contacts, fleet);
+    let mut homes = node.homes.lock();
+    let home = homes.asked(now, number, by, fleet);
     let grants = wants.iter().map(|want| {
         match catalog.as_ref().and_then(|catalog| catalog.organisation(&want.organisation)) {
             Some(organisation) => home.draw(now, organisation, want.tokens, want.returned),
@@ -406,9 +422,26 @@
         .clamp(MIN_SYNC_INTERVAL, MAX_WANT_DELAY)
 }
 
-/// Number of hubs of a fleet.
-fn hub_count(instances: usize) -> usize {
-    instances.div_ceil(INSTANCES_PER_HUB).clamp(1, MAX_HUBS)
+/// Number of hubs of a fleet which has `hubs` now. It changes only where the fleet is much too large
+/// or small for them: a change moves organisations to other homes, and two homes that grant the same
+/// tokens for a while broke the bound on a hot organisation (trouble-3 of the grown tesfaye).
+pub fn hub_count(hubs: usize, instances: usize) -> usize {
+    let fitting = instances.div_ceil(INSTANCES_PER_HUB).clamp(1, MAX_HUBS);
+    let size = instances as f64 / (hubs * INSTANCES_PER_HUB) as f64;
+    let is_far_off = size > MAX_HUB_FILL || size < MIN_HUB_FILL;
+    if is_far_off { fitting } else { hubs }
+}
+
+/// Number of the hub that is the home of an organisation. Where hubs are added, organisations move only
+/// to the new ones.
+pub fn home_hub(home: HomeNumber, hubs: usize) -> HubNumber {
+    let weight = |number: &HubNumber| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&home.to_le_bytes());
+        hasher.update(&number.to_le_bytes());
+        *hasher.finalize().as_bytes()
+    };
+    (0..hubs).max_by_key(weight).unwrap_or(0)
 }
 
 /// The instances in the order in which they stand for the hub of a number. It is worked out when the
@@ -420,7 +453,7 @@
 }
 
 impl Ranking {
-    fn update(&mut self, addresses: &Addresses, number: usize) {
+    fn update(&mut self, addresses: &Addresses, number: HubNumber) {
         if Arc::ptr_eq(addresses, &self.addresses) {
             return;
         }
