--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -6,7 +6,7 @@
 //! tokens of the organisations that have their home there. Nothing is agreed: two nodes that take
 //! different instances for a hub for a while only learn of changes later.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -24,9 +24,8 @@
 
 /// Instances for each hub.
 const INSTANCES_PER_HUB: usize = 40;
-/// Instances for each hub, over [`INSTANCES_PER_HUB`], beyond which and below which their number changes.
-const MAX_HUB_FILL: f64 = 1.25;
-const MIN_HUB_FILL: f64 = 0.4;
+/// Instances for each hub, as a part of [`INSTANCES_PER_HUB`], at which their number stays as it is.
+const HUB_FILL: RangeInclusive<f64> = 0.4..=1.25;
 /// Most hubs, so that contacts do not grow with the square of the fleet.
 pub const MAX_HUBS: usize = 8;
 /// Time between two exchanges with a hub.
@@ -428,8 +427,7 @@
 pub fn hub_count(hubs: usize, instances: usize) -> usize {
     let fitting = instances.div_ceil(INSTANCES_PER_HUB).clamp(1, MAX_HUBS);
     let size = instances as f64 / (hubs * INSTANCES_PER_HUB) as f64;
-    let is_far_off = size > MAX_HUB_FILL || size < MIN_HUB_FILL;
-    if is_far_off { fitting } else { hubs }
+    if HUB_FILL.contains(&size) { hubs } else { fitting }
 }
 
 /// Number of the hub that is the home of an organisation. Where hubs are added, organisations move only
