Wait for the upstreams of all instances before the state is compared

Cause: the wait ended once all instances were known, which they are before their upstreams have announced themselves; the state was read again then. The wait now covers what is asserted after it; the assertion stays.

--- a/tests/mesh_operators.rs
+++ b/tests/mesh_operators.rs
@@ -53,8 +53,11 @@
         let answered = text.lines().any(|line| {
             line.starts_with("hibiscusdoor_requests_total") && line.contains("outcome=\"whole\"")
         });
-        let all_known = get(&world, "/state").await?.json()["instances"] == services().len();
-        if served == named && answered && all_known {
+        // An instance is known before its upstream has announced itself.
+        let state = get(&world, "/state").await?.json();
+        let all_in_use = state["instances"] == services().len()
+            && state["out_of_use"].as_array().is_some_and(Vec::is_empty);
+        if served == named && answered && all_in_use {
             break;
         }
         assert!(Instant::now() < until, "named {named:?}, served {served:?}: {text}");
