--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -56,7 +56,7 @@
 }
 
 impl UpstreamRecord {
-    /// Tells whether two records differ in more than the message that they rest on.
+    /// Tells whether two records are alike but for the message that they rest on.
     pub fn says_the_same(&self, other: &Self) -> bool {
         (&self.id, self.slots, self.ready, self.left)
             == (&other.id, other.slots, other.ready, other.left)
