Close callers' connections with their answers where many are open

Cause, from the lines of the node: no descriptor was left (4,100), since refused callers come back on new connections and leave the old ones idle; connections waited four seconds to be accepted. Ruled out: the node's own time (each request ended within 150 ms of its timeout once it was read).

--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -13,6 +13,7 @@
     future::Future,
     io,
     pin::Pin,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -52,6 +53,8 @@
     pub request_timeout: Duration,
     /// Time after which a connection without a request is closed.
     pub idle_timeout: Duration,
+    /// Open connections beyond which each is closed with its last answer.
+    pub crowded_connections: usize,
 }
 
 /// What answers the requests.
@@ -83,6 +86,7 @@
     handler: impl Handler,
 ) {
     let mut connections = JoinSet::new();
+    let open = Arc::new(());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -91,7 +95,12 @@
         while connections.try_join_next().is_some() {}
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn(run_connection(stream, handler.clone(), shutdown.clone()));
+                connections.spawn(run_connection(
+                    stream,
+                    handler.clone(),
+                    shutdown.clone(),
+                    open.clone(),
+                ));
             }
             Err(error) => {
                 log::warn!(cause:% = error; "accepting a connection failed");
@@ -101,7 +110,7 @@
     }
     // Connections that the kernel has taken already would be reset with the listener.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        connections.spawn(run_connection(stream, handler.clone(), shutdown.clone()));
+        connections.spawn(run_connection(stream, handler.clone(), shutdown.clone(), open.clone()));
     }
     drop(listener);
     let finish = async { while connections.join_next().await.is_some() {} };
@@ -117,7 +126,12 @@
     }
 }
 
-async fn run_connection<H: Handler>(stream: TcpStream, handler: H, shutdown: CancellationToken) {
+async fn run_connection<H: Handler>(
+    stream: TcpStream,
+    handler: H,
+    shutdown: CancellationToken,
+    open: Arc<()>,
+) {
     // Nagle's algorithm would only delay answers; without the option they still go out.
     let _ = stream.set_nodelay(true);
     let connection = Connection {
@@ -131,6 +145,7 @@
         running: FuturesOrdered::new(),
         exclusive: false,
         last_request_read: false,
+        open,
     };
     if let Err(error) = connection.run(shutdown).await {
         log::debug!(cause:% = error; "connection of a caller ended");
@@ -169,6 +184,8 @@
     exclusive: bool,
     /// No further request is taken from the input.
     last_request_read: bool,
+    /// Held by each open connection, so that they can be counted.
+    open: Arc<()>,
 }
 
 impl<H: Handler> Connection<H> {
@@ -310,7 +327,10 @@
     /// Writes an answer; true where the connection ends with it.
     async fn write(&mut self, answered: Answered) -> io::Result<bool> {
         let last = self.running.is_empty();
-        let close = answered.close || (last && self.handler.is_closing());
+        // The listener holds one too.
+        let is_crowded =
+            Arc::strong_count(&self.open) > self.handler.limits().crowded_connections + 1;
+        let close = answered.close || (last && (is_crowded || self.handler.is_closing()));
         if last {
             self.exclusive = false;
         }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -38,6 +38,11 @@
 /// Time between two looks at the room.
 const ROOT_WAIT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Open connections beyond which each is closed with its last answer. Refused callers come back on
+/// new connections and leave the old ones idle; in a burst those took all 4,100 descriptors of a machine,
+/// and callers waited four seconds to be accepted.
+const CROWDED_CONNECTIONS: usize = 1_500;
+
 /// The listener for callers on this machine and for the upstream's own calls.
 #[derive(Debug)]
 pub struct Callers<D: Dialect>(pub Arc<Node<D>>);
@@ -56,6 +61,7 @@
             max_body_bytes: limits.max_body_bytes,
             request_timeout: limits.header_timeout,
             idle_timeout: limits.idle_timeout,
+            crowded_connections: CROWDED_CONNECTIONS,
         }
     }
 
