Share fingerprints and messages of the quarantine

The mesh hashed the parts of a request and read and wrote entries as once/ and node/ did already. Both call the quarantine now; hashes and messages are the same.

--- a/src/mesh/crashes.rs
+++ b/src/mesh/crashes.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock::Timestamp,
     mesh::{Call, request::WholeRequest},
-    once::{CrashId, Fingerprint, Quarantine, QuarantineEntry, Standing},
+    once::{CrashId, Fingerprint, Quarantine, QuarantineEntry, Standing, fingerprint_of_parts},
 };
 
 /// Crashes after which a request no longer runs. One or two may happen by chance while it runs.
@@ -44,16 +44,11 @@
         call.route.as_bytes(),
         request.method.as_str().as_bytes(),
         request.path.as_bytes(),
-        &body.len().to_le_bytes(),
+        &body.len().to_le_bytes()[..],
         head,
         tail,
     ];
-    let mut hasher = blake3::Hasher::new_derive_key(HASH_PURPOSE);
-    for part in parts {
-        hasher.update(&part.len().to_le_bytes());
-        hasher.update(part);
-    }
-    *hasher.finalize().as_bytes()
+    fingerprint_of_parts(HASH_PURPOSE, &parts)
 }
 
 /// What a node knows of requests that were running at crashes.
@@ -133,7 +128,7 @@
 
     /// Number of requests that must not run.
     pub fn quarantined_count(&self, now: Timestamp) -> usize {
-        self.verdicts(now).1.len()
+        self.quarantine.quarantined_count(now)
     }
 
     /// Takes what another node knows.
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -8,9 +8,7 @@
 
 use std::{collections::HashMap, ops::RangeInclusive, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use tokio::time::{Instant, sleep_until, timeout};
-use uuid::Uuid;
 
 use crate::{
     clock::{self, Timestamp},
@@ -518,19 +516,15 @@
 
 fn crashed_to_proto(entry: &QuarantineEntry) -> proto::CrashedRequest {
     proto::CrashedRequest {
-        fingerprint: Bytes::copy_from_slice(&entry.fingerprint),
-        crash_ids: entry.crashes.iter().map(|id| Bytes::copy_from_slice(id.as_bytes())).collect(),
+        fingerprint: entry.fingerprint_bytes(),
+        crash_ids: entry.crash_ids(),
         remaining_ms: clock::millis_u32(entry.remaining),
     }
 }
 
 fn crashed_from_proto(message: &proto::CrashedRequest) -> Option<QuarantineEntry> {
-    let crashes = message.crash_ids.iter().map(|id| Uuid::from_slice(id).ok());
-    Some(QuarantineEntry {
-        fingerprint: message.fingerprint.as_ref().try_into().ok()?,
-        crashes: crashes.collect::<Option<_>>()?,
-        remaining: Duration::from_millis(u64::from(message.remaining_ms)),
-    })
+    let remaining = Duration::from_millis(u64::from(message.remaining_ms));
+    QuarantineEntry::read(&message.fingerprint, &message.crash_ids, remaining)
 }
 
 /// Time of the read behind a proof of this age, where the question was asked at `asked`.
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -494,18 +494,14 @@
 
 fn entry_to_proto(entry: &QuarantineEntry) -> proto::QuarantineEntry {
     proto::QuarantineEntry {
-        fingerprint: Bytes::copy_from_slice(&entry.fingerprint),
+        fingerprint: entry.fingerprint_bytes(),
         crashes: u32::try_from(entry.crashes.len()).unwrap_or(u32::MAX),
         remaining_ms: clock::millis(entry.remaining),
-        crash_ids: entry.crashes.iter().map(|id| Bytes::copy_from_slice(id.as_bytes())).collect(),
+        crash_ids: entry.crash_ids(),
     }
 }
 
 fn entry_from_proto(message: &proto::QuarantineEntry) -> Option<QuarantineEntry> {
-    let crashes = message.crash_ids.iter().map(|id| Uuid::from_slice(id).ok());
-    Some(QuarantineEntry {
-        fingerprint: message.fingerprint.as_ref().try_into().ok()?,
-        crashes: crashes.collect::<Option<_>>()?,
-        remaining: Duration::from_millis(message.remaining_ms),
-    })
+    let remaining = Duration::from_millis(message.remaining_ms);
+    QuarantineEntry::read(&message.fingerprint, &message.crash_ids, remaining)
 }
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -9,7 +9,9 @@
 mod records;
 
 pub use history::{History, RowIdentity};
-pub use quarantine::{CrashId, Fingerprint, Quarantine, QuarantineEntry, Standing, fingerprint};
+pub use quarantine::{
+    CrashId, Fingerprint, Quarantine, QuarantineEntry, Standing, fingerprint, fingerprint_of_parts,
+};
 pub use records::{
     CLOCK_ALLOWANCE, Claim, ClaimRefusal, HandedRecord, Handover, KEY_WINDOW, KeyRecords,
     KeyedRequest, RecordLimits, RecordedOutcome, RunToken, Situation, stamp,
--- a/src/once/quarantine.rs
+++ b/src/once/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use bytes::Bytes;
 use smallvec::SmallVec;
 use uuid::Uuid;
 
@@ -16,6 +17,7 @@
 /// Entries that are kept. Where more requests crash upstreams within the quarantine time, the
 /// entry that ends first makes room.
 const MAX_ENTRIES: usize = 10_000;
+const HASH_PURPOSE: &str = "hibiscusdoor 2026 crash fingerprint";
 
 /// Names requests that are alike: organisation, route and content.
 pub type Fingerprint = [u8; 32];
@@ -33,15 +35,21 @@
     path: &str,
     body: &[u8],
 ) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new_derive_key("hibiscusdoor 2026 crash fingerprint");
     let content = if body.is_empty() { path.as_bytes() } else { body };
-    for part in [
+    let parts = [
         organisation.map_or(&b""[..], |name| name.as_bytes()),
         route_prefix.as_bytes(),
         method.as_bytes(),
         &[u8::from(body.is_empty())],
         content,
-    ] {
+    ];
+    fingerprint_of_parts(HASH_PURPOSE, &parts)
+}
+
+/// Computes a fingerprint in which the boundaries of the parts count.
+pub fn fingerprint_of_parts(purpose: &str, parts: &[&[u8]]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new_derive_key(purpose);
+    for part in parts {
         hasher.update(&part.len().to_le_bytes());
         hasher.update(part);
     }
@@ -73,6 +81,28 @@
     pub remaining: Duration,
 }
 
+impl QuarantineEntry {
+    /// Reads an entry that another node sent; none where an id has a wrong length.
+    pub fn read(fingerprint: &[u8], crash_ids: &[Bytes], remaining: Duration) -> Option<Self> {
+        let crashes = crash_ids.iter().map(|id| CrashId::from_slice(id).ok());
+        Some(Self {
+            fingerprint: fingerprint.try_into().ok()?,
+            crashes: crashes.collect::<Option<_>>()?,
+            remaining,
+        })
+    }
+
+    /// The fingerprint, for a message.
+    pub fn fingerprint_bytes(&self) -> Bytes {
+        Bytes::copy_from_slice(&self.fingerprint)
+    }
+
+    /// The ids of the crashes, for a message.
+    pub fn crash_ids(&self) -> Vec<Bytes> {
+        self.crashes.iter().map(|id| Bytes::copy_from_slice(id.as_bytes())).collect()
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     crashes: SmallVec<[CrashId; INLINE_CRASHES]>,
@@ -188,6 +218,12 @@
         })
     }
 
+    /// Number of requests that must not run.
+    pub fn quarantined_count(&self, now: Timestamp) -> usize {
+        let quarantined = |it: &&Entry| it.until > now && it.crashes.len() >= self.max_crashes;
+        self.entries.values().filter(quarantined).count()
+    }
+
     /// Number of entries, ended ones included until the next change.
     pub fn len(&self) -> usize {
         self.entries.len()
