One backoff, one own address, one check of the hub's process in a mesh

The registration and the reading of the configuration held the same doubling pause, the own address was put together twice, and a hub compared the asker's incarnation twice. The count of open connections is looked at only where an answer may close its own. Behaviour stays as it is.

--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -327,10 +327,7 @@
     /// Writes an answer; true where the connection ends with it.
     async fn write(&mut self, answered: Answered) -> io::Result<bool> {
         let last = self.running.is_empty();
-        // The listener holds one too.
-        let is_crowded =
-            Arc::strong_count(&self.open) > self.handler.limits().crowded_connections + 1;
-        let close = answered.close || (last && (is_crowded || self.handler.is_closing()));
+        let close = answered.close || (last && (self.handler.is_closing() || self.is_crowded()));
         if last {
             self.exclusive = false;
         }
@@ -343,6 +340,12 @@
         Ok(close && last)
     }
 
+    /// Tells whether so many connections are open that this one had better be closed.
+    fn is_crowded(&self) -> bool {
+        // The listener holds one too.
+        Arc::strong_count(&self.open) > self.handler.limits().crowded_connections + 1
+    }
+
     async fn write_error(&mut self, status: StatusCode) -> io::Result<()> {
         let mut response = Response::new(Bytes::new());
         *response.status_mut() = status;
--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -17,7 +17,11 @@
 
 use crate::{
     clock::{self, Timestamp},
-    mesh::{Catalog, Dialect, Node, pause::jittered, sync},
+    mesh::{
+        Catalog, Dialect, Node,
+        pause::{Backoff, jittered},
+        sync,
+    },
     store::{ObjectApi as _, ObjectVersion, StoreError},
 };
 
@@ -48,7 +52,7 @@
 
 /// Reads the configuration whenever its proof has become old.
 pub async fn follow<D: Dialect>(node: Arc<Node<D>>) {
-    let mut retry_delay = FIRST_RETRY_DELAY;
+    let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
     let mut read_age = jittered(READ_AGE, READ_AGE_SPREAD);
     loop {
         let due = match node.is_first_hub(clock::now()) {
@@ -62,14 +66,13 @@
         }
         read_age = jittered(READ_AGE, READ_AGE_SPREAD);
         match read(&node).await {
-            Ok(()) => retry_delay = FIRST_RETRY_DELAY,
+            Ok(()) => backoff.succeeded(),
             Err(error) => {
                 log::warn!(
                     cause:% = error, proof_age_ms = age_ms(&node);
                     "reading the configuration failed"
                 );
-                let pause = jittered(retry_delay, RETRY_SPREAD);
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                let pause = jittered(backoff.failed(), RETRY_SPREAD);
                 let _ = timeout(pause, node.fresher.notified()).await;
                 ask_fresher_peer(&node).await;
             }
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -5,7 +5,11 @@
 use tokio::time::sleep;
 
 use crate::{
-    mesh::{Dialect, InstanceAddress, Node, pause::jittered, sync},
+    mesh::{
+        Dialect, InstanceAddress, Node,
+        pause::{Backoff, jittered},
+        sync,
+    },
     names::InstanceName,
     store::{ObjectApi as _, ObjectVersion, StoreError},
 };
@@ -25,12 +29,12 @@
 
 /// Registers the node in the store and keeps the addresses of the fleet.
 pub async fn register<D: Dialect>(node: Arc<Node<D>>) {
-    let mut retry_delay = FIRST_RETRY_DELAY;
+    let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
     let mut early_refreshes = [].iter();
     loop {
         let pause = match read_and_register(&node).await {
             Ok(registration) => {
-                retry_delay = FIRST_RETRY_DELAY;
+                backoff.succeeded();
                 if registration == Registration::New {
                     early_refreshes = EARLY_REFRESHES.iter();
                 }
@@ -40,9 +44,7 @@
                 log::warn!(cause:% = error; "registering in the store failed");
                 // Without the store, the seeds tell of the others.
                 ask_seeds(&node).await;
-                let pause = retry_delay;
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
-                pause
+                backoff.failed()
             }
         };
         sleep(jittered(pause, PAUSE_SPREAD)).await;
@@ -59,10 +61,7 @@
 async fn read_and_register<D: Dialect>(node: &Node<D>) -> Result<Registration, StoreError> {
     let listing = node.store.list(KIND_INSTANCES).await?;
     let own_name = &node.settings.instance;
-    let own = InstanceAddress {
-        zone: node.settings.zone.clone(),
-        peer_address: node.settings.announced_peers,
-    };
+    let own = node.own_record().address;
     let mut version: ObjectVersion = 0;
     let mut addresses: BTreeMap<InstanceName, InstanceAddress> = BTreeMap::new();
     for object in listing.objects {
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -345,14 +345,8 @@
 
     fn learn(&self, route: &Arc<str>, held: Duration) {
         let mut routes = self.route_times.lock();
-        match routes.get_mut(route) {
-            Some(mean) => mean.learn(clock::now(), held),
-            None => {
-                let mut mean = MeanTime::new(ROUTE_WEIGHT);
-                mean.learn(clock::now(), held);
-                routes.insert(route.clone(), mean);
-            }
-        }
+        let mean = routes.entry(route.clone()).or_insert_with(|| MeanTime::new(ROUTE_WEIGHT));
+        mean.learn(clock::now(), held);
     }
 
     /// Mean time of a route's requests; zero where none was answered lately.
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -154,11 +154,11 @@
 async fn report<D: Dialect>(node: Arc<Node<D>>) {
     loop {
         sleep(REPORT_INTERVAL).await;
-        let proof_age_ms = node.proof.age(clock::now()).as_millis().min(u128::from(u32::MAX));
+        let proof_age_ms = clock::millis_u32(node.proof.age(clock::now()));
         let gate = node.guard.figures();
         log::info!(
             target: "hibiscusdoor::state",
-            configuration = node.catalog_version(), proof_age_ms = proof_age_ms as u64,
+            configuration = node.catalog_version(), proof_age_ms = proof_age_ms,
             instances = node.members.load().len(),
             running = gate.map_or(0, |it| it.in_flight),
             waiting = gate.map_or(0, |it| it.waiting),
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -197,7 +197,7 @@
     node.raise_generation(reply.known_generation, reply.known_incarnation);
     contact.outdated = take_records(node, reply.records, role);
     take_crashed(node, &reply.crashed);
-    if role == Role::Hub(0) && reply.hubs > 0 {
+    if is_first && reply.hubs > 0 {
         node.set_hub_count(usize::try_from(reply.hubs).unwrap_or(MAX_HUBS).min(MAX_HUBS));
     }
     configuration::take_from_peer(
@@ -300,6 +300,13 @@
 /// Answers a node that takes this one for a hub.
 pub fn answer<D: Dialect>(node: &Arc<Node<D>>, request: proto::SyncRequest) -> proto::SyncReply {
     let now = clock::now();
+    // What the asker has of an earlier process under this name says nothing of this one.
+    let known_here = |number| match request.hub_incarnation == node.incarnation {
+        true => number,
+        false => 0,
+    };
+    let (known_sequence, known_verdicts) =
+        (known_here(request.hub_sequence), known_here(request.verdicts));
     let instance: InstanceName = request.instance.into();
     let record = request.record.and_then(from_proto);
     take_later(node, request.later);
@@ -311,10 +318,6 @@
         if changed {
             node.members.store(Arc::new(directory.members()));
         }
-        let known_sequence = match request.hub_incarnation == node.incarnation {
-            true => request.hub_sequence,
-            false => 0,
-        };
         (directory.changes_since(known_sequence), directory.record_of(&instance).cloned())
     };
     let wants: Vec<Want> = request
@@ -341,10 +344,6 @@
         // What a node claims may have been true when it was sent; only an answer proves.
         node.fresher_peer(&instance);
     }
-    let known_verdicts = match request.hub_incarnation == node.incarnation {
-        true => request.verdicts,
-        false => 0,
-    };
     let (verdicts, crashed) = {
         let crashes = node.guard.crashes.lock();
         match crashes.changes() == known_verdicts {
