Count a request of a node as having heard of it

Cause: an evidence request carries the revision of its sender, but no evidence, since it may have been in transit for any time.

Ruled out: lost evidence; rows keep their entry while they are in the current or the previous table.

The time of the last request is kept beside the evidence and is what the operators are told. Leases rest on evidence only, as before.

Measured: a_request_shows_that_its_sender_was_heard_of did not compile before (there was no such time) and passes now.

--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -69,7 +69,8 @@
     pub instance: InstanceName,
     /// Newest revision that the row's node is known to have.
     pub revision: Revision,
-    /// Age of the newest evidence about the row, in milliseconds; none without evidence.
+    /// Time since the newest evidence about the row or the newest request of its process, in
+    /// milliseconds; none if there was neither.
     pub age_ms: Option<u64>,
 }
 
@@ -79,7 +80,7 @@
     let rows = evidence.rows.iter().map(|row| RowRevision {
         instance: row.instance.clone(),
         revision: row.revision,
-        age_ms: row.evidence_at.map(|at| clock::to_millis(now.saturating_sub(at))),
+        age_ms: row.heard_at.map(|at| clock::to_millis(now.saturating_sub(at))),
     });
     FleetRevisions { reported_by: shared.settings.instance.clone(), rows: rows.collect() }
 }
--- a/src/membership/evidence.rs
+++ b/src/membership/evidence.rs
@@ -30,6 +30,9 @@
     /// A later process of the same instance is known, so the row's process has ended.
     pub(super) is_superseded: bool,
     pub(super) evidence_at: Option<Timestamp>,
+    /// When a request of the process last arrived here. It may have been in transit for any time, so
+    /// it supports no lease.
+    request_at: Option<Timestamp>,
     pub(super) version: TableVersion,
     pub(super) revision: Revision,
     pub(super) load: u8,
@@ -45,6 +48,7 @@
             id,
             is_superseded: false,
             evidence_at: None,
+            request_at: None,
             version: 0,
             revision: 0,
             load: NOT_SERVING,
@@ -57,6 +61,11 @@
         self.evidence_at.map_or(self.listed_since, |at| at.max(self.listed_since))
     }
 
+    /// Time of the newest evidence or request; `None` if there was neither.
+    pub(super) fn heard_at(&self) -> Option<Timestamp> {
+        self.evidence_at.max(self.request_at)
+    }
+
     /// Merges a report about the row.
     ///
     /// Version and revision only rise within a process, so the largest reported values are upper
@@ -140,6 +149,14 @@
         }
     }
 
+    /// Merges the state that a process reports of itself in a request that arrived at `now`.
+    pub(super) fn merge_request(&mut self, now: Timestamp, id: &RowId, report: RowReport) {
+        self.merge_sender(id, report);
+        if let Some(entry) = self.entries.iter_mut().find(|entry| entry.id == *id) {
+            entry.request_at = Some(now);
+        }
+    }
+
     /// Merges a report that another node relayed about a row.
     pub(super) fn merge_row(&mut self, list: RowList, index: usize, report: RowReport) {
         let index = self.indices(list)[index];
@@ -213,6 +230,8 @@
     pub peer_address: SocketAddr,
     /// Time of the newest evidence; `None` if there is none yet.
     pub evidence_at: Option<Timestamp>,
+    /// Time of the newest evidence or request of the row's process; `None` if there was neither.
+    pub heard_at: Option<Timestamp>,
     /// Newest table version that the row is known to hold.
     pub table_version: TableVersion,
     /// Newest configuration revision that the row is known to hold.
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -356,6 +356,7 @@
                 incarnation: row.incarnation,
                 peer_address: row.peer_address,
                 evidence_at,
+                heard_at: if entry.is_own { Some(now) } else { entry.heard_at() },
                 table_version: version,
                 revision,
                 load: (load != NOT_SERVING).then_some(load),
@@ -678,7 +679,8 @@
         }
         self.newest_revision = self.newest_revision.max(request.revision);
         // The request may have been delayed for any time, so it does not show when the state held.
-        self.evidence_log.merge_sender(
+        self.evidence_log.merge_request(
+            now,
             &id,
             RowReport {
                 evidence_at: None,
--- a/tests/membership_decisions.rs
+++ b/tests/membership_decisions.rs
@@ -6,7 +6,7 @@
     membership::{
         Adoption, CLOCK_MARGIN, Event, Identity, LEASE_TERM, Membership, Row, RowState, Table,
     },
-    peers::proto::EvidenceReply,
+    peers::proto::{EvidenceReply, EvidenceRequest},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -198,3 +198,26 @@
     assert_eq!(membership.row_until(), SECOND + LEASE_TERM);
     assert!(membership.pending_view().is_none());
 }
+
+/// Guards against reporting a node as never heard of although its request has arrived: the node was
+/// paused before another one had pulled its evidence.
+#[test]
+fn a_request_shows_that_its_sender_was_heard_of() {
+    let start = 100 * SECOND;
+    let mut membership = node_with_table(3, 3, start);
+    let request = EvidenceRequest {
+        shard: "main".to_owned(),
+        instance: "i1".to_owned(),
+        incarnation: 1,
+        table_version: 2,
+        revision: 1,
+        ..EvidenceRequest::default()
+    };
+    membership.answer_pull(start + SECOND, &request);
+    let evidence = membership.evidence(start + 2 * SECOND);
+    assert_eq!(evidence.rows[1].revision, 1);
+    assert_eq!(evidence.rows[1].heard_at, Some(start + SECOND));
+    // A request may have been in transit for any time, so no lease may rest on it.
+    assert_eq!(evidence.rows[1].evidence_at, None);
+    assert_eq!(evidence.rows[2].heard_at, None);
+}
