Bound answers without end, and accept only answers with the request's id

Cause: an upstream in trouble may send bytes without end. Each body could grow to 64 MiB on a machine of 160 MB, so three such answers ended the process. An answer without an id was taken for the answer to the present request, so a late copy that had lost its id could reach another caller. A success without the upstream's signature was passed on.

Ruled out: heads without end; hyper's limit ends them, as the new tests show.

Bodies that are being received share a limit of 64 MiB, with 32 MiB for each. Answers without an id, and successes without a signature, count as incomplete. Idle connections of callers hold no read buffer.

Measured: nine kinds of endless bytes beside good requests, and copies of answers at three moments (tests/http_client.rs).

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -3,14 +3,15 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, response::Parts};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::{
-    body::Body as _,
+    body::{Body as _, Incoming},
     client::conn::http1::{SendRequest, handshake},
 };
 use hyper_util::rt::TokioIo;
@@ -21,8 +22,6 @@
 use crate::call::{Answer, Unsent};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time after which a connection is closed: upstreams close idle connections after 10 s.
-const MAX_POOLED_TIME: Duration = Duration::from_secs(9);
 /// Time that a pooled connection may take to become ready after its last answer was read.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 
@@ -62,14 +61,55 @@
 pub struct ConnectionPool {
     idle: Mutex<Vec<Connection>>,
     max_idle: usize,
-    max_body_bytes: usize,
+    /// Idle time after which a connection is closed.
+    max_idle_time: Duration,
+    body_limits: BodyLimits,
+    /// Bytes of the bodies that are being received.
+    received_bytes: AtomicUsize,
+}
+
+/// Limits on the bodies of responses, which an upstream in trouble may send without end.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyLimits {
+    /// Largest body.
+    pub max_bytes: usize,
+    /// Limit of the sum of all bodies that are being received.
+    pub max_total_bytes: usize,
+}
+
+/// Counts the bytes of a body towards the sum until it is dropped.
+struct ReceivedBytes<'a> {
+    total: &'a AtomicUsize,
+    bytes: usize,
+}
+
+impl ReceivedBytes<'_> {
+    /// Adds received bytes; an error if a limit is exceeded.
+    fn add(&mut self, bytes: usize, limits: BodyLimits) -> Result<(), String> {
+        self.bytes += bytes;
+        let total = self.total.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if self.bytes > limits.max_bytes {
+            return Err(format!("the body is larger than {} bytes", limits.max_bytes));
+        }
+        if total > limits.max_total_bytes {
+            return Err("too many bytes of bodies are being received".to_owned());
+        }
+        Ok(())
+    }
+}
+
+impl Drop for ReceivedBytes<'_> {
+    fn drop(&mut self) {
+        self.total.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
 }
 
 impl ConnectionPool {
-    /// Makes an empty pool that keeps up to `max_idle` idle connections and rejects response bodies
-    /// larger than `max_body_bytes`.
-    pub fn new(max_idle: usize, max_body_bytes: usize) -> Self {
-        Self { idle: Mutex::default(), max_idle, max_body_bytes }
+    /// Makes an empty pool that keeps up to `max_idle` idle connections, each for `max_idle_time` at
+    /// most, and rejects response bodies that exceed the limits.
+    pub fn new(max_idle: usize, max_idle_time: Duration, body_limits: BodyLimits) -> Self {
+        let received_bytes = AtomicUsize::new(0);
+        Self { idle: Mutex::default(), max_idle, max_idle_time, body_limits, received_bytes }
     }
 
     /// Closes all idle connections.
@@ -148,18 +188,38 @@
         })?;
         let (parts, body) = response.into_parts();
         check(&parts, is_head || body.is_end_stream()).map_err(SendFailure::Incomplete)?;
-        let body = Limited::new(body, self.max_body_bytes).collect().await;
-        let body = body.map_err(|error| SendFailure::Incomplete(error.to_string()))?;
+        let body = self.read_body(body).await.map_err(SendFailure::Incomplete)?;
         let now = Instant::now();
         connection.last_used_at = now;
         let mut idle = self.idle.lock();
         // The first one was used least recently.
-        let expired = idle.iter().take_while(|it| now - it.last_used_at >= MAX_POOLED_TIME).count();
+        let expired =
+            idle.iter().take_while(|it| now - it.last_used_at >= self.max_idle_time).count();
         idle.drain(..expired);
         if idle.len() < self.max_idle {
             idle.push(connection);
         }
-        Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+        Ok(Answer { status: parts.status, headers: parts.headers, body })
+    }
+
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, String> {
+        let mut received = ReceivedBytes { total: &self.received_bytes, bytes: 0 };
+        let (mut first, mut joined) = (Bytes::new(), BytesMut::new());
+        while let Some(frame) = body.frame().await {
+            // Trailers are dropped.
+            let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else { continue };
+            received.add(data.len(), self.body_limits)?;
+            if first.is_empty() {
+                first = data;
+                continue;
+            }
+            if joined.is_empty() {
+                joined.extend_from_slice(&first);
+            }
+            joined.extend_from_slice(&data);
+        }
+        // Most bodies arrive in one piece, which is not copied.
+        Ok(if joined.is_empty() { first } else { joined.freeze() })
     }
 }
 
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -22,7 +22,7 @@
 use futures::{StreamExt as _, stream::FuturesOrdered};
 use http::{Request, Response, StatusCode, request::Parts};
 use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{sleep, timeout},
@@ -46,7 +46,8 @@
 const IDLE_GRACE_PERIOD: Duration = Duration::from_millis(250);
 /// Pause after an accept error, which is mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-const INITIAL_BUFFER_BYTES: usize = 4 << 10;
+/// Size of the buffer of one read.
+const READ_BYTES: usize = 4 << 10;
 /// Largest body that is copied behind the head of its answer, to be written with it.
 const MAX_JOINED_BODY_BYTES: usize = 16 << 10;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -157,7 +158,7 @@
     let connection = Connection {
         stream,
         handler,
-        input: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
+        input: BytesMut::new(),
         first_byte_at: None,
         last_activity: Instant::now(),
         partial_request: None,
@@ -173,6 +174,22 @@
     }
 }
 
+/// Reads some bytes from a caller. The buffer is allocated once there are bytes to read, so that an idle
+/// connection, of which there may be thousands, holds none.
+async fn read_some(stream: &TcpStream, input: &mut BytesMut) -> io::Result<usize> {
+    if input.is_empty() {
+        *input = BytesMut::new();
+    }
+    loop {
+        stream.readable().await?;
+        input.reserve(READ_BYTES);
+        match stream.try_read_buf(input) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
+
 type AnswerFuture = Pin<Box<dyn Future<Output = FinishedAnswer> + Send>>;
 
 /// An answer with the properties of its request that determine how it is written.
@@ -230,7 +247,7 @@
                         return self.close().await;
                     }
                 }
-                read = self.stream.read_buf(&mut self.input), if may_read => {
+                read = read_some(&self.stream, &mut self.input), if may_read => {
                     if read? == 0 {
                         // The caller closed the connection; its running requests are dropped.
                         return Ok(());
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -25,7 +25,7 @@
     },
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
     clock,
-    http_client::{ConnectFailure, Connection, ConnectionPool, SendFailure},
+    http_client::{BodyLimits, ConnectFailure, Connection, ConnectionPool, SendFailure},
     mesh::{
         Call, Crashes, Dialect, LoadReport, RunningCalls, Upstream, UpstreamHead, Usage,
         crash_check::CrashDetector, fingerprint, request::BufferedRequest,
@@ -40,7 +40,8 @@
 /// The same for requests that must not run twice. If the upstream has closed the connection unnoticed,
 /// such a request cannot be sent again.
 const MAX_NON_IDEMPOTENT_IDLE_TIME: Duration = Duration::from_secs(2);
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Limits on answers of the upstream, which may send bytes without end; a machine has 160 MB or more.
+const BODY_LIMITS: BodyLimits = BodyLimits { max_bytes: 32 << 20, max_total_bytes: 64 << 20 };
 /// Time after the upstream's announcement that it is leaving in which requests already in transit are
 /// still sent to it; the platform allows twice as long.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
@@ -110,7 +111,7 @@
             tasks: TaskTracker::new(),
             upstream: ArcSwapOption::empty(),
             gate: Gate::default(),
-            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_ANSWER_BYTES),
+            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_IDLE_TIME, BODY_LIMITS),
             crashes: Mutex::default(),
             crash_check: CrashDetector::default(),
             route_times: Mutex::default(),
@@ -301,11 +302,18 @@
         let begun = clock::now();
         let remaining = call.deadline.saturating_sub(begun);
         let request_id = call.request_id.clone();
+        // An answer without an id may be a late copy of an earlier one.
         let check = move |parts: &Parts, _| {
             let head = D::answer_head(parts.status, &parts.headers);
             match head.request_id {
-                Some(id) if id != request_id => Err(format!("the answer belongs to {id}")),
-                _ => Ok(()),
+                Some(id) if id == request_id => match parts.status.is_success() {
+                    true if !head.is_from_upstream => {
+                        Err("the success does not carry the upstream's signature".to_owned())
+                    }
+                    _ => Ok(()),
+                },
+                Some(id) => Err(format!("the answer belongs to {id}")),
+                None => Err("the answer has no request id".to_owned()),
             }
         };
         let entry = self.running.begin(call);
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -22,10 +22,12 @@
 
 use crate::{
     call::{Answer, headers},
-    http_client::{self, ConnectFailure, Connection, ConnectionPool, SendFailure},
+    http_client::{self, BodyLimits, ConnectFailure, Connection, ConnectionPool, SendFailure},
     names::ServiceName,
 };
 
+/// Number of bodies of the largest size that may be received at the same time.
+const MAX_LARGE_BODIES: usize = 8;
 /// Idle connections older than this are not reused; many servers close them after some minutes.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -75,11 +77,15 @@
 impl UpstreamLink {
     /// Creates a link without an upstream.
     pub fn new(max_body_bytes: usize) -> Self {
+        let body_limits = BodyLimits {
+            max_bytes: max_body_bytes,
+            max_total_bytes: max_body_bytes.saturating_mul(MAX_LARGE_BODIES),
+        };
         Self {
             announced: ArcSwapOption::empty(),
             report: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
-            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, max_body_bytes),
+            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT, body_limits),
         }
     }
 
--- /dev/null
+++ b/tests/http_client.rs
@@ -0,0 +1,210 @@
+//! The client of upstreams, against upstreams that send bytes without end, and copies of answers.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hibiscusdoor::http_client::{BodyLimits, ConnectionPool, SendFailure};
+use http::{HeaderValue, Request, response::Parts};
+use http_body_util::Full;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+
+const MAX_BODY_BYTES: usize = 1 << 20;
+const MAX_TOTAL_BYTES: usize = 2 << 20;
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_millis(500);
+/// Time within which a request must have ended.
+const TIMEOUT: Duration = Duration::from_secs(10);
+const IDLE_TIME: Duration = Duration::from_secs(5);
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: ";
+
+fn pool() -> ConnectionPool {
+    let limits = BodyLimits { max_bytes: MAX_BODY_BYTES, max_total_bytes: MAX_TOTAL_BYTES };
+    ConnectionPool::new(8, IDLE_TIME, limits)
+}
+
+fn request(id: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    request.headers_mut().insert("host", HeaderValue::from_static("a"));
+    request.headers_mut().insert("x-id", HeaderValue::from_str(id).expect("a header value"));
+    request
+}
+
+/// Accepts only the answer with this id.
+fn has_id(id: &str) -> impl FnOnce(&Parts, bool) -> Result<(), String> + use<> {
+    let id = id.to_owned();
+    move |parts, _| match parts.headers.get("x-id") {
+        Some(found) if found.as_bytes() == id.as_bytes() => Ok(()),
+        found => Err(format!("the answer belongs to {found:?}")),
+    }
+}
+
+/// Sends a request until its deadline; `Err` with the reason if there is no complete answer.
+async fn send(pool: &ConnectionPool, address: SocketAddr, id: &str) -> Result<Bytes, String> {
+    let connection = pool.connect(address, IDLE_TIME).await.map_err(|error| error.to_string())?;
+    match timeout(DEADLINE, pool.send(connection, request(id), has_id(id))).await {
+        Ok(Ok(answer)) => Ok(answer.body),
+        Ok(Err(SendFailure::Incomplete(detail) | SendFailure::Unsent(_, detail))) => Err(detail),
+        Err(_) => Err("deadline".to_owned()),
+    }
+}
+
+/// Reads the head of a request and returns its id.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let line = head.lines().find(|line| line.starts_with("x-id: "))?;
+    Some(line.trim_start_matches("x-id: ").to_owned())
+}
+
+/// Starts an upstream that answers each request with `start`, and then sends `rest` again and again
+/// with a pause until the client closes. A request with the id `good` gets a complete answer.
+async fn endless_upstream(
+    start: &'static str,
+    rest: &'static str,
+    pause: Duration,
+) -> anyhow::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while let Some(id) = read_request(&mut stream).await {
+                    if id == "good" {
+                        let answer = format!("{ANSWER}{id}\r\ncontent-length: 4\r\n\r\ngood");
+                        if stream.write_all(answer.as_bytes()).await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
+                    let start = start.replace("ID", &id);
+                    let mut sent = stream.write_all(start.as_bytes()).await;
+                    while sent.is_ok() {
+                        sent = stream.write_all(rest.as_bytes()).await;
+                        sleep(pause).await;
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Guards against an upstream that sends bytes without end and so takes memory, time or the
+/// connection of other requests. Four such requests run beside good ones.
+fn bytes_without_end_are_bounded(start: &'static str, rest: &'static str, pause: Duration) {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let address = endless_upstream(start, rest, pause).await.expect("an upstream");
+        let pool = pool();
+        let began = Instant::now();
+        let endless = async {
+            let (first, second, third, fourth) = tokio::join!(
+                send(&pool, address, "a"),
+                send(&pool, address, "b"),
+                send(&pool, address, "c"),
+                send(&pool, address, "d"),
+            );
+            [first, second, third, fourth]
+        };
+        let good = async {
+            for _ in 0..5 {
+                assert_eq!(send(&pool, address, "good").await, Ok(Bytes::from_static(b"good")));
+            }
+        };
+        let (endless, ()) = timeout(TIMEOUT, async { tokio::join!(endless, good) })
+            .await
+            .expect("the requests end");
+        for answer in endless {
+            assert!(answer.is_err(), "{answer:?}");
+        }
+        assert!(began.elapsed() < TIMEOUT);
+        // No connection with such bytes is used again.
+        assert_eq!(send(&pool, address, "good").await, Ok(Bytes::from_static(b"good")));
+    });
+}
+
+const FAST: Duration = Duration::ZERO;
+const SLOW: Duration = Duration::from_millis(5);
+
+crate::cases! { bytes_without_end_are_bounded:
+    in_a_line_of_the_head("HTTP/1.1 200 OK\r\nx-id: ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", FAST),
+    in_lines_of_the_head("HTTP/1.1 200 OK\r\nx-id: ID\r\n", "x-more: and more\r\n", FAST),
+    slowly_in_the_head("HTTP/1.1 200 OK\r\nx-id: ID\r\n", "x-more: and more\r\n", SLOW),
+    in_a_body_without_length("HTTP/1.1 200 OK\r\nx-id: ID\r\n\r\n", "bytes and more bytes, ", FAST),
+    slowly_in_a_body("HTTP/1.1 200 OK\r\nx-id: ID\r\n\r\n", "bytes", SLOW),
+    in_chunks_of_one_byte(
+        "HTTP/1.1 200 OK\r\nx-id: ID\r\ntransfer-encoding: chunked\r\n\r\n",
+        "1\r\na\r\n",
+        FAST,
+    ),
+    in_an_extension_of_a_chunk(
+        "HTTP/1.1 200 OK\r\nx-id: ID\r\ntransfer-encoding: chunked\r\n\r\n5",
+        ";extension=and-more",
+        FAST,
+    ),
+    in_the_trailer(
+        "HTTP/1.1 200 OK\r\nx-id: ID\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        "x-more: and more\r\n",
+        FAST,
+    ),
+    in_interim_answers("", "HTTP/1.1 102 Processing\r\n\r\n", FAST),
+}
+
+/// Starts an upstream that sends a second copy of each answer after a pause.
+async fn copying_upstream(pause: Duration) -> anyhow::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while let Some(id) = read_request(&mut stream).await {
+                    let answer =
+                        format!("{ANSWER}{id}\r\ncontent-length: {}\r\n\r\n{id}", id.len());
+                    for _ in 0..2 {
+                        if stream.write_all(answer.as_bytes()).await.is_err() {
+                            return;
+                        }
+                        sleep(pause).await;
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Guards against a second copy of an answer that is taken for the answer to the next request on the
+/// connection, whenever the copy arrives.
+fn a_copy_belongs_to_no_other_request(pause: Duration) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let address = copying_upstream(pause).await.expect("an upstream");
+        let pool = pool();
+        for number in 0..40_u64 {
+            let id = format!("id-{number}");
+            if let Ok(body) = send(&pool, address, &id).await {
+                assert_eq!(body, Bytes::from(id));
+            }
+            sleep(Duration::from_millis(number % 4)).await;
+        }
+    });
+}
+
+crate::cases! { a_copy_belongs_to_no_other_request:
+    at_once(Duration::ZERO),
+    after_a_millisecond(Duration::from_millis(1)),
+    after_three_milliseconds(Duration::from_millis(3)),
+}
