Restart background tasks that panic, and check numbers of tokens

Cause: the background tasks of a node are joined only when it stops. One that panicked ended for good and without a log line of its own: the node would go on without exchanges or without its configuration. A number of tokens that is no number or infinite, in a message of another node, stayed in an account or a bucket for good.

Ruled out: panics in requests; the task of a request ends alone, and the other node gets a reply that tells that its outcome is unknown.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -41,6 +41,7 @@
 mod run;
 mod running;
 mod settings;
+pub mod supervise;
 mod sync;
 
 pub use bounds::Bounds;
@@ -76,4 +77,4 @@
 pub use settings::{
     LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
 };
-pub use sync::{home_hub, hub_count, min_sync_interval};
+pub use sync::{home_hub, hub_count, min_sync_interval, to_token_count};
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures::{FutureExt as _, future::BoxFuture};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
     mesh::{
         Dialect, MeshSettings, MessageEffect, Node, ProcessorLimit, Upstream, UpstreamMessage,
         configuration, control, entry::CallerHandler, operators, peer_service, probe,
-        processor::MEASUREMENT_INTERVAL, reload, sync,
+        processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
     },
 };
 
@@ -91,14 +92,20 @@
     let (stop_auxiliary, abort_connections) = (CancellationToken::new(), CancellationToken::new());
     let (callers, peers, auxiliary) = (TaskTracker::new(), TaskTracker::new(), TaskTracker::new());
     let mut control_tasks = JoinSet::new();
-    control_tasks.spawn(control::register(node.clone()));
-    control_tasks.spawn(configuration::run(node.clone()));
-    control_tasks.spawn(probe::run(node.clone()));
-    control_tasks.spawn(log_state(node.clone()));
-    control_tasks.spawn(limit_by_processor(node.clone()));
+    let spawn =
+        |tasks: &mut JoinSet<()>, name, task: fn(Arc<Node<D>>) -> BoxFuture<'static, ()>| {
+            let node = node.clone();
+            tasks.spawn(supervise(name, move || task(node.clone())));
+        };
+    spawn(&mut control_tasks, "registration", |node| control::register(node).boxed());
+    spawn(&mut control_tasks, "configuration", |node| configuration::run(node).boxed());
+    spawn(&mut control_tasks, "probe", |node| probe::run(node).boxed());
+    spawn(&mut control_tasks, "state log", |node| log_state(node).boxed());
+    spawn(&mut control_tasks, "processor limit", |node| limit_by_processor(node).boxed());
     control_tasks.spawn(reload::run(node.clone(), reload));
     for number in 0..sync::MAX_HUBS {
-        control_tasks.spawn(sync::run(node.clone(), number));
+        let node = node.clone();
+        control_tasks.spawn(supervise("exchange", move || sync::run(node.clone(), number)));
     }
     callers.spawn(pipelined::serve(
         listeners.callers,
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -51,6 +51,8 @@
 const PROOF_ADVANTAGE: Duration = Duration::from_millis(300);
 /// Value of `proof_age_ms` in messages of a node that has no freshness proof.
 const NO_PROOF_AGE_MS: u32 = u32::MAX;
+/// Largest number of tokens that is accepted in a message of another node.
+const MAX_TOKENS: f64 = 1e9;
 const HASH_PURPOSE: &str = "hibiscusdoor 2026 hub of a fleet";
 
 /// State of the exchanges with one hub.
@@ -228,7 +230,7 @@
         reply.proof_age_ms,
     );
     let grants = reply.grants.into_iter().map(|grant| Grant {
-        tokens: grant.tokens,
+        tokens: to_token_count(grant.tokens),
         retry_after: Duration::from_millis(u64::from(grant.retry_after_ms)),
     });
     apply_grants(node, wants, grants.collect());
@@ -357,8 +359,8 @@
         .into_iter()
         .map(|want| Want {
             organisation: want.organisation.into(),
-            tokens: want.tokens,
-            returned: want.returned,
+            tokens: to_token_count(want.tokens),
+            returned: to_token_count(want.returned),
         })
         .collect();
     let grants = match usize::try_from(request.hub).unwrap_or(0).checked_sub(1) {
@@ -438,6 +440,13 @@
     grants.collect()
 }
 
+/// Number of tokens in a message of another node. A number that is none, infinite or negative would stay
+/// in an account or a bucket for good, and is taken as zero.
+pub fn to_token_count(tokens: f64) -> f64 {
+    let is_valid = tokens.is_finite() && tokens >= 0.0;
+    if is_valid { tokens.min(MAX_TOKENS) } else { 0.0 }
+}
+
 fn apply_grants<D: Dialect>(node: &Node<D>, wants: &[Want], grants: Vec<Grant>) {
     let now = clock::now();
     let mut stock = node.stock.lock();
