--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -450,7 +450,13 @@
     }))?)
 }
 
+/// Starts a node. Where `SOAK_OLD_PROGRAM` names the program of an earlier build, every second process
+/// runs it, as in a fleet under upgrade.
 fn start_node(program: &Path, settings: &Path, log: &Path) -> anyhow::Result<Child> {
+    static STARTED: AtomicU64 = AtomicU64::new(0);
+    let is_second = STARTED.fetch_add(1, Ordering::Relaxed) % 2 == 1;
+    let old_program = std::env::var_os("SOAK_OLD_PROGRAM").filter(|_| is_second).map(PathBuf::from);
+    let program = old_program.as_deref().unwrap_or(program);
     let output = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
     let child = Command::new(program)
         .args(["mesh", "--settings"])
