Share the accept loop of the three listeners

The loop with its retry after an error, and the draining of the kernel's queue, stood three times. No behaviour changed; one log line now has its cause as a field.

--- a/src/http_server/mod.rs
+++ b/src/http_server/mod.rs
@@ -63,27 +63,11 @@
     builder.http2().timer(TokioTimer::new()).keep_alive_interval(Some(HEADER_TIMEOUT));
     let graceful = GracefulShutdown::new();
     let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => break,
-        };
+    accept_until(listener, &shutdown, |stream| {
         while connections.try_join_next().is_some() {}
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(
-                    "accepting a connection failed; retrying in {ACCEPT_RETRY_DELAY:?}: {error}"
-                );
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        connections.spawn(serve_stream(stream, &builder, &graceful, &shutdown, &handler));
-    }
-    for stream in accept_queued(listener) {
         connections.spawn(serve_stream(stream, &builder, &graceful, &shutdown, &handler));
-    }
+    })
+    .await;
     let finish_requests = async {
         // A request that is already in transit on an idle connection still gets an answer.
         tokio::time::sleep(IDLE_GRACE_PERIOD).await;
@@ -97,12 +81,40 @@
     connections.shutdown().await;
 }
 
+/// Accepts connections and passes them to `start` until `shutdown`, then those that are waiting in the
+/// kernel's queue, which closing the listener would reset.
+pub(crate) async fn accept_until(
+    listener: TcpListener,
+    shutdown: &CancellationToken,
+    mut start: impl FnMut(TcpStream),
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => start(stream),
+            Err(error) => {
+                log::warn!(
+                    cause:% = error;
+                    "accepting a connection failed; retrying in {ACCEPT_RETRY_DELAY:?}"
+                );
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    for stream in accept_queued(listener) {
+        start(stream);
+    }
+}
+
 /// Closes the listener and returns the connections that were waiting in the kernel's queue, which
 /// closing it would reset.
 ///
 /// The runtime accepts only connections that it has been notified of. The others are accepted here
 /// by calling the kernel directly; a rolling restart cut 1 of 1,002 requests without this.
-pub(crate) fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
     let mut streams = Vec::new();
     let listener = match listener.into_std() {
         Ok(listener) => listener,
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -31,7 +31,7 @@
 
 use crate::{
     clock::{self, Timestamp},
-    http_server::accept_queued,
+    http_server::accept_until,
 };
 use head::ParsedHead;
 
@@ -44,8 +44,6 @@
 /// Time after the start of a shutdown in which a connection without a request stays open: a request
 /// may be in transit on a connection that has just been accepted.
 const IDLE_GRACE_PERIOD: Duration = Duration::from_millis(250);
-/// Pause after an accept error, which is mostly caused by a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Size of the buffer of one read.
 const READ_BYTES: usize = 4 << 10;
 /// Largest body that is copied behind the head of its answer, to be written with it.
@@ -99,38 +97,16 @@
 ) {
     let mut connections = JoinSet::new();
     let open_connections = Arc::new(());
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => break,
-        };
+    accept_until(listener, &shutdown, |stream| {
         while connections.try_join_next().is_some() {}
-        match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(run_connection(
-                    stream,
-                    handler.clone(),
-                    shutdown.clone(),
-                    open_connections.clone(),
-                ));
-            }
-            Err(error) => {
-                log::warn!(
-                    cause:% = error;
-                    "accepting a connection failed; retrying in {ACCEPT_RETRY_DELAY:?}"
-                );
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-    for stream in accept_queued(listener) {
         connections.spawn(run_connection(
             stream,
             handler.clone(),
             shutdown.clone(),
             open_connections.clone(),
         ));
-    }
+    })
+    .await;
     let finish_requests = async { while connections.join_next().await.is_some() {} };
     if run_unless_aborted(finish_requests, &abort).await.is_none() {
         connections.shutdown().await;
--- a/src/mesh/link/mod.rs
+++ b/src/mesh/link/mod.rs
@@ -1,10 +1,10 @@
 //! Links: connections between two nodes that carry forwarded requests and their replies.
 //!
 //! A node opens one link to each node that it forwards requests to. A request and its reply are one
-//! [`LinkFrame`] each, and frames that are ready at the same time are written together. One gRPC call
-//! for each request cost two thirds of a node's processor time beside a deep service that gets
-//! 1,800 requests per second: a stream with its own headers, trailers, timers and tasks at both ends.
-//! gRPC remains in use for exchanges with hubs, and for nodes of earlier builds.
+//! [`LinkFrame`] each, and frames that are ready at the same time are written together. A gRPC call
+//! for each request needs a stream with its own headers, trailers, timers and tasks at both ends, and
+//! each pair of nodes holds the buffers of an HTTP/2 connection. gRPC remains in use for exchanges
+//! with hubs, for large bodies, and for nodes of earlier builds.
 //!
 //! Both protocols share the listener for nodes: a link starts with [`PREAMBLE`], which is not the
 //! start of an HTTP/2 connection. The accepting node answers with the same bytes. A node that closes
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -8,7 +8,7 @@
     net::{TcpListener, TcpStream},
     sync::mpsc,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::timeout,
 };
 use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
@@ -17,7 +17,7 @@
 use crate::{
     call::{Outcome, Reason, Undispatched},
     clock,
-    http_server::accept_queued,
+    http_server::accept_until,
     mesh::{
         Call, Dialect, GuardResult, Node, Rank, Usage, link,
         proto::{
@@ -36,8 +36,6 @@
 const GRPC_BACKLOG: usize = 16;
 /// Time for the first byte of a connection.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Pause after an accept error, which is mostly caused by a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves other nodes until `shutdown`, then waits for the requests in flight. What remains at
 /// `abort` is aborted.
@@ -50,33 +48,11 @@
     let mut connections = JoinSet::new();
     let (grpc, incoming) = mpsc::channel(GRPC_BACKLOG);
     connections.spawn(serve_grpc(node.clone(), incoming, shutdown.clone()));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => break,
-        };
+    accept_until(listener, &shutdown, |stream| {
         while connections.try_join_next().is_some() {}
-        match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(serve_stream(
-                    stream,
-                    node.clone(),
-                    grpc.clone(),
-                    shutdown.clone(),
-                ));
-            }
-            Err(error) => {
-                log::warn!(
-                    cause:% = error;
-                    "accepting a connection of a node failed; retrying in {ACCEPT_RETRY_DELAY:?}"
-                );
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-    for stream in accept_queued(listener) {
         connections.spawn(serve_stream(stream, node.clone(), grpc.clone(), shutdown.clone()));
-    }
+    })
+    .await;
     drop(grpc);
     tokio::select! {
         () = async { while connections.join_next().await.is_some() {} } => {}
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -143,8 +143,8 @@
     }))
 }
 
-/// Formats a record as a JSON object, without an intermediate tree: two lines per request took a
-/// tenth of a node's processor time.
+/// Formats a record as a JSON object, without an intermediate tree, since a node writes a line for each
+/// request.
 fn json_line(message: &std::fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let mut line = Vec::with_capacity(LINE_CAPACITY_BYTES);
     let mut serializer = serde_json::Serializer::new(&mut line);
