Let waiting requests share the failure of a link, and drop unknown peers

Cause: requests to a machine that does not answer waited for each other while a link was opened, 500 ms each; the last of ten would have failed after five seconds. Found while reading the change. Links and channels to instances that are gone were kept for good.

Ruled out: a cached failure; only requests that waited for the same attempt share its end.

--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -113,6 +113,7 @@
     let is_listed = addresses.get(own_name) == Some(&own);
     addresses.insert(own_name.clone(), own);
     node.set_stored_addresses(addresses);
+    node.drop_unknown_peers();
     Ok(is_listed)
 }
 
--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -69,9 +69,17 @@
 #[derive(Debug, Default)]
 struct Slot {
     link: ArcSwapOption<Link>,
-    /// Held while a link is opened. Contains the end of the time in which the node counts as one
-    /// that does not support links.
-    opening: tokio::sync::Mutex<Option<Instant>>,
+    /// Held while a link is opened.
+    opening: tokio::sync::Mutex<Opening>,
+}
+
+/// Results of earlier attempts to open a link to an address.
+#[derive(Debug, Default)]
+struct Opening {
+    /// End of the time in which the node counts as one that does not support links.
+    unsupported_until: Option<Instant>,
+    /// End and failure of the last attempt.
+    failed: Option<(Instant, LinkFailure)>,
 }
 
 impl Links {
@@ -81,30 +89,40 @@
         if let Some(link) = slot.open_link() {
             return Ok(Some(link));
         }
-        let mut unsupported_until = slot.opening.lock().await;
+        let waiting_since = Instant::now();
+        let mut opening = slot.opening.lock().await;
         if let Some(link) = slot.open_link() {
             return Ok(Some(link));
         }
-        if unsupported_until.is_some_and(|until| Instant::now() < until) {
+        if opening.unsupported_until.is_some_and(|until| Instant::now() < until) {
             return Ok(None);
         }
-        match timeout(CONNECT_TIMEOUT, open(address)).await {
+        // Requests that waited for the same attempt share its failure. If each made an attempt of its
+        // own, the last of ten would wait for five seconds.
+        if let Some((failed_at, failure)) = &opening.failed
+            && *failed_at >= waiting_since
+        {
+            return Err(failure.clone());
+        }
+        let failure = match timeout(CONNECT_TIMEOUT, open(address)).await {
             Ok(Ok(stream)) => {
                 let link = Arc::new(Link::new());
                 slot.link.store(Some(link.clone()));
                 let (stop, running) = (self.stop.clone(), link.clone());
                 self.tasks.spawn(async move { running.run(stream, stop).await });
-                Ok(Some(link))
+                return Ok(Some(link));
             }
             Ok(Err(error)) if error.kind() == io::ErrorKind::UnexpectedEof => {
-                *unsupported_until = Some(Instant::now() + UNSUPPORTED_PERIOD);
-                Ok(None)
+                opening.unsupported_until = Some(Instant::now() + UNSUPPORTED_PERIOD);
+                return Ok(None);
             }
-            Ok(Err(error)) => Err(LinkFailure::NotSent(format!("no link to {address}: {error}"))),
-            Err(_) => Err(LinkFailure::NotSent(format!(
-                "no link to {address} within {CONNECT_TIMEOUT:?}"
-            ))),
-        }
+            Ok(Err(error)) => LinkFailure::NotSent(format!("no link to {address}: {error}")),
+            Err(_) => {
+                LinkFailure::NotSent(format!("no link to {address} within {CONNECT_TIMEOUT:?}"))
+            }
+        };
+        opening.failed = Some((Instant::now(), failure.clone()));
+        Err(failure)
     }
 
     /// Returns a link for a request that must not run twice: one without a recent frame is probed
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -1,7 +1,7 @@
 //! State that the listeners and background tasks of a node share.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc,
@@ -159,6 +159,15 @@
         peer.clone()
     }
 
+    /// Drops the connections to addresses that no known instance has.
+    pub fn drop_unknown_peers(&self) {
+        let members = self.members.load();
+        let known: HashSet<SocketAddr> =
+            members.addresses().values().map(|it| it.peer_address).collect();
+        self.links.retain(|address| known.contains(address));
+        self.peers.lock().retain(|address, _| known.contains(address));
+    }
+
     /// Whether the node is stopping: it finishes its running requests and then exits.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
--- a/tests/mesh_link.rs
+++ b/tests/mesh_link.rs
@@ -241,6 +241,22 @@
     Ok(())
 }
 
+/// Guards against requests that wait one after the other for a machine that does not answer: the last
+/// of ten would wait for five seconds.
+#[tokio::test]
+async fn requests_share_the_failure_of_a_connection() -> anyhow::Result<()> {
+    // The kernel accepts the connections; nobody answers on them.
+    let (_listener, address) = listener().await?;
+    let links = Links::default();
+    let began = std::time::Instant::now();
+    let attempts = futures::future::join_all((0..10).map(|_| links.get(address))).await;
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+    for attempt in attempts {
+        assert!(matches!(attempt, Err(LinkFailure::NotSent(_))), "{attempt:?}");
+    }
+    Ok(())
+}
+
 /// Guards against a malformed frame that takes more than its link down, and against waiting for the
 /// replies of such a link.
 #[tokio::test]
