Read the addresses of the fleet before writing the own one

Cause: after the change to registrations, a restarted node wrote its address first. While the store is slow it then knew no other node for two more calls, and each restart made two calls that changed nothing.

--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -11,7 +11,7 @@
         sync,
     },
     names::InstanceName,
-    store::{ObjectApi as _, StoreError},
+    store::{ObjectApi as _, ObjectVersion, StoreError},
 };
 
 /// Kind of the store objects that hold the instances' addresses.
@@ -24,34 +24,25 @@
 const PAUSE_JITTER: f64 = 0.2;
 /// Time between two reads of all addresses, which drop the instances that were removed permanently.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(60);
-/// Pauses after the first reads of a node that has just registered: when a whole fleet starts, other
-/// nodes register at about the same time.
+/// Pauses after the registration and after the next read: when a whole fleet starts, other nodes
+/// register at about the same time.
 const EARLY_READ_PAUSES: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(3)];
 
 /// Registers the node in the store, and reads the addresses of the fleet periodically.
 pub async fn register<D: Dialect>(node: Arc<Node<D>>) {
     let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
-    let mut is_registered = false;
-    let mut reads = 0;
+    // Reads since the registration; `None` before it, and where the store had the address.
+    let mut reads: Option<usize> = None;
     loop {
-        let result = match is_registered {
-            true => read_addresses(&node, reads).await,
-            false => write_address(&node).await.map(|()| true),
-        };
-        let pause = match result {
-            Ok(_) if !is_registered => {
-                is_registered = true;
-                reads = 0;
-                backoff.reset();
-                continue;
-            }
-            Ok(is_listed) => {
+        let pause = match read_and_register(&node, reads).await {
+            Ok(registration) => {
                 backoff.reset();
-                reads += 1;
-                let early_pause = EARLY_READ_PAUSES.get(reads - 1).copied();
-                // The early reads may return a state from before the registration.
-                is_registered = is_listed || early_pause.is_some();
-                early_pause.unwrap_or(REFRESH_INTERVAL)
+                reads = match registration {
+                    Registration::New => Some(0),
+                    Registration::Known => reads.map(|reads| reads + 1),
+                };
+                let early_pause = reads.and_then(|reads| EARLY_READ_PAUSES.get(reads));
+                early_pause.copied().unwrap_or(REFRESH_INTERVAL)
             }
             Err(error) => {
                 log::warn!(
@@ -67,39 +58,38 @@
     }
 }
 
-/// Writes the node's address without reading first: a conflict tells the version of the object that
-/// an earlier process of the instance has left.
-async fn write_address<D: Dialect>(node: &Node<D>) -> Result<(), StoreError> {
-    let own_name = &node.settings.instance;
-    let value = serde_json::to_value(node.own_record().address)
-        .map_err(|error| StoreError::Refused(format!("the address has no JSON form: {error}")))?;
-    let written = match node.store.put(KIND_INSTANCES, own_name, value.clone(), 0).await {
-        Err(StoreError::Conflict { current }) if current != 0 => {
-            node.store.put(KIND_INSTANCES, own_name, value, current).await?
-        }
-        result => result?,
-    };
-    log::info!(version = written; "registered the node's address in the store");
-    Ok(())
+/// Whether the store already had the node's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registration {
+    New,
+    Known,
 }
 
-/// Reads the addresses of the fleet, after `reads` reads before; returns whether the node's own is
-/// listed.
+/// Reads the addresses of the fleet and writes the node's own if the store does not have it; `reads`
+/// counts the reads since it was written.
 ///
-/// A list that is some seconds old does no harm where the node knows others, since all records come
-/// from the hubs. A node that knows none after its first read may have started with the whole fleet,
-/// and needs the present list.
-async fn read_addresses<D: Dialect>(node: &Node<D>, reads: usize) -> Result<bool, StoreError> {
-    let is_alone = reads == 1 && node.members.load().len() <= 1;
+/// The addresses are read first, since a node that knows others is reached by them even where the
+/// store takes no write. A list that is some seconds old does no harm: the records of all instances
+/// come from the hubs, and a conflict tells the version of an earlier registration. A node that still
+/// knows no other may have started with the whole fleet, and needs the present list.
+async fn read_and_register<D: Dialect>(
+    node: &Node<D>,
+    reads: Option<usize>,
+) -> Result<Registration, StoreError> {
+    let is_alone = reads == Some(0) && node.members.load().len() <= 1;
     let listing = match is_alone {
         true => node.store.list(KIND_INSTANCES).await?,
         false => node.store.list_stale(KIND_INSTANCES).await?,
     };
     let own_name = &node.settings.instance;
     let own = node.own_record().address;
+    let mut version: ObjectVersion = 0;
     let mut addresses: BTreeMap<InstanceName, InstanceAddress> = BTreeMap::new();
     for object in listing.objects {
         let Some(value) = object.value else { continue };
+        if object.name == *own_name {
+            version = object.version;
+        }
         match serde_json::from_value(value) {
             Ok(address) => drop(addresses.insert(object.name, address)),
             Err(error) => {
@@ -111,10 +101,23 @@
         }
     }
     let is_listed = addresses.get(own_name) == Some(&own);
-    addresses.insert(own_name.clone(), own);
+    addresses.insert(own_name.clone(), own.clone());
     node.set_stored_addresses(addresses);
     node.drop_unknown_peers();
-    Ok(is_listed)
+    // The early reads may return a state from before the registration.
+    if is_listed || reads.is_some_and(|reads| reads < EARLY_READ_PAUSES.len()) {
+        return Ok(Registration::Known);
+    }
+    let value = serde_json::to_value(&own)
+        .map_err(|error| StoreError::Refused(format!("the address has no JSON form: {error}")))?;
+    let written = match node.store.put(KIND_INSTANCES, own_name, value.clone(), version).await {
+        Err(StoreError::Conflict { current }) if current != version => {
+            node.store.put(KIND_INSTANCES, own_name, value, current).await?
+        }
+        result => result?,
+    };
+    log::info!(version = written; "registered the node's address in the store");
+    Ok(Registration::New)
 }
 
 async fn query_seeds<D: Dialect>(node: &Arc<Node<D>>) {
