Count the grace of idle connections from their last use

Cause: at a shutdown every idle connection of callers stayed open for a further 250 ms, also one that had been idle for long, so a node that was stopped and started again was away for that much longer.

Ruled out: closing at once, since a request may be in transit on a connection that was accepted just before.

--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -41,8 +41,8 @@
 const MAX_CONCURRENT_REQUESTS: usize = 32;
 /// Time within which a caller must accept some bytes of an answer.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time after the start of a shutdown in which a connection without a request stays open: a request
-/// may be in transit on a connection that has just been accepted.
+/// Time since it was accepted or used last in which a connection without a request stays open after the
+/// start of a shutdown: a request may be in transit on it.
 const IDLE_GRACE_PERIOD: Duration = Duration::from_millis(250);
 /// Size of the buffer of one read.
 const READ_BYTES: usize = 4 << 10;
@@ -238,7 +238,7 @@
                     return self.close_after_timeout().await;
                 }
                 () = shutdown.cancelled(), if self.close_idle_at.is_none() => {
-                    self.close_idle_at = Some(Instant::now() + IDLE_GRACE_PERIOD);
+                    self.close_idle_at = Some(self.last_activity + IDLE_GRACE_PERIOD);
                 }
             }
         }
