Open links within the deadline of the request

Cause: the wait for a link, 500 ms at most, was not bounded by the time that the request had left, and the time that the other node was told was that from before the wait.

Ruled out: requests on open links, which do not wait.

The wait ends with the deadline, and the time left is taken after it.

--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -43,20 +43,27 @@
         let detail = "the deadline has passed".to_owned();
         return not_sent(undispatched, Reason::DeadlinePassed, detail);
     }
-    let message = to_message(call, request, remaining);
     let address = member.record.address.peer_address;
-    let is_small = message.body.len() <= MAX_LINK_BODY_BYTES;
-    let link = match (is_small, call.idempotent) {
-        (false, _) => Ok(None),
-        (true, true) => node.links.get(address).await,
-        (true, false) => node.links.get_probed(address).await,
+    let is_small = request.body.len() <= MAX_LINK_BODY_BYTES;
+    let open_link = async {
+        match (is_small, call.idempotent) {
+            (false, _) => Ok(None),
+            (true, true) => node.links.get(address).await,
+            (true, false) => node.links.get_probed(address).await,
+        }
     };
-    let link = match link {
-        Ok(link) => link,
-        Err(LinkFailure::NotSent(detail) | LinkFailure::Lost(detail)) => {
+    let link = match timeout(remaining, open_link).await {
+        Ok(Ok(link)) => link,
+        Ok(Err(LinkFailure::NotSent(detail) | LinkFailure::Lost(detail))) => {
             return not_sent(undispatched, Reason::PeerFailed, detail);
         }
+        Err(_) => {
+            let detail = format!("no link to {} in time", member.record.instance);
+            return not_sent(undispatched, Reason::DeadlinePassed, detail);
+        }
     };
+    let remaining = call.deadline.saturating_sub(clock::now());
+    let message = to_message(call, request, remaining);
     let forwarding = Forwarding::begin(undispatched);
     let exchange = async {
         match link {
