Log and export the limits that upstreams name and what is sent to them

The adapter now reads Server-Limit and Server-Leaving, the guard logs each change of the named limit with the number of requests sent, and /state, /metrics and the state line have both. No logic is changed.

--- a/src/mesh/dialect.rs
+++ b/src/mesh/dialect.rs
@@ -49,6 +49,18 @@
     pub slots: u32,
 }
 
+/// What an upstream's answer says of the rate of requests that it accepts.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum NamedRate {
+    /// The answer names no limit.
+    #[default]
+    Unlimited,
+    /// Requests per second that the upstream accepts from all nodes together; finite, not negative.
+    PerSecond(f64),
+    /// The answer names a limit that is not a valid rate.
+    Invalid,
+}
+
 /// Fields that the node reads from the head of an upstream's answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
@@ -62,6 +74,10 @@
     pub is_from_upstream: bool,
     /// Load of the upstream, if the answer reports it.
     pub load: Option<ReportedLoad>,
+    /// Limit on the rate of requests that the answer names.
+    pub rate: NamedRate,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// Whether an upstream accepts new requests.
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -16,6 +16,7 @@
 use http::{HeaderValue, Request, header, response::Parts};
 use http_body_util::Full;
 use parking_lot::Mutex;
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::timeout;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -27,8 +28,8 @@
     clock,
     http_client::{BodyLimits, ConnectFailure, Connection, ConnectionPool, SendFailure},
     mesh::{
-        Call, Crashes, Dialect, LoadReport, RunningCalls, Upstream, UpstreamHead, Usage,
-        crash_check::CrashDetector, fingerprint, request::BufferedRequest,
+        AnswerHead, Call, Crashes, Dialect, LoadReport, NamedRate, RunningCalls, Upstream,
+        UpstreamHead, Usage, crash_check::CrashDetector, fingerprint, request::BufferedRequest,
     },
     once::Fingerprint,
 };
@@ -97,6 +98,10 @@
     /// Requests that were running when upstreams crashed, and those quarantined for it.
     pub crashes: Mutex<Crashes>,
     crash_check: CrashDetector,
+    /// Requests that were sent to the upstream.
+    pub sent: Counter,
+    /// Limit that the upstream's last answer named.
+    named_rate: Mutex<NamedRate>,
     /// Mean time of each route's requests.
     route_times: Mutex<HashMap<Arc<str>, MeanTime>>,
     /// Set when the node is stopping.
@@ -114,6 +119,8 @@
             connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_IDLE_TIME, BODY_LIMITS),
             crashes: Mutex::default(),
             crash_check: CrashDetector::default(),
+            sent: Counter::default(),
+            named_rate: Mutex::default(),
             route_times: Mutex::default(),
             refuses_requests: AtomicBool::new(false),
             dialect: PhantomData,
@@ -163,6 +170,11 @@
         self.gate.status()
     }
 
+    /// Limit that the upstream's last answer named.
+    pub fn named_rate(&self) -> NamedRate {
+        *self.named_rate.lock()
+    }
+
     /// Sets the fraction of the limit on running requests that is used.
     pub fn set_limit_factor(&self, factor: f64) {
         self.gate.set_limit_factor(factor);
@@ -319,6 +331,7 @@
         let entry = self.running.begin(call);
         let call = &entry.call.call;
         let dispatch = Dispatch::begin(undispatched);
+        self.sent.inc();
         let send = self.connections.send(connection, message, check);
         let sent = timeout(remaining + ANSWER_GRACE, send).await;
         let held = clock::now().saturating_sub(begun);
@@ -334,7 +347,9 @@
                     self.record_route_time(&call.route, held);
                 }
                 self.crashes.lock().record_survival(clock::now(), &fingerprint);
-                to_outcome::<D>(dispatch, answer)
+                let head = D::answer_head(answer.status, &answer.headers);
+                self.record_named_rate(&upstream, head.rate);
+                to_outcome(dispatch, answer, &head)
             }
             Ok(Err(SendFailure::Unsent(unsent, detail))) => {
                 reached_upstream = false;
@@ -357,6 +372,17 @@
         GuardResult { outcome, reached_upstream, load: None, usage, refused_below, failed_below }
     }
 
+    fn record_named_rate(&self, upstream: &Upstream, rate: NamedRate) {
+        let before = std::mem::replace(&mut *self.named_rate.lock(), rate);
+        if before != rate {
+            log::info!(
+                upstream:% = upstream.heartbeat.upstream, rate:? = rate, before:? = before,
+                sent = self.sent.get();
+                "the limit that the upstream names has changed"
+            );
+        }
+    }
+
     /// The upstream, if it serves the call's service and new requests may be sent to it.
     fn serving_upstream(&self, call: &Call) -> Option<Arc<Upstream>> {
         let upstream = self.upstream.load_full()?;
@@ -420,8 +446,7 @@
 }
 
 /// Outcome of a complete response, which may state that the upstream did not run the request.
-fn to_outcome<D: Dialect>(dispatch: Dispatch, answer: Answer) -> Outcome {
-    let head = D::answer_head(answer.status, &answer.headers);
+fn to_outcome(dispatch: Dispatch, answer: Answer, head: &AnswerHead) -> Outcome {
     if !head.not_run {
         return dispatch.answered(answer);
     }
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -23,7 +23,7 @@
     admission::GateStatus,
     call::Outcome,
     clock, http_server,
-    mesh::{Dialect, Node},
+    mesh::{Dialect, NamedRate, Node},
     names::{InstanceName, Revision, ServiceName},
     store::ObjectVersion,
     telemetry,
@@ -151,6 +151,10 @@
     /// Instances that receive no requests: leaving, silent, or without a ready upstream.
     out_of_use: Vec<InstanceName>,
     gate: Option<GateStatus>,
+    /// Requests per second that the upstream's last answer named as its limit.
+    named_rate_per_s: Option<f64>,
+    /// Requests that were sent to the upstream.
+    sent: u64,
     loads: Vec<ServiceLoad>,
     /// Number of quarantined requests, which have crashed upstreams and are refused.
     quarantined: usize,
@@ -179,6 +183,11 @@
             instances: members.len(),
             out_of_use: out_of_use.map(|member| member.record.instance.clone()).collect(),
             gate: node.guard.gate_status(),
+            named_rate_per_s: match node.guard.named_rate() {
+                NamedRate::PerSecond(per_s) => Some(per_s),
+                NamedRate::Unlimited | NamedRate::Invalid => None,
+            },
+            sent: node.guard.sent.get(),
             loads: loads
                 .map(|(service, load, allowance_per_s)| ServiceLoad {
                     service,
@@ -237,6 +246,14 @@
                 f64::from(gate.limit),
             );
         }
+        gauge(
+            "upstream_named_rate_per_second",
+            "Limit on requests per second that the upstream's last answer named; -1 without one",
+            self.named_rate_per_s.unwrap_or(-1.0),
+        );
+        let sent = Counter::<u64>::default();
+        sent.inc_by(self.sent);
+        registry.register("upstream_requests", "Requests sent to the local upstream", sent);
         let loads = Family::<ServiceLabels, FloatGauge>::default();
         for it in &self.loads {
             loads.get_or_create(&ServiceLabels { service: it.service.clone() }).set(it.load);
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -206,6 +206,7 @@
             running = gate.map_or(0, |it| it.in_flight),
             waiting = gate.map_or(0, |it| it.waiting),
             limit = gate.map_or(0, |it| it.limit),
+            sent = node.guard.sent.get(), named_rate:? = node.guard.named_rate(),
             home_parts:? = node.homes.lock().granted_fractions(clock::now()),
             loads:? = node.root_admission.lock().service_loads();
             "state"
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock,
-    mesh::{AnswerHead, CallHead, ReportedLoad, UpstreamHead},
+    mesh::{AnswerHead, CallHead, NamedRate, ReportedLoad, UpstreamHead},
     names::InstanceName,
 };
 
@@ -31,6 +31,11 @@
 /// Numbers of running requests, waiting requests and slots of the upstream, separated by commas.
 const INSTANCE_LOAD: HeaderName = HeaderName::from_static("x-instance-load");
 
+/// Requests per second that the upstream accepts from all nodes together, as a decimal number.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// `1` in all answers of an upstream that is leaving.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// Headers that only a node may send to an upstream; removed from the requests of callers.
 const SET_BY_NODE: [HeaderName; 3] = [TENANT, CALLER_SERVICE, EXPECT_INSTANCE];
 
@@ -72,6 +77,8 @@
         misdirected,
         is_from_upstream: headers.contains_key(RESPONSE_SEAL),
         load: headers.get(INSTANCE_LOAD).and_then(|value| parse_load(value.to_str().ok()?)),
+        rate: headers.get(SERVER_LIMIT).map_or(NamedRate::Unlimited, parse_rate),
+        is_leaving: headers.get(SERVER_LEAVING).is_some_and(|value| value.as_bytes() == b"1"),
     }
 }
 
@@ -102,6 +109,16 @@
     })
 }
 
+fn parse_rate(value: &HeaderValue) -> NamedRate {
+    let text = value.to_str().unwrap_or_default().trim();
+    // `parse` also accepts words such as `inf`, and exponents.
+    let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    match text.parse::<f64>() {
+        Ok(per_s) if is_decimal && per_s.is_finite() => NamedRate::PerSecond(per_s),
+        _ => NamedRate::Invalid,
+    }
+}
+
 fn header_text(headers: &HeaderMap, name: &HeaderName) -> Option<Arc<str>> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(Arc::from)
 }
