Keep to the limit on requests per second that an upstream names

Callers' requests reached upstreams in need faster than these accept: 104 in four seconds at a limit of 9.8 a second (allowed 64), and the upstream slowed further.

Cause: no node read the limit in an answer.

Change: the only way to an upstream is its guard, so one token bucket there bounds the sum over all nodes, whatever their number. Admission starts a request only with a slot and a token, in the usual order of importance, and refuses at once what could not get a token within its longest wait. Falling limits apply at once; higher ones and the end of a limit only after answers that may have crossed; the end is gradual. Replies carry the limit as the concurrency it amounts to, so placement and root admission turn to other instances, and as the named rate, which entry nodes send back with their requests: a guard that has started anew keeps it until its first own answer. Builds before this one ignore both fields.

The soak draws upstreams that name limits.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -8,10 +8,15 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
+use tokio::{
+    sync::{Notify, oneshot},
+    time::timeout,
+};
 
 use crate::{
-    admission::{Action, Admission, Arrival, Completion, ConcurrencyLimit, Limit, Refusal, Ticket},
+    admission::{
+        Action, Admission, Arrival, Completion, ConcurrencyLimit, Limit, NamedRate, Refusal, Ticket,
+    },
     clock::{self, Timestamp},
     config::Importance,
     names::OrganisationName,
@@ -33,12 +38,18 @@
 pub struct Gate<L = ConcurrencyLimit> {
     state: Mutex<State<L>>,
     last_ticket: AtomicU64,
+    /// Notified when a request may have begun to wait for a token of the rate limit.
+    token_wanted: Notify,
 }
 
 impl<L> Default for Gate<L> {
     fn default() -> Self {
         let state = State { admission: None, waiting: HashMap::new() };
-        Self { state: Mutex::new(state), last_ticket: AtomicU64::new(0) }
+        Self {
+            state: Mutex::new(state),
+            last_ticket: AtomicU64::new(0),
+            token_wanted: Notify::new(),
+        }
     }
 }
 
@@ -71,6 +82,12 @@
     /// Mean time that a request occupies its slot, in seconds.
     #[serde(default)]
     pub mean_s: f64,
+    /// Requests per second that may be started; `None` while the upstream names no limit.
+    #[serde(default)]
+    pub rate_per_s: Option<f64>,
+    /// The limit that the upstream names, without the gradual rise after its end.
+    #[serde(default)]
+    pub named_per_s: Option<f64>,
 }
 
 /// The slot of a started request. Dropping it without [`Slot::complete`] counts the request as
@@ -136,6 +153,58 @@
         }
     }
 
+    /// Records what an answer of the upstream names as its limit.
+    pub fn record_named_rate(&self, named: NamedRate) {
+        let mut state = self.state.lock();
+        if let Some(admission) = &mut state.admission {
+            admission.rate_mut().record_answer(clock::now(), named);
+        }
+        self.notify_if_token_is_wanted(&mut state);
+    }
+
+    /// Records a limit of the upstream that another node knows; see [`RateLimit::record_relayed`].
+    pub fn record_relayed_rate(&self, per_s: f64) {
+        if let Some(admission) = &mut self.state.lock().admission {
+            admission.rate_mut().record_relayed(clock::now(), per_s);
+        }
+    }
+
+    /// Forgets the limit, since another upstream has replaced the one that named it.
+    pub fn reset_rate(&self) {
+        let mut state = self.state.lock();
+        if let Some(admission) = &mut state.admission {
+            admission.rate_mut().reset();
+        }
+        self.notify_if_token_is_wanted(&mut state);
+    }
+
+    fn notify_if_token_is_wanted(&self, state: &mut State<L>) {
+        let admission = state.admission.as_mut();
+        if admission.is_some_and(|it| it.time_to_token(clock::now()).is_some()) {
+            self.token_wanted.notify_one();
+        }
+    }
+
+    /// Starts requests that wait for the rate limit when it permits them; never returns.
+    pub async fn start_at_rate(&self) {
+        loop {
+            let wanted = self.token_wanted.notified();
+            let pause = {
+                let mut state = self.state.lock();
+                let now = clock::now();
+                let actions = state.admission.as_mut().map(|it| it.on_token(now));
+                for action in actions.into_iter().flatten() {
+                    state.send_decision(action);
+                }
+                state.admission.as_mut().and_then(|it| it.time_to_token(now))
+            };
+            match pause {
+                Some(pause) => drop(timeout(pause, wanted).await),
+                None => wanted.await,
+            }
+        }
+    }
+
     /// Waits until the request is started or refused.
     pub async fn admit(&self, request: AdmissionRequest) -> Result<Slot<'_, L>, Refusal> {
         let ticket = Ticket(self.last_ticket.fetch_add(1, Ordering::Relaxed));
@@ -148,8 +217,8 @@
             Err(NotStarted::Refused(refusal)) => return Err(refusal),
             Err(NotStarted::Queued(waiter, wait_until)) => (waiter, wait_until),
         };
-        let timeout = wait_until.saturating_sub(clock::now());
-        let decision = match tokio::time::timeout(timeout, &mut waiter.decision).await {
+        let max_wait = wait_until.saturating_sub(clock::now());
+        let decision = match timeout(max_wait, &mut waiter.decision).await {
             Ok(decision) => decision.unwrap_or(Err(Refusal::Overload)),
             Err(_) => self.end_wait(ticket, &mut waiter),
         };
@@ -184,6 +253,8 @@
             waiting: admission.waiting(),
             shed_below: admission.shed_below(now).0,
             mean_s: admission.mean_own_time().as_secs_f64(),
+            rate_per_s: admission.rate().per_s(now),
+            named_per_s: admission.rate().named_per_s(),
         })
     }
 
@@ -213,6 +284,7 @@
                 other => state.send_decision(other),
             }
         }
+        self.notify_if_token_is_wanted(&mut state);
         result
     }
 
@@ -236,6 +308,7 @@
         for action in admission.on_completion(clock::now(), completion) {
             state.send_decision(action);
         }
+        self.notify_if_token_is_wanted(&mut state);
     }
 
     fn new_slot(&self) -> Slot<'_, L> {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -9,6 +9,7 @@
 mod mean_time;
 mod own_time;
 mod queue;
+mod rate_limit;
 mod slot_limit;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -20,6 +21,7 @@
 pub use mean_time::MeanTime;
 pub use own_time::OwnTime;
 pub use queue::{FairQueue, WaitingRequest};
+pub use rate_limit::{NamedRate, RateLimit};
 pub use slot_limit::SlotLimit;
 
 use crate::{clock::Timestamp, config::Importance, names::OrganisationName};
@@ -133,12 +135,15 @@
     );
 }
 
-/// Decides which requests run at the upstream, by a concurrency limit and a fair queue.
+/// Decides which requests run at the upstream, by a concurrency limit, the rate that the upstream
+/// names, and a fair queue.
 #[derive(Debug)]
 pub struct Admission<L = ConcurrencyLimit> {
     limit: L,
     /// Fraction of the limit that is used.
     limit_factor: f64,
+    /// Limit on the rate of starts, which the upstream names in its answers.
+    rate: RateLimit,
     queue: FairQueue,
     in_flight: u32,
     activity: BTreeMap<Importance, ClassActivity>,
@@ -150,6 +155,7 @@
         Self {
             limit: L::new(now, slots),
             limit_factor: 1.0,
+            rate: RateLimit::default(),
             queue: FairQueue::default(),
             in_flight: 0,
             activity: BTreeMap::new(),
@@ -167,6 +173,29 @@
         self.limit_factor = factor;
     }
 
+    /// Limit on the rate of starts.
+    pub fn rate(&self) -> &RateLimit {
+        &self.rate
+    }
+
+    /// The same, to record what the upstream names.
+    pub fn rate_mut(&mut self) -> &mut RateLimit {
+        &mut self.rate
+    }
+
+    /// Starts the waiting requests for which the rate limit has gained tokens.
+    pub fn on_token(&mut self, now: Timestamp) -> Actions {
+        let mut actions = Actions::new();
+        self.start_waiting_requests(now, &mut actions);
+        actions
+    }
+
+    /// Time until [`Self::on_token`] must be called; `None` while no request waits for a token.
+    pub fn time_to_token(&mut self, now: Timestamp) -> Option<Duration> {
+        let waits = !self.queue.is_empty() && self.in_flight < self.limit(now);
+        waits.then(|| self.rate.time_to_token(now))
+    }
+
     /// Handles an arriving request.
     pub fn on_arrival(&mut self, now: Timestamp, arrival: Arrival) -> Actions {
         let mut actions = Actions::new();
@@ -258,12 +287,13 @@
     }
 
     fn start_waiting_requests(&mut self, now: Timestamp, actions: &mut Actions) {
-        while self.in_flight < self.limit(now) {
+        while self.in_flight < self.limit(now) && self.rate.time_to_token(now).is_zero() {
             let Some((importance, waiting)) = self.queue.pop() else { return };
             if self.cannot_meet_deadline(now, &waiting) {
                 actions.push(Action::Refuse(waiting.ticket, Refusal::DeadlinePassed));
                 continue;
             }
+            self.rate.take(now);
             self.in_flight += 1;
             self.activity.entry(importance).or_default().started_at = Some(now);
             actions.push(Action::Start(waiting.ticket));
@@ -280,7 +310,12 @@
     }
 
     fn queue_capacity(&self, now: Timestamp) -> usize {
-        (self.limit(now) as usize).max(MIN_QUEUE_CAPACITY)
+        let capacity = (self.limit(now) as usize).max(MIN_QUEUE_CAPACITY);
+        match self.rate.per_s(now) {
+            // More requests than can be started within the maximum wait would only be refused later.
+            Some(per_s) => capacity.min((per_s * self.max_wait().as_secs_f64()).ceil() as usize),
+            None => capacity,
+        }
     }
 }
 
--- a/src/mesh/dialect.rs
+++ b/src/mesh/dialect.rs
@@ -6,6 +6,7 @@
 use serde_json::{Map, Value};
 
 use crate::{
+    admission::NamedRate,
     findings::Collector,
     mesh::{Bounds, CatalogParts},
     names::{InstanceName, ServiceName, ZoneName},
@@ -49,18 +50,6 @@
     pub slots: u32,
 }
 
-/// What an upstream's answer says of the rate of requests that it accepts.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub enum NamedRate {
-    /// The answer names no limit.
-    #[default]
-    Unlimited,
-    /// Requests per second that the upstream accepts from all nodes together; finite, not negative.
-    PerSecond(f64),
-    /// The answer names a limit that is not a valid rate.
-    Invalid,
-}
-
 /// Fields that the node reads from the head of an upstream's answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -63,7 +63,11 @@
         }
     };
     let remaining = call.deadline.saturating_sub(clock::now());
-    let message = to_message(call, request, remaining);
+    let named_rate_per_s = node.placement.lock().named_rate_per_s(&member.record.instance);
+    let message = proto::ForwardRequest {
+        named_rate_per_s: named_rate_per_s.unwrap_or(0.0),
+        ..to_message(call, request, remaining)
+    };
     let forwarding = Forwarding::begin(undispatched);
     let exchange = async {
         match link {
@@ -130,6 +134,7 @@
         depth: call.depth,
         repeated: call.repeated,
         route: call.route.to_string(),
+        named_rate_per_s: 0.0,
     }
 }
 
@@ -166,6 +171,7 @@
             limit: load.limit,
             mean_s: f64::from(load.mean_us) / 1e6,
             route_mean_s: f64::from(load.route_us) / 1e6,
+            named_rate_per_s: (load.named_rate_per_s > 0.0).then_some(load.named_rate_per_s),
         }),
         usage,
         refused_below: reply.refused_below,
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -22,13 +22,14 @@
 
 use crate::{
     admission::{
-        AdmissionRequest, Completion, Gate, GateStatus, MeanTime, Refusal, Slot, SlotLimit,
+        AdmissionRequest, Completion, Gate, GateStatus, MeanTime, NamedRate, Refusal, Slot,
+        SlotLimit,
     },
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
     clock,
     http_client::{BodyLimits, ConnectFailure, Connection, ConnectionPool, SendFailure},
     mesh::{
-        AnswerHead, Call, Crashes, Dialect, LoadReport, NamedRate, RunningCalls, Upstream,
+        AnswerHead, Call, Crashes, Dialect, Heartbeat, LoadReport, RunningCalls, Upstream,
         UpstreamHead, Usage, crash_check::CrashDetector, fingerprint, request::BufferedRequest,
     },
     once::Fingerprint,
@@ -146,7 +147,16 @@
     /// Replaces the upstream, and resets the admission limit if its number of slots has changed.
     pub fn set_upstream(&self, upstream: Upstream) {
         let slots = upstream.heartbeat.slots;
+        let (id, started_unix_ms) =
+            (upstream.heartbeat.upstream.clone(), upstream.heartbeat.started_unix_ms);
         let before = self.upstream.swap(Some(Arc::new(upstream)));
+        // The start of an upstream that was found by a health request is unknown.
+        let is_same_start = |known: &Heartbeat| {
+            known.upstream == id && [0, started_unix_ms].contains(&known.started_unix_ms)
+        };
+        if before.as_ref().is_some_and(|before| !is_same_start(&before.heartbeat)) {
+            self.gate.reset_rate();
+        }
         if before.is_none_or(|before| before.heartbeat.slots != slots) {
             self.gate.on_announcement(slots);
         }
@@ -175,6 +185,16 @@
         *self.named_rate.lock()
     }
 
+    /// Records a limit of the upstream that another node knows from an earlier answer.
+    pub fn record_relayed_rate(&self, per_s: f64) {
+        self.gate.record_relayed_rate(per_s);
+    }
+
+    /// Starts requests that wait for the rate limit of the upstream; never returns.
+    pub async fn start_at_rate(&self) {
+        self.gate.start_at_rate().await;
+    }
+
     /// Sets the fraction of the limit on running requests that is used.
     pub fn set_limit_factor(&self, factor: f64) {
         self.gate.set_limit_factor(factor);
@@ -373,6 +393,7 @@
     }
 
     fn record_named_rate(&self, upstream: &Upstream, rate: NamedRate) {
+        self.gate.record_named_rate(rate);
         let before = std::mem::replace(&mut *self.named_rate.lock(), rate);
         if before != rate {
             log::info!(
@@ -408,11 +429,13 @@
 
     fn load_report(&self, route: &str) -> Option<LoadReport> {
         let status = self.gate.status()?;
+        let (limit, mean_s) = effective_limit(&status);
         Some(LoadReport {
             running: status.in_flight,
             waiting: u32::try_from(status.waiting).unwrap_or(u32::MAX),
-            limit: status.limit,
-            mean_s: status.mean_s,
+            limit,
+            mean_s,
+            named_rate_per_s: status.named_per_s,
             route_mean_s: self
                 .route_times
                 .lock()
@@ -422,6 +445,19 @@
     }
 }
 
+/// Concurrency limit and mean time per request that describe the gate's throughput: with a rate limit,
+/// the number of requests that run at that rate, so that placement and root admission need no other
+/// measure of a full upstream.
+fn effective_limit(status: &GateStatus) -> (u32, f64) {
+    match status.rate_per_s {
+        Some(per_s) if per_s * status.mean_s < f64::from(status.limit) => {
+            let limit = (per_s * status.mean_s).round().max(1.0);
+            (limit as u32, limit / per_s)
+        }
+        _ => (status.limit, status.mean_s),
+    }
+}
+
 fn to_upstream_request<D: Dialect>(
     call: &Call,
     upstream: &Upstream,
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -50,8 +50,8 @@
 pub use configuration::CatalogSource;
 pub use crashes::{Crashes, fingerprint};
 pub use dialect::{
-    AnswerHead, CallHead, Dialect, Heartbeat, NamedRate, ReportedLoad, UpstreamHead,
-    UpstreamMessage, UpstreamState,
+    AnswerHead, CallHead, Dialect, Heartbeat, ReportedLoad, UpstreamHead, UpstreamMessage,
+    UpstreamState,
 };
 pub use directory::{
     Addresses, Changes, Directory, InstanceAddress, InstanceRecord, Member, Members, MergeResult,
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -20,10 +20,10 @@
 use serde::Serialize;
 
 use crate::{
-    admission::GateStatus,
+    admission::{GateStatus, NamedRate},
     call::Outcome,
     clock, http_server,
-    mesh::{Dialect, NamedRate, Node},
+    mesh::{Dialect, Node},
     names::{InstanceName, Revision, ServiceName},
     store::ObjectVersion,
     telemetry,
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -144,6 +144,10 @@
         depth: message.depth,
         repeated: message.repeated,
     };
+    // This process may have started after the upstream has named its limit.
+    if message.named_rate_per_s > 0.0 {
+        node.guard.record_relayed_rate(message.named_rate_per_s);
+    }
     let service = call.service.clone();
     let undispatched = Undispatched::new(true);
     let method = match Method::from_bytes(message.method.as_bytes()) {
@@ -177,6 +181,7 @@
             limit: load.limit,
             mean_us: to_micros(load.mean_s),
             route_us: to_micros(load.route_mean_s),
+            named_rate_per_s: load.named_rate_per_s.unwrap_or(0.0),
         }),
         uses: service_uses(node, service, &result.usage),
         refused_below: result.refused_below,
--- a/src/mesh/placement.rs
+++ b/src/mesh/placement.rs
@@ -69,6 +69,8 @@
     pub mean_s: f64,
     /// The same for the requests of the requested route; 0 while unknown.
     pub route_mean_s: f64,
+    /// Requests per second that the upstream accepts from all nodes together, if it names a limit.
+    pub named_rate_per_s: Option<f64>,
 }
 
 /// How an attempt at an instance ended.
@@ -193,6 +195,11 @@
         }
     }
 
+    /// Limit on requests per second that the upstream of an instance named last.
+    pub fn named_rate_per_s(&self, instance: &InstanceName) -> Option<f64> {
+        self.instances.get(instance)?.report?.0.named_rate_per_s
+    }
+
     /// Load of a service: running and queued requests of its instances divided by their concurrency
     /// limits; `None` without a current report.
     pub fn service_load<'a>(
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -54,6 +54,10 @@
     /// Rank of the route of the root request.
     #[prost(uint32, tag = "17")]
     pub route_rank: u32,
+    /// Requests per second that the receiver's upstream has named as its limit, as far as the sender knows;
+    /// 0 if none. A receiver that has just started does not know it yet.
+    #[prost(double, tag = "18")]
+    pub named_rate_per_s: f64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ForwardReply {
@@ -85,7 +89,7 @@
     pub failed_below: bool,
 }
 /// Load of the local upstream of a node.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct Load {
     #[prost(uint32, tag = "1")]
     pub running: u32,
@@ -99,6 +103,9 @@
     /// The same for requests of the route of the forwarded request.
     #[prost(uint32, tag = "5")]
     pub route_us: u32,
+    /// Requests per second that the upstream accepts from all nodes together; 0 if it names no limit.
+    #[prost(double, tag = "6")]
+    pub named_rate_per_s: f64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceUse {
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -102,6 +102,9 @@
     spawn(&mut control_tasks, "probe", |node| probe::run(node).boxed());
     spawn(&mut control_tasks, "state log", |node| log_state(node).boxed());
     spawn(&mut control_tasks, "processor limit", |node| limit_by_processor(node).boxed());
+    spawn(&mut control_tasks, "rate limit", |node| {
+        async move { node.guard.start_at_rate().await }.boxed()
+    });
     control_tasks.spawn(reload::run(node.clone(), reload));
     for number in 0..sync::MAX_HUBS {
         let node = node.clone();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,8 +5,9 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::{
+    admission::NamedRate,
     clock,
-    mesh::{AnswerHead, CallHead, NamedRate, ReportedLoad, UpstreamHead},
+    mesh::{AnswerHead, CallHead, ReportedLoad, UpstreamHead},
     names::InstanceName,
 };
 
--- a/tests/mesh_placement.rs
+++ b/tests/mesh_placement.rs
@@ -106,6 +106,7 @@
         waiting: held.saturating_sub(SLOTS),
         limit: SLOTS,
         mean_s: instance.work.as_secs_f64(),
+        named_rate_per_s: None,
         route_mean_s: instance.work.as_secs_f64(),
     }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,17 +9,10 @@
 #[path = "soak/mod.rs"]
 mod fleet;
 
-use std::{
-    ops::Range,
-    path::Path,
-    time::{Duration, Instant},
-};
+use std::{ops::Range, path::Path, time::Duration};
 
 use anyhow::Context as _;
-use tokio::{
-    task::JoinSet,
-    time::{sleep, sleep_until},
-};
+use tokio::{task::JoinSet, time::sleep_until};
 
 use fleet::{plan, world::World};
 
@@ -32,14 +25,6 @@
 const DEFAULT_NODES: usize = 6;
 /// Length of the period from the start of traffic in which faults begin.
 const DEFAULT_LENGTH: Duration = Duration::from_secs(8);
-/// Longest wait until the fleet serves requests, at the start and after the last fault. This is the
-/// platform's bound on recovery.
-const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-/// Fraction of the requests that a working fleet must serve. It is low because one organisation
-/// exceeds its rate and keys may have been withdrawn.
-const MIN_SERVED_RATIO: f64 = 0.25;
-/// Interval over which the fraction of served requests is measured.
-const SERVED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 fn env_setting<T: std::str::FromStr>(name: &str) -> Option<T> {
     std::env::var(name).ok()?.parse().ok()
@@ -88,7 +73,7 @@
         .unwrap_or(u16::MAX);
     let world = World::start(program, folder, count, network).await?;
     world.start_callers(seed);
-    wait_until_serving(&world).await.context("before the first fault")?;
+    world.wait_until_serving().await.context("before the first fault")?;
     let traffic_start = tokio::time::Instant::now();
     let mut injections = JoinSet::new();
     for (at, fault) in plan::faults(seed, length) {
@@ -103,7 +88,7 @@
         injected??;
     }
     let mut violations = Vec::new();
-    if let Err(error) = wait_until_serving(&world).await {
+    if let Err(error) = world.wait_until_serving().await {
         violations.push(format!("after the last fault: {error}"));
     }
     let ended = world.ended_nodes();
@@ -117,21 +102,3 @@
     println!("seed {seed}: {:?}", world.record.outcomes());
     Ok(violations)
 }
-
-/// Waits until the fleet serves enough of the requests of its callers.
-async fn wait_until_serving(world: &World) -> anyhow::Result<()> {
-    let deadline = Instant::now() + RECOVERY_LIMIT;
-    let mut ratio = 0.0;
-    while Instant::now() < deadline {
-        let since = Instant::now();
-        sleep(SERVED_CHECK_INTERVAL).await;
-        ratio = world.record.served_ratio(since);
-        if ratio >= MIN_SERVED_RATIO {
-            return Ok(());
-        }
-    }
-    anyhow::bail!(
-        "the fleet served a fraction of {ratio:.2} of the requests in the last second, expected at \
-         least {MIN_SERVED_RATIO} within 15 s"
-    )
-}
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -126,6 +126,8 @@
     StoreLosesWrites(Duration),
     WithdrawKey(usize),
     ChangeConfiguration,
+    /// The upstream names a limit on the rate of its requests.
+    LimitUpstream(usize, Duration),
 }
 
 /// Number of variants of `Fault`.
@@ -146,6 +148,11 @@
         };
         faults.push((at, random_fault(&mut random)));
     }
+    // Drawn after the others, so that a seed that has failed keeps the faults that it failed with.
+    for _ in 0..random.random_range(0..3) {
+        let at = Duration::from_secs_f64(random.random_range(0.3..length.as_secs_f64()));
+        faults.push((at, random_later_fault(&mut random)));
+    }
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
@@ -179,3 +186,10 @@
         _ => Fault::ChangeConfiguration,
     }
 }
+
+/// Faults that were added after seeds had failed.
+fn random_later_fault(random: &mut ChaCha8Rng) -> Fault {
+    let node = random.random_range(0..64);
+    // The limit is checked from three seconds after its first answer, in windows of four seconds.
+    Fault::LimitUpstream(node, Duration::from_millis(random.random_range(4_000..10_000)))
+}
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -19,6 +19,14 @@
 const RATE_TOLERANCE_FACTOR: f64 = 1.1;
 /// Requests allowed in addition in each window.
 const RATE_SLACK_REQUESTS: f64 = 20.0;
+/// Time after an upstream first names a limit from which the limit is checked.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Window in which the requests at an upstream are counted to check its limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Factor on the limit up to which the count is allowed.
+const LIMIT_TOLERANCE_FACTOR: f64 = 1.5;
+/// Requests allowed in addition in each window.
+const LIMIT_SLACK_REQUESTS: f64 = 5.0;
 /// A request is checked for a cut by a planned stop only if no other disturbance was recorded while
 /// it was open or in this time before it was sent.
 const UNDISTURBED_WINDOW: Duration = Duration::from_secs(3);
@@ -57,6 +65,16 @@
     pub drain_acknowledged_at: Option<Instant>,
 }
 
+/// Period in which an upstream named a limit in its answers.
+#[derive(Debug, Clone)]
+pub struct LimitPeriod {
+    pub upstream: String,
+    pub per_s: f64,
+    /// Time of the first answer that named the limit.
+    pub named_at: Instant,
+    pub ended_at: Instant,
+}
+
 /// State of an organisation's key.
 #[derive(Debug, Clone)]
 pub struct KeyState {
@@ -77,6 +95,9 @@
     pub sent: Mutex<HashMap<String, SentRequest>>,
     pub runs: Mutex<HashMap<String, Vec<Run>>>,
     pub keys: Mutex<HashMap<String, KeyState>>,
+    /// Times at which requests reached each upstream, refused ones included.
+    pub arrivals: Mutex<HashMap<String, Vec<Instant>>>,
+    pub limits: Mutex<Vec<LimitPeriod>>,
     /// Start and end times of faults, with the node (`None` for all nodes). A request that is cut
     /// near one of them violates no guarantee. Planned stops, SIGHUP and configuration changes must
     /// cut no request, so they are not recorded here.
@@ -91,6 +112,11 @@
         self.disturbances.lock().push((node, Instant::now()));
     }
 
+    /// Records that a request reaches an upstream.
+    pub fn record_arrival(&self, upstream: &str) {
+        self.arrivals.lock().entry(upstream.to_owned()).or_default().push(Instant::now());
+    }
+
     /// Records that an upstream begins to run a request.
     pub fn record_run(&self, id: &str, run: Run) {
         self.runs.lock().entry(id.to_owned()).or_default().push(run);
@@ -150,12 +176,40 @@
                 }
             }
         }
+        violations.extend(self.exceeded_limits());
         for (organisation, rate) in rates {
             violations.extend(check_rate(organisation, *rate, &sent, &runs));
         }
         violations
     }
 
+    /// Checks that each upstream received no more requests than the limit that it named.
+    pub fn exceeded_limits(&self) -> Vec<String> {
+        let arrivals = self.arrivals.lock();
+        let mut exceeded = Vec::new();
+        for period in self.limits.lock().iter() {
+            let since = period.named_at + LIMIT_SETTLE_TIME;
+            let times: Vec<Instant> = arrivals
+                .get(&period.upstream)
+                .into_iter()
+                .flatten()
+                .filter(|at| (since..period.ended_at).contains(at))
+                .copied()
+                .collect();
+            let allowed = period.per_s * LIMIT_WINDOW.as_secs_f64() * LIMIT_TOLERANCE_FACTOR
+                + LIMIT_SLACK_REQUESTS;
+            let most = most_in_window(&times, LIMIT_WINDOW);
+            if most as f64 > allowed {
+                exceeded.push(format!(
+                    "{most} requests reached {} within 4 s, expected at most {allowed:.0} at the \
+                     limit of {} a second",
+                    period.upstream, period.per_s
+                ));
+            }
+        }
+        exceeded
+    }
+
     /// Checks that no request ran with a key that had been withdrawn longer ago than the limit.
     fn check_key_withdrawal(&self, id: &str, sent: &SentRequest, runs: &[Run]) -> Option<String> {
         let keys = self.keys.lock();
@@ -201,15 +255,21 @@
     let allowed = (rate.rate_per_s * RATE_WINDOW.as_secs_f64() + rate.burst)
         * RATE_TOLERANCE_FACTOR
         + RATE_SLACK_REQUESTS;
+    let most = most_in_window(&times, RATE_WINDOW);
+    (most as f64 > allowed).then(|| {
+        format!("{most} requests of {organisation} ran within 5 s, expected at most {allowed:.0}")
+    })
+}
+
+/// Largest number of times within a window of this length; `times` is sorted.
+fn most_in_window(times: &[Instant], window: Duration) -> usize {
     let mut first = 0;
     let mut most = 0;
     for (last, at) in times.iter().enumerate() {
-        while times[first] + RATE_WINDOW <= *at {
+        while times[first] + window <= *at {
             first += 1;
         }
         most = most.max(last - first + 1);
     }
-    (most as f64 > allowed).then(|| {
-        format!("{most} requests of {organisation} ran within 5 s, expected at most {allowed:.0}")
-    })
+    most
 }
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -26,7 +26,7 @@
 
 use super::{
     plan::{CALL_HOST, DOWNSTREAM_PREFIX, HEALTH_PATH, ServicePlan},
-    record::{Record, Run},
+    record::{LimitPeriod, Record, Run},
 };
 
 /// Number of requests that an upstream runs concurrently; it refuses more.
@@ -73,6 +73,8 @@
     running: AtomicU64,
     received: AtomicU64,
     fault: Mutex<UpstreamFault>,
+    /// Limit on the rate of requests that its answers name.
+    limit: Mutex<Option<NamedLimit>>,
     is_draining: AtomicBool,
     /// When its node acknowledged a heartbeat with the state `draining`.
     drain_acknowledged_at: Mutex<Option<Instant>>,
@@ -98,6 +100,7 @@
             running: AtomicU64::new(0),
             received: AtomicU64::new(0),
             fault: Mutex::new(UpstreamFault::None),
+            limit: Mutex::new(None),
             is_draining: AtomicBool::new(false),
             drain_acknowledged_at: Mutex::new(None),
             stop: CancellationToken::new(),
@@ -119,6 +122,18 @@
         *self.fault.lock() = fault;
     }
 
+    /// Names this limit in all answers for a time.
+    pub async fn name_limit(&self, per_s: f64, span: Duration) {
+        *self.limit.lock() = Some(NamedLimit { per_s, named_at: None });
+        sleep(span).await;
+        let Some(limit) = self.limit.lock().take() else { return };
+        if let Some(named_at) = limit.named_at {
+            let ended_at = Instant::now();
+            let period = LimitPeriod { upstream: self.id.clone(), per_s, named_at, ended_at };
+            self.record.limits.lock().push(period);
+        }
+    }
+
     /// Stops at once and closes the connections of requests that run.
     pub fn crash(&self) {
         self.abort.cancel();
@@ -133,6 +148,13 @@
     }
 }
 
+/// Limit that an upstream names, with the time of the first answer that named it.
+#[derive(Debug, Clone, Copy)]
+struct NamedLimit {
+    per_s: f64,
+    named_at: Option<Instant>,
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
@@ -198,6 +220,17 @@
     upstream: Arc<Upstream>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let mut response = run_request(upstream.clone(), request).await;
+    if let Some(limit) = &mut *upstream.limit.lock() {
+        limit.named_at.get_or_insert_with(Instant::now);
+        if let Ok(value) = format!("{:.1}", limit.per_s).parse() {
+            response.headers_mut().insert("server-limit", value);
+        }
+    }
+    response
+}
+
+async fn run_request(upstream: Arc<Upstream>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
     let header = |name: &str| {
         parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
@@ -211,6 +244,7 @@
     if header("x-expect-instance").is_some_and(|expected| expected != upstream.id) {
         return not_executed_response(StatusCode::MISDIRECTED_REQUEST, &id);
     }
+    upstream.record.record_arrival(&upstream.id);
     let fault = *upstream.fault.lock();
     let number = upstream.received.fetch_add(1, Ordering::Relaxed);
     let slot = Slot::acquire(&upstream)
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -44,8 +44,18 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause before an upstream or a node is restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Limit that an upstream names; its node receives several times as many requests.
+const NAMED_LIMIT_PER_S: f64 = 3.0;
 /// Time after SIGTERM until a node that still runs is killed.
 const NODE_STOP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Longest wait until the fleet serves requests, at the start and after the last fault. This is the
+/// platform's bound on recovery.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+/// Fraction of the requests that a working fleet must serve. It is low because one organisation
+/// exceeds its rate and keys may have been withdrawn.
+const MIN_SERVED_RATIO: f64 = 0.25;
+/// Interval over which the fraction of served requests is measured.
+const SERVED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const CALLERS_PER_NODE: usize = 3;
 /// Number of keys of an organisation at the start.
 const KEYS_PER_ORGANISATION: usize = 3;
@@ -205,6 +215,24 @@
         }
     }
 
+    /// Waits until the fleet serves enough of the requests of its callers.
+    pub async fn wait_until_serving(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + RECOVERY_LIMIT;
+        let mut ratio = 0.0;
+        while Instant::now() < deadline {
+            let since = Instant::now();
+            sleep(SERVED_CHECK_INTERVAL).await;
+            ratio = self.record.served_ratio(since);
+            if ratio >= MIN_SERVED_RATIO {
+                return Ok(());
+            }
+        }
+        anyhow::bail!(
+            "the fleet served a fraction of {ratio:.2} of the requests in the last second, expected at \
+             least {MIN_SERVED_RATIO} within 15 s"
+        )
+    }
+
     /// Stops the callers, and waits 200 ms for responses to requests in progress.
     pub async fn stop_callers(&self) {
         self.stop.cancel();
@@ -287,6 +315,10 @@
             Fault::CrossingUpstream(index, span) => {
                 self.hold_upstream_fault(index, UpstreamFault::MisdeliversAnswers, span).await;
             }
+            Fault::LimitUpstream(index, span) => {
+                let upstream = node(index).upstream.lock().clone();
+                upstream.name_limit(NAMED_LIMIT_PER_S, span).await;
+            }
             Fault::StoreUnavailable(span) => {
                 self.hold_store_fault(StoreFault::Unavailable, span).await
             }
