Take an upstream out of use when its answers state that it leaves

Requests could reach an upstream for as long as it served after it had said in its answers that it leaves, since only heartbeats and leave messages were read.

Cause: the statement was not read. Ruled out: the node beside the upstream alone could refuse, but an entry node that reaches no hub would go on sending requests there, and a heartbeat that was sent before the statement would take the upstream back into use.

Change: a statement in an answer has the effect of the leave message, so both ways lead to one state, which late heartbeats of the same start do not undo. While its upstream is leaving, a node attaches its record to its replies, so an entry node knows at the moment at which it passes the statement on. Nodes of earlier builds ignore the record.

The soak draws such departures.

--- a/src/mesh/attempts.rs
+++ b/src/mesh/attempts.rs
@@ -212,7 +212,7 @@
     let member = ready[index].0;
     let mut attempt_guard = AttemptGuard::begin(node, member, call);
     let guard_result = match member.record.instance == node.settings.instance {
-        true => node.guard.run(call.clone(), request, undispatched).await,
+        true => node.run_at_upstream(call.clone(), request, undispatched).await,
         false => forward_request(node, member, call, request, undispatched).await,
     };
     attempt_guard.set_result(&guard_result);
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -14,6 +14,7 @@
         link::LinkFailure,
         proto,
         request::{BufferedRequest, headers_from_proto, headers_to_proto},
+        sync::{self, Role},
     },
     names::ServiceName,
     peers,
@@ -145,6 +146,9 @@
     forwarding: Forwarding,
     reply: proto::ForwardReply,
 ) -> GuardResult {
+    if let Some(record) = reply.record.clone() {
+        sync::apply_records(node, vec![record], Role::Peer);
+    }
     let now = clock::now();
     let mut usage = Usage::default();
     let mut root_admission = node.root_admission.lock();
@@ -174,6 +178,7 @@
             named_rate_per_s: (load.named_rate_per_s > 0.0).then_some(load.named_rate_per_s),
         }),
         usage,
+        leaving_upstream: None,
         refused_below: reply.refused_below,
         failed_below: reply.failed_below,
         outcome: to_outcome(forwarding, reply),
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -32,6 +32,7 @@
         AnswerHead, Call, Crashes, Dialect, Heartbeat, LoadReport, RunningCalls, Upstream,
         UpstreamHead, Usage, crash_check::CrashDetector, fingerprint, request::BufferedRequest,
     },
+    names::InstanceName,
     once::Fingerprint,
 };
 
@@ -64,6 +65,8 @@
     pub reached_upstream: bool,
     /// Load of the upstream, if it has announced itself.
     pub load: Option<LoadReport>,
+    /// Id of the upstream, if its answer states that it is leaving.
+    pub leaving_upstream: Option<InstanceName>,
     /// Usage of services by the request and its nested calls.
     pub usage: Usage,
     /// Whether a nested call was refused for overload.
@@ -79,6 +82,7 @@
             outcome,
             reached_upstream: false,
             load: None,
+            leaving_upstream: None,
             usage: Usage::default(),
             refused_below: false,
             failed_below: false,
@@ -360,6 +364,7 @@
         let refused_below = entry.call.was_refused_below();
         let failed_below = entry.call.has_failed_below();
         let mut reached_upstream = true;
+        let mut leaving_upstream = None;
         let outcome = match sent {
             Ok(Ok(answer)) => {
                 if !answer.status.is_server_error() {
@@ -369,6 +374,7 @@
                 self.crashes.lock().record_survival(clock::now(), &fingerprint);
                 let head = D::answer_head(answer.status, &answer.headers);
                 self.record_named_rate(&upstream, head.rate);
+                leaving_upstream = head.is_leaving.then(|| upstream.heartbeat.upstream.clone());
                 to_outcome(dispatch, answer, &head)
             }
             Ok(Err(SendFailure::Unsent(unsent, detail))) => {
@@ -389,7 +395,15 @@
             }
             Err(_) => dispatch.unknown(Reason::DeadlinePassed, "no answer in time"),
         };
-        GuardResult { outcome, reached_upstream, load: None, usage, refused_below, failed_below }
+        GuardResult {
+            outcome,
+            reached_upstream,
+            load: None,
+            leaving_upstream,
+            usage,
+            refused_below,
+            failed_below,
+        }
     }
 
     fn record_named_rate(&self, upstream: &Upstream, rate: NamedRate) {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -15,12 +15,14 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    call::Undispatched,
     clock::{self, Timestamp},
     mesh::{
-        Bounds, Catalog, CatalogSource, Dialect, Directory, Guard, InstanceAddress, InstanceRecord,
-        LiveSettings, Members, MeshMetrics, MeshSettings, MessageEffect, Placement, RateHomes,
-        RetryBound, RetryBudget, RootAdmission, RootFloor, RouteUsage, TokenStock, UpstreamRecord,
-        UpstreamTracker, link::Links, proto::mesh_client::MeshClient,
+        Bounds, Call, Catalog, CatalogSource, Dialect, Directory, Guard, GuardResult,
+        InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
+        MessageEffect, Placement, RateHomes, RetryBound, RetryBudget, RootAdmission, RootFloor,
+        RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker, link::Links,
+        proto::mesh_client::MeshClient, request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
@@ -274,6 +276,39 @@
         }
     }
 
+    /// Runs a request at the local upstream. An answer that states that the upstream is leaving has the
+    /// same effect as its leave message.
+    pub async fn run_at_upstream(
+        &self,
+        call: Call,
+        request: BufferedRequest,
+        undispatched: Undispatched,
+    ) -> GuardResult {
+        let result = self.guard.run(call, request, undispatched).await;
+        if let Some(upstream) = &result.leaving_upstream {
+            self.apply_leaving_answer(upstream);
+        }
+        result
+    }
+
+    fn apply_leaving_answer(&self, id: &InstanceName) {
+        let now = clock::now();
+        let upstream = {
+            let mut tracker = self.upstream_tracker.lock();
+            let is_current = tracker.current().is_some_and(|it| it.heartbeat.upstream == *id);
+            if !is_current || tracker.has_left(now) {
+                return;
+            }
+            tracker.apply_leave(now, id);
+            tracker.current().cloned()
+        };
+        log::info!(upstream:% = id; "an answer of the upstream states that it is leaving");
+        if let Some(upstream) = upstream {
+            self.guard.set_upstream(upstream);
+            self.update_record();
+        }
+    }
+
     /// Applies the upstream's state from a record that an earlier process of this node published.
     pub fn apply_earlier_record(&self, record: &InstanceRecord) {
         if record.incarnation == self.incarnation {
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -164,7 +164,7 @@
         headers: headers_from_proto(message.headers),
         body: message.body,
     };
-    let result = node.guard.run(call, buffered, undispatched).await;
+    let result = node.run_at_upstream(call, buffered, undispatched).await;
     to_reply(node, &service, result)
 }
 
@@ -186,6 +186,12 @@
         uses: service_uses(node, service, &result.usage),
         refused_below: result.refused_below,
         failed_below: result.failed_below,
+        // The hubs may not have sent this state to the entry node yet.
+        record: node
+            .guard
+            .upstream()
+            .is_some_and(|it| !it.is_ready())
+            .then(|| sync::to_proto(&node.own_record(), false)),
         ..Default::default()
     };
     match result.outcome {
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -87,6 +87,10 @@
     /// A nested call has not succeeded.
     #[prost(bool, tag = "11")]
     pub failed_below: bool,
+    /// Record of the replying node while its upstream is leaving, so that the requesting node stops sending
+    /// requests also where it reaches no hub.
+    #[prost(message, optional, tag = "12")]
+    pub record: ::core::option::Option<InstanceRecord>,
 }
 /// Load of the local upstream of a node.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -72,7 +72,7 @@
 
 /// Role of the receiving node in an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Role {
+pub enum Role {
     /// The hub with this number; the first hub has the number 0.
     Hub(HubNumber),
     /// Any other node.
@@ -251,7 +251,7 @@
 }
 
 /// Applies records that another node sent; returns the instances for which this node has later ones.
-fn apply_records<D: Dialect>(
+pub fn apply_records<D: Dialect>(
     node: &Node<D>,
     records: Vec<proto::InstanceRecord>,
     role: Role,
@@ -511,7 +511,8 @@
     }
 }
 
-fn to_proto(record: &InstanceRecord, silent: bool) -> proto::InstanceRecord {
+/// Encodes a record for other nodes.
+pub fn to_proto(record: &InstanceRecord, silent: bool) -> proto::InstanceRecord {
     let upstream = record.upstream.as_ref();
     proto::InstanceRecord {
         instance: record.instance.to_string(),
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -128,6 +128,8 @@
     ChangeConfiguration,
     /// The upstream names a limit on the rate of its requests.
     LimitUpstream(usize, Duration),
+    /// The upstream leaves and states it only in its answers.
+    LeaveByAnswers(usize),
 }
 
 /// Number of variants of `Fault`.
@@ -191,5 +193,9 @@
 fn random_later_fault(random: &mut ChaCha8Rng) -> Fault {
     let node = random.random_range(0..64);
     // The limit is checked from three seconds after its first answer, in windows of four seconds.
-    Fault::LimitUpstream(node, Duration::from_millis(random.random_range(4_000..10_000)))
+    let limited = Duration::from_millis(random.random_range(4_000..10_000));
+    match random.random_range(0..2) {
+        0 => Fault::LimitUpstream(node, limited),
+        _ => Fault::LeaveByAnswers(node),
+    }
 }
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -10,8 +10,8 @@
 /// Time after the withdrawal of a key until which it can still be accepted, as in the settings of
 /// the nodes.
 pub const REVOKE_LIMIT: Duration = Duration::from_secs(5);
-/// Time after a node has acknowledged that an upstream drains in which requests can still arrive at
-/// the upstream, as in the settings of the nodes.
+/// Time after its node first knew that an upstream leaves in which requests can still arrive at the
+/// upstream, as in the settings of the nodes.
 pub const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Window in which the requests of an organisation are counted to check its rate.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
@@ -61,8 +61,8 @@
     pub organisation: Option<String>,
     /// What violated a guarantee in the request as it arrived.
     pub defect: Option<String>,
-    /// When a node acknowledged that the upstream drains, if that was before this run.
-    pub drain_acknowledged_at: Option<Instant>,
+    /// When the upstream's node first knew that the upstream leaves, if that was before this run.
+    pub leaving_known_since: Option<Instant>,
 }
 
 /// Period in which an upstream named a limit in its answers.
@@ -169,9 +169,9 @@
                     violations
                         .push(format!("{id} arrived at the upstream with a defect: {defect}"));
                 }
-                if run.drain_acknowledged_at.is_some_and(|at| run.at > at + DRAIN_LIMIT) {
+                if run.leaving_known_since.is_some_and(|at| run.at > at + DRAIN_LIMIT) {
                     violations.push(format!(
-                        "{id} reached an upstream more than 2 s after a node acknowledged its drain"
+                        "{id} reached an upstream more than 2 s after its node knew that it leaves"
                     ));
                 }
             }
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -76,8 +76,11 @@
     /// Limit on the rate of requests that its answers name.
     limit: Mutex<Option<NamedLimit>>,
     is_draining: AtomicBool,
-    /// When its node acknowledged a heartbeat with the state `draining`.
-    drain_acknowledged_at: Mutex<Option<Instant>>,
+    /// Whether its answers state that it is leaving.
+    is_leaving: AtomicBool,
+    /// When its node first knew that it leaves: it acknowledged a heartbeat with the state `draining`, or
+    /// received an answer that states it.
+    leaving_known_since: Mutex<Option<Instant>>,
     /// Stops accepting connections.
     stop: CancellationToken,
     /// Closes open connections.
@@ -102,7 +105,8 @@
             fault: Mutex::new(UpstreamFault::None),
             limit: Mutex::new(None),
             is_draining: AtomicBool::new(false),
-            drain_acknowledged_at: Mutex::new(None),
+            is_leaving: AtomicBool::new(false),
+            leaving_known_since: Mutex::new(None),
             stop: CancellationToken::new(),
             abort: CancellationToken::new(),
         });
@@ -143,6 +147,13 @@
     /// Announces that it drains, serves requests for a while and then stops.
     pub async fn drain(self: &Arc<Self>) {
         self.is_draining.store(true, Ordering::Release);
+        self.leave_by_answers().await;
+    }
+
+    /// States in its answers that it leaves, serves requests for a while and then stops. Unless it
+    /// drains, its heartbeats still announce it as ready.
+    pub async fn leave_by_answers(&self) {
+        self.is_leaving.store(true, Ordering::Release);
         sleep(DRAIN_DURATION).await;
         self.crash();
     }
@@ -193,7 +204,7 @@
         );
         let reply = tokio::time::timeout(Duration::from_secs(1), call).await;
         if is_draining && matches!(&reply, Ok(Ok(reply)) if reply.status.is_success()) {
-            upstream.drain_acknowledged_at.lock().get_or_insert_with(Instant::now);
+            upstream.leaving_known_since.lock().get_or_insert_with(Instant::now);
         }
         sleep(config.heartbeat_interval).await;
     }
@@ -221,6 +232,10 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let mut response = run_request(upstream.clone(), request).await;
+    if upstream.is_leaving.load(Ordering::Acquire) {
+        upstream.leaving_known_since.lock().get_or_insert_with(Instant::now);
+        response.headers_mut().insert("server-leaving", http::HeaderValue::from_static("1"));
+    }
     if let Some(limit) = &mut *upstream.limit.lock() {
         limit.named_at.get_or_insert_with(Instant::now);
         if let Ok(value) = format!("{:.1}", limit.per_s).parse() {
@@ -264,7 +279,7 @@
             at: Instant::now(),
             defect: defect(&upstream, &id, &path, &body, &parts.headers),
             organisation,
-            drain_acknowledged_at: *upstream.drain_acknowledged_at.lock(),
+            leaving_known_since: *upstream.leaving_known_since.lock(),
         },
     );
     let extra = match fault {
@@ -285,7 +300,7 @@
 }
 
 fn health_response(upstream: &Upstream) -> Response<Full<Bytes>> {
-    let status = match upstream.is_draining.load(Ordering::Acquire) {
+    let status = match upstream.is_leaving.load(Ordering::Acquire) {
         true => StatusCode::SERVICE_UNAVAILABLE,
         false => StatusCode::OK,
     };
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -306,6 +306,11 @@
                 leaving.drain().await;
                 self.start_upstream(index).await?;
             }
+            Fault::LeaveByAnswers(index) => {
+                let leaving = node(index).upstream.lock().clone();
+                leaving.leave_by_answers().await;
+                self.start_upstream(index).await?;
+            }
             Fault::SlowUpstream(index, span) => {
                 self.hold_upstream_fault(index, UpstreamFault::Slow(span / 4), span).await;
             }
