Tell the store's era, the versions that reads return, and the store calls

The adapter reads Store-Era from every answer of the store; /state, /metrics and the state line have it with the number of calls; a read that returns another version than the one in force is logged. No logic is changed.

--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -131,7 +131,13 @@
     };
     match object.value {
         Some(_) if object.version == node.catalog_version() => node.proof.record_read(began),
-        Some(value) => apply_configuration(node, began, &value, object.version, None),
+        Some(value) => {
+            log::info!(
+                version = object.version, era = object.era, in_force = node.catalog_version();
+                "the store has another version of the configuration than the one in force"
+            );
+            apply_configuration(node, began, &value, object.version, None);
+        }
         None => log::warn!(
             "the configuration object in the store has been deleted; the one in force stays"
         ),
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -25,7 +25,7 @@
     clock, http_server,
     mesh::{Dialect, Node},
     names::{InstanceName, Revision, ServiceName},
-    store::ObjectVersion,
+    store::{ObjectApi as _, ObjectVersion, StoreEra},
     telemetry,
 };
 
@@ -145,6 +145,9 @@
     configuration_version: ObjectVersion,
     /// Age of the newest proof that the configuration is current.
     proof_age_ms: Option<u64>,
+    /// Calls to the store since the start, and the last known era of the store.
+    store_calls: u64,
+    store_era: StoreEra,
     first_hub: bool,
     /// Number of instances that the node knows.
     instances: usize,
@@ -179,6 +182,8 @@
             revision: node.catalog.load().as_ref().map(|catalog| catalog.revision),
             configuration_version: node.catalog_version(),
             proof_age_ms: node.proof.known_age(now).map(clock::to_millis),
+            store_calls: node.store.call_count(),
+            store_era: node.store.era(),
             first_hub: node.is_first_hub(now),
             instances: members.len(),
             out_of_use: out_of_use.map(|member| member.record.instance.clone()).collect(),
@@ -251,6 +256,14 @@
             "Limit on requests per second that the upstream's last answer named; -1 without one",
             self.named_rate_per_s.unwrap_or(-1.0),
         );
+        gauge(
+            "store_era",
+            "Era of the store, which rises when it comes back from an earlier copy; 0 if unknown",
+            self.store_era as f64,
+        );
+        let calls = Counter::<u64>::default();
+        calls.inc_by(self.store_calls);
+        registry.register("store_calls", "Calls to the store", calls);
         let sent = Counter::<u64>::default();
         sent.inc_by(self.sent);
         registry.register("upstream_requests", "Requests sent to the local upstream", sent);
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -24,6 +24,7 @@
         configuration, control, entry::CallerHandler, operators, peer_service, probe,
         processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
     },
+    store::ObjectApi as _,
 };
 
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
@@ -205,6 +206,7 @@
         log::info!(
             target: "hibiscusdoor::state",
             configuration = node.catalog_version(), proof_age_ms = proof_age_ms,
+            store_calls = node.store.call_count(), store_era = node.store.era(),
             instances = node.members.load().len(),
             running = gate.map_or(0, |it| it.in_flight),
             waiting = gate.map_or(0, |it| it.waiting),
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -1,15 +1,27 @@
 //! Client of the platform's object store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
-use http::{Method, StatusCode};
+use bytes::Bytes;
+use http::{HeaderName, Method, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use crate::store::{
-    HttpExchange, Listing, Object, ObjectApi, ObjectVersion, StoreError, parse_json, status_error,
+    HttpExchange, Listing, Object, ObjectApi, ObjectVersion, StoreEra, StoreError, parse_json,
+    status_error,
 };
 
+/// Era of the store in all its answers; it rises by one when the store comes back from a copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Maximum number of pages that one call of `list` reads.
 const MAX_PAGES: usize = 64;
 
@@ -18,6 +30,8 @@
 pub struct PlatformStore {
     exchange: HttpExchange,
     timeout: Duration,
+    /// Highest era that an answer has named.
+    era: Arc<AtomicU64>,
 }
 
 #[derive(Deserialize)]
@@ -65,12 +79,21 @@
     deleted: bool,
 }
 
+/// Answer of the store to one call.
+struct StoreAnswer {
+    status: StatusCode,
+    body: Bytes,
+    /// Era of the store that made the answer.
+    era: StoreEra,
+}
+
 impl WireObject {
-    fn into_object(self, kind: &str, deleted: bool) -> Object {
+    fn into_object(self, kind: &str, era: StoreEra, deleted: bool) -> Object {
         Object {
             kind: kind.into(),
             name: self.metadata.name,
             version: self.metadata.revision,
+            era,
             value: (!deleted && !self.metadata.deleting).then_some(self.spec),
         }
     }
@@ -79,7 +102,7 @@
 impl PlatformStore {
     /// Makes a client; it connects when it is first used.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self { exchange: HttpExchange::new(address, timeout), timeout }
+        Self { exchange: HttpExchange::new(address, timeout), timeout, era: Arc::default() }
     }
 
     /// The underlying HTTP exchange, which counts the calls.
@@ -87,12 +110,35 @@
         &self.exchange
     }
 
-    async fn get_path(
+    /// Makes a call; an answer without an era belongs to the last known one.
+    async fn call(
         &self,
+        method: Method,
         path: &str,
-        timeout: Duration,
-    ) -> Result<(StatusCode, bytes::Bytes), StoreError> {
-        self.exchange.call(Method::GET, path, None, timeout).await
+        body: Option<Value>,
+        limit: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let (parts, body) = self.exchange.call(method, path, body, limit).await?.into_parts();
+        let named =
+            parts.headers.get(STORE_ERA).and_then(|value| value.to_str().ok()?.parse().ok());
+        let era = match named {
+            Some(era) => {
+                let before = self.era.fetch_max(era, Ordering::AcqRel);
+                if before != 0 && era > before {
+                    log::warn!(
+                        era = era, before = before;
+                        "the store has come back from an earlier copy; its versions start again"
+                    );
+                }
+                era
+            }
+            None => self.era.load(Ordering::Acquire),
+        };
+        Ok(StoreAnswer { status: parts.status, body, era })
+    }
+
+    async fn get_path(&self, path: &str, limit: Duration) -> Result<StoreAnswer, StoreError> {
+        self.call(Method::GET, path, None, limit).await
     }
 
     async fn fetch_page(
@@ -100,16 +146,16 @@
         kind: &str,
         after: Option<&str>,
         freshness: Freshness,
-    ) -> Result<Page, StoreError> {
+    ) -> Result<(Page, StoreEra), StoreError> {
         let path = match (freshness, after) {
             (Freshness::Current, None) => format!("/objects/{kind}"),
             (Freshness::Current, Some(name)) => format!("/objects/{kind}?after={name}"),
             (Freshness::Stale, None) => format!("/objects/{kind}?staleOk=1"),
             (Freshness::Stale, Some(name)) => format!("/objects/{kind}?staleOk=1&after={name}"),
         };
-        let (status, body) = self.get_path(&path, self.timeout).await?;
+        let StoreAnswer { status, body, era } = self.get_path(&path, self.timeout).await?;
         match status {
-            StatusCode::OK => parse_json(&body),
+            StatusCode::OK => Ok((parse_json(&body)?, era)),
             _ => Err(status_error(status, &body)),
         }
     }
@@ -118,13 +164,15 @@
         let mut listing = Listing::default();
         let mut after: Option<Arc<str>> = None;
         for _ in 0..MAX_PAGES {
-            let page = self.fetch_page(kind, after.as_deref(), freshness).await?;
+            let (page, era) = self.fetch_page(kind, after.as_deref(), freshness).await?;
             // A watch from the first page's version also reports changes made between the pages.
             if after.is_none() {
                 listing.version = page.store_revision;
             }
             after = page.items.last().map(|item| item.metadata.name.clone());
-            listing.objects.extend(page.items.into_iter().map(|it| it.into_object(kind, false)));
+            listing
+                .objects
+                .extend(page.items.into_iter().map(|it| it.into_object(kind, era, false)));
             if !page.more || after.is_none() {
                 return Ok(listing);
             }
@@ -141,11 +189,21 @@
 }
 
 impl ObjectApi for PlatformStore {
+    fn call_count(&self) -> u64 {
+        self.exchange.call_counter().get()
+    }
+
+    fn era(&self) -> StoreEra {
+        self.era.load(Ordering::Acquire)
+    }
+
     async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
-        let (status, body) =
+        let StoreAnswer { status, body, era } =
             self.get_path(&format!("/objects/{kind}/{name}"), self.timeout).await?;
         match status {
-            StatusCode::OK => Ok(Some(parse_json::<WireObject>(&body)?.into_object(kind, false))),
+            StatusCode::OK => {
+                Ok(Some(parse_json::<WireObject>(&body)?.into_object(kind, era, false)))
+            }
             StatusCode::NOT_FOUND => Ok(None),
             _ => Err(status_error(status, &body)),
         }
@@ -175,7 +233,8 @@
             ),
         };
         let body = json!({ "metadata": metadata, "spec": value });
-        let (status, body) = self.exchange.call(method, &path, Some(body), self.timeout).await?;
+        let StoreAnswer { status, body, .. } =
+            self.call(method, &path, Some(body), self.timeout).await?;
         match status {
             StatusCode::OK | StatusCode::CREATED => {
                 Ok(parse_json::<WireObject>(&body)?.metadata.revision)
@@ -195,7 +254,8 @@
         if_version: ObjectVersion,
     ) -> Result<(), StoreError> {
         let path = format!("/objects/{kind}/{name}?revision={if_version}");
-        let (status, body) = self.exchange.call(Method::DELETE, &path, None, self.timeout).await?;
+        let StoreAnswer { status, body, .. } =
+            self.call(Method::DELETE, &path, None, self.timeout).await?;
         match status {
             StatusCode::CONFLICT => Err(StoreError::Conflict {
                 current: parse_json::<WireObject>(&body)?.metadata.revision,
@@ -213,12 +273,12 @@
         wait: Duration,
     ) -> Result<Listing, StoreError> {
         let path = format!("/objects/{kind}?watch={after}&waitMs={}", wait.as_millis());
-        let (status, body) = self.get_path(&path, wait + self.timeout).await?;
+        let StoreAnswer { status, body, era } = self.get_path(&path, wait + self.timeout).await?;
         if status != StatusCode::OK {
             return Err(status_error(status, &body));
         }
         let events: Events = parse_json(&body)?;
-        let object = |event: Event| event.object.into_object(kind, event.deleted);
+        let object = |event: Event| event.object.into_object(kind, era, event.deleted);
         Ok(Listing {
             version: events.store_revision,
             objects: events.events.into_iter().map(object).collect(),
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -44,13 +44,14 @@
         path: &str,
         body: Option<Value>,
     ) -> Result<ObjectVersion, StoreError> {
-        let (status, body) = self.exchange.call(method, path, body, self.timeout).await?;
-        match status {
+        let (parts, body) =
+            self.exchange.call(method, path, body, self.timeout).await?.into_parts();
+        match parts.status {
             StatusCode::OK => Ok(parse_json::<WriteAnswer>(&body)?.version),
             StatusCode::CONFLICT => {
                 Err(StoreError::Conflict { current: parse_json::<WriteAnswer>(&body)?.version })
             }
-            _ => Err(status_error(status, &body)),
+            _ => Err(status_error(parts.status, &body)),
         }
     }
 }
@@ -58,21 +59,23 @@
 impl ObjectApi for HttpStore {
     async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
         let path = format!("/objects/{kind}/{name}");
-        let (status, body) = self.exchange.call(Method::GET, &path, None, self.timeout).await?;
+        let answer = self.exchange.call(Method::GET, &path, None, self.timeout).await?;
+        let (status, body) = (answer.status(), answer.body());
         match status {
-            StatusCode::OK => parse_json(&body).map(Some),
+            StatusCode::OK => parse_json(body).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(status_error(status, &body)),
+            _ => Err(status_error(status, body)),
         }
     }
 
     async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         let path = format!("/objects/{kind}");
-        let (status, body) = self.exchange.call(Method::GET, &path, None, self.timeout).await?;
+        let answer = self.exchange.call(Method::GET, &path, None, self.timeout).await?;
+        let (status, body) = (answer.status(), answer.body());
         if status != StatusCode::OK {
-            return Err(status_error(status, &body));
+            return Err(status_error(status, body));
         }
-        parse_json(&body)
+        parse_json(body)
     }
 
     async fn put(
@@ -104,10 +107,11 @@
     ) -> Result<Listing, StoreError> {
         let path = format!("/watch/{kind}?after={after}&wait-ms={}", wait.as_millis());
         let limit = wait + self.timeout;
-        let (status, body) = self.exchange.call(Method::GET, &path, None, limit).await?;
+        let answer = self.exchange.call(Method::GET, &path, None, limit).await?;
+        let (status, body) = (answer.status(), answer.body());
         if status != StatusCode::OK {
-            return Err(status_error(status, &body));
+            return Err(status_error(status, body));
         }
-        parse_json(&body)
+        parse_json(body)
     }
 }
--- a/src/store/exchange.rs
+++ b/src/store/exchange.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -55,7 +55,7 @@
         path: &str,
         body: Option<Value>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         self.calls.inc();
         let bytes = body.map_or_else(Bytes::new, |value| Bytes::from(value.to_string()));
         let request = Request::builder()
@@ -67,10 +67,10 @@
         let exchange = async {
             let response =
                 self.client.request(request).await.map_err(|error| no_answer_error(&error))?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let (parts, body) = response.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES);
             let body = body.collect().await.map_err(|error| no_answer_error(&*error))?;
-            Ok((status, body.to_bytes()))
+            Ok(Response::from_parts(parts, body.to_bytes()))
         };
         match timeout(limit, exchange).await {
             Ok(answer) => answer,
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -47,7 +47,7 @@
         }
         objects.version += 1;
         let version = objects.version;
-        let object = Object { kind: id.0.clone(), name: id.1.clone(), version, value };
+        let object = Object { kind: id.0.clone(), name: id.1.clone(), version, era: 0, value };
         objects.by_id.insert(id, object);
         drop(objects);
         self.changed.send_replace(version);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -33,6 +33,11 @@
 /// Version of an object. One counter for the whole store increases with each write.
 pub type ObjectVersion = u64;
 
+/// Era of the store: it rises when the store comes back from an earlier copy of itself. Versions go back
+/// with the store and are given out again, so they are comparable only within one era. 0 where the store
+/// has no eras.
+pub type StoreEra = u64;
+
 /// One object of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Object {
@@ -42,6 +47,9 @@
     pub name: Arc<str>,
     /// Version of the last write.
     pub version: ObjectVersion,
+    /// Era of the store when the object was read.
+    #[serde(default)]
+    pub era: StoreEra,
     /// Content; none in the result of a watch if the object was deleted.
     pub value: Option<Value>,
 }
@@ -81,6 +89,16 @@
 
 /// Operations of the object store.
 pub trait ObjectApi: Send + Sync + 'static {
+    /// Calls made since the start; 0 where the store makes none.
+    fn call_count(&self) -> u64 {
+        0
+    }
+
+    /// Last known era of the store.
+    fn era(&self) -> StoreEra {
+        0
+    }
+
     /// Reads an object; none if it does not exist.
     fn get(
         &self,
