Pause between reads of the store that do not renew the freshness proof

Cause: the loop that keeps the proof fresh paused only after a read that failed. A read that succeeds and leaves the proof too old, since the node does not accept what the store holds, was followed by the next at once.

Change: such a read backs off as a failed one does, and reports of other nodes no longer end the pause early, which would have let each of 95 nodes cause a read. The same cause was looked for in the registration, whose loop always pauses.

The second fault of the incident, which makes the store's version look old, is separate.

--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde_json::Value;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     clock::{self, Timestamp},
@@ -37,7 +37,9 @@
 const READ_AGE_JITTER: f64 = 0.14;
 /// Longest time between two checks of the proof's age: the node may become the first hub in between.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Delay after a failed read; it doubles with each further failure up to [`MAX_RETRY_DELAY`].
+/// Delay after a read that failed or left the proof too old; it doubles with each further one up to
+/// [`MAX_RETRY_DELAY`]. Without a delay, all nodes read in a loop while the store held a configuration
+/// that they did not accept.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(200);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Pause after a read that found no configuration, of a node that is not the first hub of others. The
@@ -76,28 +78,40 @@
             continue;
         }
         read_age = jittered(READ_AGE, READ_AGE_JITTER);
-        match read_store(&node).await {
-            Ok(StoreRead::Found) => backoff.reset(),
+        let pause = match read_store(&node).await {
+            Ok(StoreRead::Found) if node.proof.age(clock::now()) < max_age => {
+                backoff.reset();
+                continue;
+            }
+            Ok(StoreRead::Found) => jittered(backoff.next_delay(), RETRY_JITTER),
             Ok(StoreRead::Missing) => {
                 let is_hub_of_others =
                     node.is_first_hub(clock::now()) && node.members.load().len() > 1;
-                let pause = match is_hub_of_others {
+                match is_hub_of_others {
                     true => HUB_READ_AGE,
                     false => jittered(MISSING_PAUSE, RETRY_JITTER),
-                };
-                let _ = timeout(pause, node.refresh_requested.notified()).await;
-                query_refresh_source(&node).await;
+                }
             }
             Err(error) => {
                 log::warn!(
                     cause:% = error, proof_age_ms = current_proof_age_ms(&node);
                     "reading the configuration from the store failed; retrying after a pause"
                 );
-                let pause = jittered(backoff.next_delay(), RETRY_JITTER);
-                let _ = timeout(pause, node.refresh_requested.notified()).await;
-                query_refresh_source(&node).await;
+                jittered(backoff.next_delay(), RETRY_JITTER)
             }
-        }
+        };
+        pause_reads(&node, pause, max_age).await;
+    }
+}
+
+/// Waits before the next read, at most until the proof is younger than `max_age`. Nodes that report a
+/// newer configuration or a fresher proof are queried meanwhile; they do not shorten the wait.
+async fn pause_reads<D: Dialect>(node: &Arc<Node<D>>, pause: Duration, max_age: Duration) {
+    let until = Instant::now() + pause;
+    while node.proof.age(clock::now()) >= max_age
+        && timeout_at(until, node.refresh_requested.notified()).await.is_ok()
+    {
+        query_refresh_source(node).await;
     }
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -69,8 +69,8 @@
     let count = env_setting("SOAK_NODES").unwrap_or(DEFAULT_NODES);
     let length = env_setting("SOAK_LENGTH_S").map_or(DEFAULT_LENGTH, Duration::from_secs);
     // Processes that run this test at the same time must not use the same addresses.
-    let network = u16::try_from(seed * 31 + u64::from(std::process::id()) % 60_000 % 32_000)
-        .unwrap_or(u16::MAX);
+    let network =
+        u16::try_from((seed * 31 + u64::from(std::process::id())) % 32_000).unwrap_or(u16::MAX);
     let world = World::start(program, folder, count, network).await?;
     world.start_callers(seed);
     world.wait_until_serving().await.context("before the first fault")?;
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -52,9 +52,21 @@
 pub struct Store {
     objects: Mutex<Objects>,
     revision: AtomicU64,
+    /// Rises by one with each restore from a copy.
+    era: AtomicU64,
+    /// Whether answers name the era.
+    names_era: AtomicBool,
+    calls: AtomicU64,
     fault: Mutex<StoreFault>,
 }
 
+/// Copy of the store's content at one time.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    objects: Objects,
+    revision: u64,
+}
+
 impl Store {
     /// Starts a store; returns it with its address.
     pub async fn start(
@@ -64,6 +76,9 @@
         let store = Arc::new(Self {
             objects: Mutex::default(),
             revision: AtomicU64::new(1),
+            era: AtomicU64::new(1),
+            names_era: AtomicBool::new(true),
+            calls: AtomicU64::new(0),
             fault: Mutex::new(StoreFault::None),
         });
         let listener = TcpListener::bind(address).await?;
@@ -80,6 +95,35 @@
         *self.fault.lock() = fault;
     }
 
+    /// Number of calls since the start.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether answers name the era of the store.
+    pub fn set_names_era(&self, names_era: bool) {
+        self.names_era.store(names_era, Ordering::Relaxed);
+    }
+
+    /// Copies the present content.
+    pub fn copy(&self) -> StoreCopy {
+        let objects = self.objects.lock().clone();
+        StoreCopy { objects, revision: self.revision.load(Ordering::Relaxed) }
+    }
+
+    /// Loses all writes since the copy. Their revisions are given out again, in the next era.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut objects = self.objects.lock();
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.revision.store(copy.revision, Ordering::Relaxed);
+        *objects = copy.objects;
+    }
+
+    /// Whether an object of this kind and name exists.
+    pub fn contains(&self, kind: &str, name: &str) -> bool {
+        self.objects.lock().contains_key(&(kind.to_owned(), name.to_owned()))
+    }
+
     /// Writes an object at once, whatever the fault; returns its revision.
     pub fn write(&self, kind: &str, name: &str, spec: Value) -> u64 {
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
@@ -109,6 +153,16 @@
 }
 
 async fn handle_request(store: Arc<Store>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    store.calls.fetch_add(1, Ordering::Relaxed);
+    let mut response = answer_call(store.clone(), request).await;
+    if store.names_era.load(Ordering::Relaxed) {
+        let era = store.era.load(Ordering::Relaxed);
+        response.headers_mut().insert("store-era", http::HeaderValue::from(era));
+    }
+    response
+}
+
+async fn answer_call(store: Arc<Store>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let body = match request.into_body().collect().await {
         Ok(body) => serde_json::from_slice(&body.to_bytes()).unwrap_or_default(),
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -90,7 +90,7 @@
 /// The fleet, its store and the record of the run.
 pub struct World {
     pub record: Arc<Record>,
-    store: Arc<Store>,
+    pub store: Arc<Store>,
     nodes: Vec<Node>,
     keys: Keys,
     withdrawn: Mutex<Vec<String>>,
