Order configurations by the operators' revision, not by store versions

Cause: the version of the object in the store served as the order of configurations, as their identity, and so as proof of freshness. The class of fault is a position in a log that is used as an order beyond the life of the log. Ruled out: the distribution by hubs, since the nodes that read the store themselves did the same.

Change: Position orders by the operators' revision, which is part of the content, then by the era of the store and the version in it, and is what nodes compare and tell each other. A read, or the statement of another node, of an earlier position proves that nothing later was acknowledged, so a store that is behind neither undoes the configuration in force nor ages its proof. The statements of builds without positions are not taken as proof. Store versions are still conditions of writes, which is what they are for.

The stand-in store restores copies, and the soak does so beside its other faults.

--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -3,7 +3,8 @@
 //! Keys may be accepted only while the configuration is known to be current. The freshness proof is a
 //! recent read of the store, made by this node or by one that replied to its request. The proof's age
 //! counts from the start of the read; a node that receives the proof in a reply adds the time since it
-//! sent its request.
+//! sent its request. A read that returns an earlier configuration than the one in force proves it too:
+//! nothing later was acknowledged, unless the store has lost it by coming back from a copy.
 
 use std::{
     io::{Read as _, Write as _},
@@ -19,11 +20,11 @@
 use crate::{
     clock::{self, Timestamp},
     mesh::{
-        Catalog, Dialect, Node,
+        Catalog, Dialect, Node, Position,
         pause::{Backoff, jittered},
-        sync,
+        proto, sync,
     },
-    store::{ObjectApi as _, ObjectVersion, StoreError},
+    store::{ObjectApi as _, StoreError},
 };
 
 /// Age of the freshness proof at which the first hub reads the store. This age and the time of the
@@ -54,8 +55,8 @@
 /// The configuration as compressed text, which is sent to other nodes.
 #[derive(Debug, Clone)]
 pub struct CatalogSource {
-    /// Version of the configuration object in the store.
-    pub version: ObjectVersion,
+    /// Position among the configurations that the operators have written.
+    pub position: Position,
     /// JSON text, compressed with DEFLATE; empty if compression failed.
     pub compressed: Bytes,
 }
@@ -65,6 +66,7 @@
 pub async fn run<D: Dialect>(node: Arc<Node<D>>) {
     let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
     let mut read_age = jittered(READ_AGE, READ_AGE_JITTER);
+    let mut older = None;
     loop {
         let max_age = match node.is_first_hub(clock::now()) {
             true => HUB_READ_AGE,
@@ -78,7 +80,7 @@
             continue;
         }
         read_age = jittered(READ_AGE, READ_AGE_JITTER);
-        let pause = match read_store(&node).await {
+        let pause = match read_store(&node, &mut older).await {
             Ok(StoreRead::Found) if node.proof.age(clock::now()) < max_age => {
                 backoff.reset();
                 continue;
@@ -137,25 +139,42 @@
     Missing,
 }
 
-async fn read_store<D: Dialect>(node: &Node<D>) -> Result<StoreRead, StoreError> {
+/// Reads the configuration from the store; `older` is the last one read that is earlier than the one in
+/// force, so that it is reported once.
+async fn read_store<D: Dialect>(
+    node: &Node<D>,
+    older: &mut Option<Position>,
+) -> Result<StoreRead, StoreError> {
     let (kind, name) = D::CONFIGURATION;
     let began = clock::now();
     let Some(object) = node.store.get(kind, name).await? else {
         return Ok(StoreRead::Missing);
     };
-    match object.value {
-        Some(_) if object.version == node.catalog_version() => node.proof.record_read(began),
-        Some(value) => {
-            log::info!(
-                version = object.version, era = object.era, in_force = node.catalog_version();
-                "the store has another version of the configuration than the one in force"
-            );
-            apply_configuration(node, began, &value, object.version, None);
-        }
-        None => log::warn!(
+    node.record_era(object.era);
+    let Some(value) = object.value else {
+        log::warn!(
             "the configuration object in the store has been deleted; the one in force stays"
-        ),
+        );
+        return Ok(StoreRead::Found);
+    };
+    let position = Position {
+        revision: D::revision(&value).unwrap_or_default(),
+        era: object.era,
+        version: object.version,
+    };
+    let in_force = node.position();
+    if position > in_force {
+        apply_configuration(node, Some(began), &value, position, None);
+        return Ok(StoreRead::Found);
     }
+    if position < in_force && *older != Some(position) {
+        *older = Some(position);
+        log::warn!(
+            read:? = position, in_force:? = in_force;
+            "the store holds an earlier configuration than the one in force, which stays"
+        );
+    }
+    node.proof.record_read(began);
     Ok(StoreRead::Found)
 }
 
@@ -163,45 +182,62 @@
 pub fn apply_peer_configuration<D: Dialect>(
     node: &Node<D>,
     sent_at: Timestamp,
-    compressed: &Bytes,
-    version: ObjectVersion,
-    proof_age_ms: u32,
+    reply: &proto::SyncReply,
 ) {
-    let Some(began) = sync::proof_read_at(sent_at, proof_age_ms) else { return };
-    if version == node.catalog_version() {
-        node.proof.record_read(began);
-        return;
+    let peer_position = reply.position.map(Position::from);
+    let began = sync::proof_read_at(sent_at, reply.proof_age_ms);
+    if let Some(position) = peer_position {
+        node.record_era(position.era);
+        if position <= node.position() {
+            // What was the latest at the peer's read is not later than what is in force here.
+            if let Some(began) = began {
+                node.proof.record_read(began);
+            }
+            return;
+        }
     }
-    if version < node.catalog_version() || compressed.is_empty() {
+    if reply.catalog.is_empty() {
         return;
     }
     let mut text = Vec::new();
-    let read = DeflateDecoder::new(&**compressed).take(MAX_CATALOG_BYTES).read_to_end(&mut text);
-    match read.map_err(serde_json::Error::io).and_then(|_| serde_json::from_slice(&text)) {
-        Ok(value) => apply_configuration(node, began, &value, version, Some(compressed.clone())),
-        Err(error) => {
-            log::error!(
-                cause:% = error;
-                "ignored the configuration of another node: it is not valid compressed JSON"
-            )
+    let read = DeflateDecoder::new(&*reply.catalog).take(MAX_CATALOG_BYTES).read_to_end(&mut text);
+    let value: Value =
+        match read.map_err(serde_json::Error::io).and_then(|_| serde_json::from_slice(&text)) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!(
+                    cause:% = error;
+                    "ignored the configuration of another node: it is not valid compressed JSON"
+                );
+                return;
+            }
+        };
+    // A node of an earlier build states no position, and its proof may rest on a version that the store
+    // has given out twice.
+    let (position, began) = match peer_position {
+        Some(position) => (position, began),
+        None => {
+            let revision = D::revision(&value).unwrap_or_default();
+            (Position { revision, era: 0, version: reply.catalog_version }, None)
         }
-    }
+    };
+    apply_configuration(node, began, &value, position, Some(reply.catalog.clone()));
 }
 
-/// Puts a configuration in force at this node if it is newer, and records the freshness proof if this
-/// version is in force afterwards.
+/// Puts a configuration in force at this node if it is newer, and records the freshness proof of the
+/// read that began at `began` if no later one is needed for it.
 fn apply_configuration<D: Dialect>(
     node: &Node<D>,
-    began: Timestamp,
+    began: Option<Timestamp>,
     value: &Value,
-    version: ObjectVersion,
+    position: Position,
     compressed: Option<Bytes>,
 ) {
-    let parts = match D::catalog(value, version) {
+    let parts = match D::catalog(value, position.version) {
         Ok(parts) => parts,
         Err(cause) => {
             log::error!(
-                version = version, cause = cause;
+                position:? = position, cause = cause;
                 "ignored an invalid configuration; the one in force stays"
             );
             return;
@@ -211,24 +247,25 @@
         Ok(compressed) => compressed,
         Err(error) => {
             log::error!(
-                version = version, cause:% = error;
+                position:? = position, cause:% = error;
                 "compressing the configuration failed; other nodes must read it from the store"
             );
             Bytes::new()
         }
     };
-    let source = CatalogSource { version, compressed };
+    let source = CatalogSource { position, compressed };
     let catalog = Catalog::new(parts);
     let (revision, routes) = (catalog.revision, catalog.route_count());
     let bytes = source.compressed.len();
     if node.adopt_catalog(catalog, source) {
         log::info!(
-            revision = revision, version = version, routes = routes, compressed_bytes = bytes,
+            revision = revision, version = position.version, era = position.era, routes = routes,
+            compressed_bytes = bytes,
             proof_age_ms = current_proof_age_ms(node);
             "configuration is in force here"
         );
     }
-    if version == node.catalog_version() {
+    if let Some(began) = began.filter(|_| position <= node.position()) {
         node.proof.record_read(began);
     }
 }
--- a/src/mesh/dialect.rs
+++ b/src/mesh/dialect.rs
@@ -9,7 +9,7 @@
     admission::NamedRate,
     findings::Collector,
     mesh::{Bounds, CatalogParts},
-    names::{InstanceName, ServiceName, ZoneName},
+    names::{InstanceName, Revision, ServiceName, ZoneName},
     store::{ObjectApi, ObjectVersion},
 };
 
@@ -131,6 +131,9 @@
     /// Reads the bounds by the platform's names; adds a finding for each invalid one.
     fn bounds(entries: &Map<String, Value>, place: &str, collector: &mut Collector) -> Bounds;
 
+    /// Revision that the operators gave a configuration; `None` if it states none.
+    fn revision(value: &Value) -> Option<Revision>;
+
     /// Reads the operators' configuration; the error says why it is invalid.
     fn catalog(value: &Value, version: ObjectVersion) -> Result<CatalogParts, String>;
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -26,6 +26,7 @@
 mod pause;
 mod peer_service;
 mod placement;
+mod position;
 mod probe;
 mod processor;
 #[allow(missing_docs, clippy::all)]
@@ -62,6 +63,7 @@
 pub use operators::{MeshMetrics, Origin};
 pub use pacing::Pacer;
 pub use placement::{AttemptResult, Candidate, LoadReport, Placement};
+pub use position::Position;
 pub use processor::ProcessorLimit;
 pub use rank::{Rank, RankOrder};
 pub use rates::{
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -20,13 +20,13 @@
     mesh::{
         Bounds, Call, Catalog, CatalogSource, Dialect, Directory, Guard, GuardResult,
         InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
-        MessageEffect, Placement, RateHomes, RetryBound, RetryBudget, RootAdmission, RootFloor,
-        RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker, link::Links,
+        MessageEffect, Placement, Position, RateHomes, RetryBound, RetryBudget, RootAdmission,
+        RootFloor, RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker, link::Links,
         proto::mesh_client::MeshClient, request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
-    store::ObjectVersion,
+    store::{ObjectVersion, StoreEra},
 };
 
 /// gRPC client of another node.
@@ -88,6 +88,8 @@
     pub refresh_requested: Notify,
     /// Links to other nodes, on which requests are forwarded.
     pub links: Links,
+    /// Last known era of the store; marked as changed when the store has come back from a copy.
+    pub era: watch::Sender<StoreEra>,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     own_record: Mutex<InstanceRecord>,
     /// The last node that reported a newer configuration or a fresher proof.
@@ -140,6 +142,7 @@
             tokens_granted: Notify::new(),
             refresh_requested: Notify::new(),
             links: Links::default(),
+            era: watch::Sender::new(0),
             peers: Mutex::default(),
             own_record: Mutex::new(own),
             refresh_source: Mutex::default(),
@@ -181,14 +184,19 @@
         self.update_record();
     }
 
+    /// Position of the configuration in force; the lowest until one has been received.
+    pub fn position(&self) -> Position {
+        self.catalog_source.load().as_ref().map_or_else(Position::default, |source| source.position)
+    }
+
     /// Store version of the configuration in force; 0 until one has been received.
     pub fn catalog_version(&self) -> ObjectVersion {
-        self.catalog_source.load().as_ref().map_or(0, |source| source.version)
+        self.position().version
     }
 
     /// Puts a configuration in force if it is newer; returns whether it was.
     pub fn adopt_catalog(&self, catalog: Catalog, source: CatalogSource) -> bool {
-        if source.version <= self.catalog_version() {
+        if source.position <= self.position() {
             return false;
         }
         self.catalog.store(Some(Arc::new(catalog)));
@@ -205,6 +213,16 @@
         }
     }
 
+    /// Records the era of the store that a read or another node states; subscribers of `era` are notified
+    /// when it rises.
+    pub fn record_era(&self, era: StoreEra) {
+        self.era.send_if_modified(|known| {
+            let has_risen = *known != 0 && era > *known;
+            *known = era.max(*known);
+            has_risen
+        });
+    }
+
     /// Whether the node should receive requests of callers, as reported on the readiness listener.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.catalog.load().is_some()
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -203,6 +203,19 @@
     /// Number of the hub's last crash change with verdicts that the sender has received.
     #[prost(uint64, tag = "11")]
     pub verdicts: u64,
+    /// Position of the sender's configuration; absent in messages of earlier builds.
+    #[prost(message, optional, tag = "12")]
+    pub position: ::core::option::Option<ConfigurationPosition>,
+}
+/// Position of a configuration among all that the operators have written; see src/mesh/position.rs.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ConfigurationPosition {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncReply {
@@ -240,6 +253,9 @@
     /// Number of hubs, decided by the first hub; 0 in replies of any other node.
     #[prost(uint32, tag = "13")]
     pub hubs: u32,
+    /// Position of the hub's configuration; absent in replies of earlier builds.
+    #[prost(message, optional, tag = "14")]
+    pub position: ::core::option::Option<ConfigurationPosition>,
 }
 /// A request that was running when upstreams crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -14,7 +14,8 @@
     clock::{self, Timestamp},
     mesh::{
         Addresses, Dialect, Grant, HubNumber, InstanceAddress, InstanceRecord, MergeResult, Node,
-        OrganisationHash, Pacer, UpstreamRecord, Want, configuration, pause::jittered, proto,
+        OrganisationHash, Pacer, Position, UpstreamRecord, Want, configuration, pause::jittered,
+        proto,
     },
     names::InstanceName,
     once::QuarantineEntry,
@@ -201,9 +202,10 @@
         later: later_records(node, std::mem::take(&mut contact.outdated)),
         crashed: crashed.iter().map(crashed_to_proto).collect(),
         verdicts: contact.known_verdict_change,
+        position: Some(node.position().into()),
     };
     let mut peer = node.peer(address.peer_address);
-    let reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
+    let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
         Ok(Ok(reply)) => reply.into_inner(),
         Ok(Err(status)) => return Err(status.message().to_owned()),
         Err(_) => return Err(format!("no answer within {SYNC_TIMEOUT:?}")),
@@ -217,18 +219,12 @@
     contact.hub_sequence = reply.hub_sequence;
     contact.known_record = (reply.known_generation, reply.known_sequence);
     node.raise_generation(reply.known_generation, reply.known_incarnation);
-    contact.outdated = apply_records(node, reply.records, role);
+    contact.outdated = apply_records(node, std::mem::take(&mut reply.records), role);
     apply_crashed(node, &reply.crashed);
     if is_first_hub && reply.hubs > 0 {
         node.set_hub_count(usize::try_from(reply.hubs).unwrap_or(MAX_HUBS).min(MAX_HUBS));
     }
-    configuration::apply_peer_configuration(
-        node,
-        sent_at,
-        &reply.catalog,
-        reply.catalog_version,
-        reply.proof_age_ms,
-    );
+    configuration::apply_peer_configuration(node, sent_at, &reply);
     let grants = reply.grants.into_iter().map(|grant| Grant {
         tokens: to_token_count(grant.tokens),
         retry_after: Duration::from_millis(u64::from(grant.retry_after_ms)),
@@ -372,9 +368,17 @@
         retry_after_ms: clock::to_millis_u32(grant.retry_after),
     });
     let claimed = Duration::from_millis(u64::from(request.proof_age_ms));
-    let is_fresher =
-        request.proof_age_ms != NO_PROOF_AGE_MS && claimed + PROOF_ADVANTAGE < node.proof.age(now);
-    if is_fresher || request.catalog_version > node.catalog_version() {
+    // The proof of a node of an earlier build, which states no position, is not accepted.
+    let is_fresher = request.position.is_some()
+        && request.proof_age_ms != NO_PROOF_AGE_MS
+        && claimed + PROOF_ADVANTAGE < node.proof.age(now);
+    let position = node.position();
+    let peer_position = request.position.map(Position::from);
+    let has_newer = match peer_position {
+        Some(peer_position) => peer_position > position,
+        None => request.catalog_version > position.version,
+    };
+    if is_fresher || has_newer {
         // The transit time of this request is unknown, so its claim cannot serve as a proof; only the
         // reply to a request of this node can (see `proof_read_at`).
         node.set_refresh_source(&instance);
@@ -395,14 +399,18 @@
             .iter()
             .map(|member| to_proto(&member.record, member.silent))
             .collect(),
-        catalog_version: node.catalog_version(),
+        catalog_version: position.version,
+        position: Some(position.into()),
         proof_age_ms: match node.catalog.load().is_some() {
             true => clock::to_millis_u32(node.proof.age(now)),
             false => NO_PROOF_AGE_MS,
         },
         catalog: source
             .as_ref()
-            .filter(|source| source.version > request.catalog_version)
+            .filter(|source| match peer_position {
+                Some(peer_position) => source.position > peer_position,
+                None => source.position.version > request.catalog_version,
+            })
             .map(|source| source.compressed.clone())
             .unwrap_or_default(),
         grants: grants.collect(),
@@ -565,6 +573,20 @@
     })
 }
 
+impl From<Position> for proto::ConfigurationPosition {
+    fn from(position: Position) -> Self {
+        let Position { revision, era, version } = position;
+        Self { revision, era, version }
+    }
+}
+
+impl From<proto::ConfigurationPosition> for Position {
+    fn from(position: proto::ConfigurationPosition) -> Self {
+        let proto::ConfigurationPosition { revision, era, version } = position;
+        Self { revision, era, version }
+    }
+}
+
 fn crashed_to_proto(entry: &QuarantineEntry) -> proto::CrashedRequest {
     proto::CrashedRequest {
         fingerprint: entry.fingerprint_bytes(),
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -7,7 +7,10 @@
 use smallvec::smallvec;
 
 use super::text;
-use crate::mesh::{CallerLimits, CatalogParts, Destination, Organisation, Route, Service};
+use crate::{
+    mesh::{CallerLimits, CatalogParts, Destination, Organisation, Route, Service},
+    names::Revision,
+};
 
 #[derive(Deserialize)]
 struct Document {
@@ -108,6 +111,11 @@
     idle_timeout: Option<Duration>,
 }
 
+/// Version that the operators gave a configuration document.
+pub fn revision(value: &Value) -> Option<Revision> {
+    value.get("version")?.as_u64()
+}
+
 /// Converts a configuration document; an error states which entry is unusable and why.
 pub fn read(value: &Value) -> Result<CatalogParts, String> {
     let document = Document::deserialize(value).map_err(|error| error.to_string())?;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -22,7 +22,7 @@
         AnswerHead, Bounds, CallHead, CatalogParts, Dialect, ReportedLoad, UpstreamHead,
         UpstreamMessage,
     },
-    names::InstanceName,
+    names::{InstanceName, Revision},
     store::ObjectVersion,
 };
 
@@ -44,6 +44,10 @@
         bounds::read(entries, place, collector)
     }
 
+    fn revision(value: &Value) -> Option<Revision> {
+        configuration::revision(value)
+    }
+
     fn catalog(value: &Value, _version: ObjectVersion) -> Result<CatalogParts, String> {
         configuration::read(value)
     }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -130,6 +130,9 @@
     LimitUpstream(usize, Duration),
     /// The upstream leaves and states it only in its answers.
     LeaveByAnswers(usize),
+    /// The store comes back from a copy that is older by this time; the operator writes the last
+    /// configuration again.
+    RestoreStore(Duration),
 }
 
 /// Number of variants of `Fault`.
@@ -194,8 +197,9 @@
     let node = random.random_range(0..64);
     // The limit is checked from three seconds after its first answer, in windows of four seconds.
     let limited = Duration::from_millis(random.random_range(4_000..10_000));
-    match random.random_range(0..2) {
+    match random.random_range(0..3) {
         0 => Fault::LimitUpstream(node, limited),
+        1 => Fault::RestoreStore(limited / 2),
         _ => Fault::LeaveByAnswers(node),
     }
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -14,6 +14,8 @@
 };
 
 use anyhow::Context as _;
+use hibiscusdoor::standin;
+use http::Method;
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
@@ -240,8 +242,15 @@
     }
 
     /// Writes a new configuration without the withdrawn keys to the store.
-    fn write_configuration(&self) {
-        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+    pub fn write_configuration(&self) {
+        self.version.fetch_add(1, Ordering::Relaxed);
+        self.write_configuration_again();
+    }
+
+    /// Writes the last configuration again, with the same version of the operators, as after the store has
+    /// lost it.
+    pub fn write_configuration_again(&self) {
+        let version = self.version.load(Ordering::Relaxed);
         let withdrawn = self.withdrawn.lock().clone();
         let mut keys_in_force = self.keys.0.lock().clone();
         for keys in keys_in_force.values_mut() {
@@ -256,6 +265,29 @@
         }
     }
 
+    /// Returns the state dump of a node.
+    pub async fn state(&self, index: usize) -> anyhow::Result<serde_json::Value> {
+        let url = format!("http://{}/state", self.operators(index));
+        Ok(standin::http_call(&standin::new_client(), Method::GET, &url, &[], "").await?.json())
+    }
+
+    /// Waits until all nodes have the last configuration in force; returns the time that it took.
+    pub async fn wait_until_in_force(&self) -> anyhow::Result<Duration> {
+        let since = Instant::now();
+        let version = self.version.load(Ordering::Relaxed);
+        for index in 0..self.nodes.len() {
+            while self.state(index).await.is_ok_and(|state| state["revision"] != version) {
+                anyhow::ensure!(
+                    since.elapsed() < RECOVERY_LIMIT,
+                    "node {index} does not put version {version} in force: {}",
+                    self.state(index).await?
+                );
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(since.elapsed())
+    }
+
     /// Injects a fault, and ends it after its duration.
     pub async fn inject_fault(self: Arc<Self>, program: &Path, fault: Fault) -> anyhow::Result<()> {
         match fault {
@@ -324,6 +356,13 @@
                 let upstream = node(index).upstream.lock().clone();
                 upstream.name_limit(NAMED_LIMIT_PER_S, span).await;
             }
+            Fault::RestoreStore(span) => {
+                let copy = self.store.copy();
+                sleep(span).await;
+                self.hold_store_fault(StoreFault::Silent, span / 4).await;
+                self.store.restore(copy);
+                self.write_configuration_again();
+            }
             Fault::StoreUnavailable(span) => {
                 self.hold_store_fault(StoreFault::Unavailable, span).await
             }
