Write a registration again that the store has lost

A node whose address the store had lost, as it came back from a copy, was found by new nodes only after its next regular read, up to a minute later, so these had no route to its upstream meanwhile.

Cause: what a node has written counted as lasting. Ruled out: the directories of running nodes, which keep instances that are in contact.

Change: when the era of the store rises, seen in a read of its own or in the position that another node states, a node reads its own object and writes it if it is missing. The checks spread over five seconds, so the return of a store causes no burst of calls; a list would be dearer and may be one from before.

Test: registrations_stand_again_after_a_restored_store fails on (not registered after 20 s) and passes.

--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use tokio::time::sleep;
+use serde::Deserialize as _;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     mesh::{
@@ -24,6 +25,9 @@
 const PAUSE_JITTER: f64 = 0.2;
 /// Time between two reads of all addresses, which drop the instances that were removed permanently.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(60);
+/// Time over which the nodes of a fleet check their registrations after the store has come back from a
+/// copy, so that they do not all call it at its return.
+const RESTORE_SPREAD: Duration = Duration::from_secs(5);
 /// Pauses after the registration and after the next read: when a whole fleet starts, other nodes
 /// register at about the same time.
 const EARLY_READ_PAUSES: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(3)];
@@ -33,10 +37,17 @@
     let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
     // Reads since the registration; `None` before it, and where the store had the address.
     let mut reads: Option<usize> = None;
+    let mut era = node.era.subscribe();
+    let mut may_be_lost = false;
     loop {
-        let pause = match read_and_register(&node, reads).await {
+        let registration = match may_be_lost {
+            true => restore_registration(&node).await,
+            false => read_and_register(&node, reads).await,
+        };
+        let pause = match registration {
             Ok(registration) => {
                 backoff.reset();
+                may_be_lost = false;
                 reads = match registration {
                     Registration::New => Some(0),
                     Registration::Known => reads.map(|reads| reads + 1),
@@ -54,7 +65,10 @@
                 backoff.next_delay()
             }
         };
-        sleep(jittered(pause, PAUSE_JITTER)).await;
+        if timeout(jittered(pause, PAUSE_JITTER), era.changed()).await.is_ok() {
+            may_be_lost = true;
+            sleep(RESTORE_SPREAD.mul_f64(rand::random())).await;
+        }
     }
 }
 
@@ -108,7 +122,33 @@
     if is_listed || reads.is_some_and(|reads| reads < EARLY_READ_PAUSES.len()) {
         return Ok(Registration::Known);
     }
-    let value = serde_json::to_value(&own)
+    write_address(node, version).await?;
+    Ok(Registration::New)
+}
+
+/// Writes the node's address again if the store has lost it by coming back from a copy.
+///
+/// It reads only the node's own object: a list may be one from before the loss.
+async fn restore_registration<D: Dialect>(node: &Node<D>) -> Result<Registration, StoreError> {
+    let stored = node.store.get(KIND_INSTANCES, &node.settings.instance).await?;
+    let own = node.own_record().address;
+    let is_stored = stored.as_ref().and_then(|it| it.value.as_ref()).is_some_and(|value| {
+        InstanceAddress::deserialize(value).is_ok_and(|address| address == own)
+    });
+    if is_stored {
+        return Ok(Registration::Known);
+    }
+    write_address(node, stored.map_or(0, |it| it.version)).await?;
+    Ok(Registration::New)
+}
+
+/// Writes the node's address in place of the object with this version; 0 if there is none.
+async fn write_address<D: Dialect>(
+    node: &Node<D>,
+    version: ObjectVersion,
+) -> Result<(), StoreError> {
+    let own_name = &node.settings.instance;
+    let value = serde_json::to_value(node.own_record().address)
         .map_err(|error| StoreError::Refused(format!("the address has no JSON form: {error}")))?;
     let written = match node.store.put(KIND_INSTANCES, own_name, value.clone(), version).await {
         Err(StoreError::Conflict { current }) if current != version => {
@@ -117,7 +157,7 @@
         result => result?,
     };
     log::info!(version = written; "registered the node's address in the store");
-    Ok(Registration::New)
+    Ok(())
 }
 
 async fn query_seeds<D: Dialect>(node: &Arc<Node<D>>) {
--- a/tests/mesh_store.rs
+++ b/tests/mesh_store.rs
@@ -71,6 +71,34 @@
     Ok(())
 }
 
+/// Guards against a registration that is lost for good with a store that comes back from a copy made before
+/// the node had started.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn registrations_stand_again_after_a_restored_store() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let program = Path::new(env!("CARGO_BIN_EXE_hibiscusd"));
+    let network = u16::try_from(61_000 + std::process::id() % 4_000)?;
+    let world = World::start(program, folder.path(), services().len(), network).await?;
+    let copy = world.store.copy();
+    world.wait_until_in_force().await?;
+    let is_registered =
+        |index| world.store.contains("hibiscusdoor-instances", &format!("node-{index}"));
+    for is_restored in [false, true] {
+        if is_restored {
+            world.store.restore(copy.clone());
+            world.write_configuration_again();
+        }
+        for index in 0..services().len() {
+            let until = std::time::Instant::now() + Duration::from_secs(20);
+            while !is_registered(index) {
+                assert!(std::time::Instant::now() < until, "node {index} is not registered");
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Guards against an order of configurations that follows versions of the store, which go back and are
 /// given out again: (revision, era, version) of the one in force, of another, and whether it is newer.
 fn positions_are_ordered((in_force, other, is_newer): ([u64; 3], [u64; 3], bool)) {
