Accept keys at a started node only once its configuration is compared

A request with a withdrawn key could run at a node that starts while the store is back at a copy that still has the key: the node knew only what the store holds, and a read of it counted as proof that this is current.

Cause: a read of the store proves nothing about writes that it has lost, and a node that has just started has no other evidence. Ruled out: running nodes, whose configuration in force is later and stays.

Change: a node accepts keys from the moment at which another node has stated no later configuration than its own, or a second after its start where it reaches none. Nodes exchange within a quarter of a second of knowing others, and have no instance to send requests to before that either.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -38,6 +38,9 @@
 /// simultaneous.
 const REVOKE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Time after the start of a node from which it accepts keys although it has reached no other node.
+const COMPARISON_WAIT: Duration = Duration::from_secs(1);
+
 /// State that the listeners and background tasks of a node share.
 #[derive(Debug)]
 pub struct Node<D: Dialect> {
@@ -90,6 +93,9 @@
     pub links: Links,
     /// Last known era of the store; marked as changed when the store has come back from a copy.
     pub era: watch::Sender<StoreEra>,
+    started_at: Timestamp,
+    /// Whether another node has stated no later configuration than the one in force here.
+    is_compared: AtomicBool,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     own_record: Mutex<InstanceRecord>,
     /// The last node that reported a newer configuration or a fresher proof.
@@ -143,6 +149,8 @@
             refresh_requested: Notify::new(),
             links: Links::default(),
             era: watch::Sender::new(0),
+            started_at: clock::now(),
+            is_compared: AtomicBool::new(false),
             peers: Mutex::default(),
             own_record: Mutex::new(own),
             refresh_source: Mutex::default(),
@@ -205,11 +213,25 @@
     }
 
     /// Whether keys may be accepted: the freshness proof of the configuration is younger than the
-    /// platform's bound on withdrawn keys, if it sets one.
+    /// platform's bound on withdrawn keys, if it sets one, and the configuration has been compared with
+    /// that of another node. A store that has come back from a copy may hold keys that were withdrawn.
     pub fn keys_are_fresh(&self, now: Timestamp) -> bool {
         match self.live_settings.load().bounds.revoke {
             None => true,
-            Some(bound) => self.proof.age(now) + REVOKE_MARGIN < bound,
+            Some(bound) => {
+                let is_compared = self.is_compared.load(Ordering::Acquire)
+                    || now >= self.started_at + COMPARISON_WAIT;
+                is_compared && self.proof.age(now) + REVOKE_MARGIN < bound
+            }
+        }
+    }
+
+    /// Records that another node has a configuration at this position; `None` for a node of an earlier
+    /// build, which states none.
+    pub fn record_comparison(&self, position: Option<Position>) {
+        let own = self.position();
+        if own != Position::default() && position.is_none_or(|position| position <= own) {
+            self.is_compared.store(true, Ordering::Release);
         }
     }
 
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -225,6 +225,7 @@
         node.set_hub_count(usize::try_from(reply.hubs).unwrap_or(MAX_HUBS).min(MAX_HUBS));
     }
     configuration::apply_peer_configuration(node, sent_at, &reply);
+    node.record_comparison(reply.position.map(Position::from));
     let grants = reply.grants.into_iter().map(|grant| Grant {
         tokens: to_token_count(grant.tokens),
         retry_after: Duration::from_millis(u64::from(grant.retry_after_ms)),
@@ -374,6 +375,7 @@
         && claimed + PROOF_ADVANTAGE < node.proof.age(now);
     let position = node.position();
     let peer_position = request.position.map(Position::from);
+    node.record_comparison(peer_position);
     let has_newer = match peer_position {
         Some(peer_position) => peer_position > position,
         None => request.catalog_version > position.version,
--- a/tests/mesh_store.rs
+++ b/tests/mesh_store.rs
@@ -5,7 +5,11 @@
 
 use std::{path::Path, sync::Arc, time::Duration};
 
-use fleet::{plan::services, world::World};
+use fleet::{
+    plan::{Fault, rates, services},
+    record::REVOKE_LIMIT,
+    world::World,
+};
 use hibiscusdoor::mesh::Position;
 use serde_json::json;
 use tokio::time::sleep;
@@ -71,6 +75,28 @@
     Ok(())
 }
 
+/// Guards against a key that was withdrawn and is in use again, since the store has come back from a copy
+/// that still has it, also at a node that starts afterwards and knows only what the store holds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_withdrawn_key_stays_withdrawn_over_a_restored_store() -> anyhow::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let program = Path::new(env!("CARGO_BIN_EXE_hibiscusd"));
+    let world = start_fleet(folder.path(), 56_000).await?;
+    let copy = world.store.copy();
+    world.clone().inject_fault(program, Fault::WithdrawKey(1)).await?;
+    world.wait_until_in_force().await?;
+    world.store.restore(copy);
+    sleep(REVOKE_LIMIT).await;
+    for index in 0..services().len() {
+        world.clone().inject_fault(program, Fault::KillNode(index)).await?;
+        world.wait_until_in_force().await?;
+    }
+    world.wait_until_serving().await?;
+    world.stop_callers().await;
+    assert_eq!(world.record.violations(&rates()), Vec::<String>::new());
+    Ok(())
+}
+
 /// Guards against a registration that is lost for good with a store that comes back from a copy made before
 /// the node had started.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
