Close the connection to an upstream after a refusal

A caller could be told that its request has not run while it runs, where a faulty upstream wrote an earlier refusal once more on a kept connection: the same request, refused and then sent to the same upstream again, has the same id, so the copy counts as the answer (REFUSED, and TWICE where it is then sent to another upstream).

Cause: the id of the request tells a late copy from the answer to another request, but not from the answer to a repetition of the same one. Ruled out: copies for other requests (the id differs) and copies that arrive while the connection is idle (it is closed).

Change: a connection that has carried a statement that a request has not run is not used again. Such answers are rare, since a node keeps to the slots of its upstream.

Tests: a_copy_of_a_refusal_does_not_refuse_the_request_sent_again fails where the connection is kept (the refusal counts twice) and passes. For the report of answers that break off in their head, an_answer_that_breaks_off_is_not_complete cuts answers with a length and in chunks at every byte: none counts as whole, with no change of code, so it cannot happen here.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -46,6 +46,16 @@
     Incomplete(String),
 }
 
+/// Whether a connection is used again after a complete response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// It may be used for any other request.
+    Keep,
+    /// It is closed. A request that was refused may be sent once more under the same id, and a late
+    /// second copy of the refusal would count as the response to it.
+    Close,
+}
+
 /// One HTTP/1.1 connection, which is closed when this is dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -167,15 +177,16 @@
 
     /// Sends one request and reads its complete response.
     ///
-    /// `check` accepts or rejects the head of the response; its second argument is true if the
-    /// response has no body. The connection is reused only after a complete response. On any
+    /// `check` accepts or rejects the head of the response, and tells whether the connection may be
+    /// used again; its second argument is true if the response has no body. The connection is reused
+    /// only after a complete response. On any
     /// failure, and if the future is dropped, it is closed, so that a late response cannot be taken
     /// for the response to another request.
     pub async fn send(
         &self,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
-        check: impl FnOnce(&Parts, bool) -> Result<(), String>,
+        check: impl FnOnce(&Parts, bool) -> Result<Reuse, String>,
     ) -> Result<Answer, SendFailure> {
         let is_head = request.method() == Method::HEAD;
         let sent = connection.sender.try_send_request(request).await;
@@ -187,8 +198,13 @@
             }
         })?;
         let (parts, body) = response.into_parts();
-        check(&parts, is_head || body.is_end_stream()).map_err(SendFailure::Incomplete)?;
+        let reuse =
+            check(&parts, is_head || body.is_end_stream()).map_err(SendFailure::Incomplete)?;
         let body = self.read_body(body).await.map_err(SendFailure::Incomplete)?;
+        let answer = Answer { status: parts.status, headers: parts.headers, body };
+        if reuse == Reuse::Close {
+            return Ok(answer);
+        }
         let now = Instant::now();
         connection.last_used_at = now;
         let mut idle = self.idle.lock();
@@ -199,7 +215,7 @@
         if idle.len() < self.max_idle {
             idle.push(connection);
         }
-        Ok(Answer { status: parts.status, headers: parts.headers, body })
+        Ok(answer)
     }
 
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, String> {
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -27,7 +27,7 @@
     },
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
     clock,
-    http_client::{BodyLimits, ConnectFailure, Connection, ConnectionPool, SendFailure},
+    http_client::{BodyLimits, ConnectFailure, Connection, ConnectionPool, Reuse, SendFailure},
     mesh::{
         AnswerHead, Call, Crashes, Dialect, Heartbeat, LoadReport, RunningCalls, Upstream,
         UpstreamHead, Usage, crash_check::CrashDetector, fingerprint, request::BufferedRequest,
@@ -212,7 +212,7 @@
     ) -> Result<Answer, String> {
         let connection = self.connections.connect(address, MAX_IDLE_TIME).await;
         let connection = connection.map_err(|failure| failure.to_string())?;
-        let sent = self.connections.send(connection, request, |_, _| Ok(())).await;
+        let sent = self.connections.send(connection, request, |_, _| Ok(Reuse::Keep)).await;
         sent.map_err(|failure| match failure {
             SendFailure::Unsent(_, detail) | SendFailure::Incomplete(detail) => detail,
         })
@@ -346,7 +346,8 @@
                     true if !head.is_from_upstream => {
                         Err("the success does not carry the upstream's signature".to_owned())
                     }
-                    _ => Ok(()),
+                    _ if head.not_run => Ok(Reuse::Close),
+                    _ => Ok(Reuse::Keep),
                 },
                 Some(id) => Err(format!("the answer belongs to {id}")),
                 None => Err("the answer has no request id".to_owned()),
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -22,7 +22,9 @@
 
 use crate::{
     call::{Answer, headers},
-    http_client::{self, BodyLimits, ConnectFailure, Connection, ConnectionPool, SendFailure},
+    http_client::{
+        self, BodyLimits, ConnectFailure, Connection, ConnectionPool, Reuse, SendFailure,
+    },
     names::ServiceName,
 };
 
@@ -175,7 +177,9 @@
         request_id: &str,
     ) -> Result<Answer, SendFailure> {
         let check = |parts: &_, has_no_body| {
-            check_answer(parts, has_no_body, request_id).map_err(str::to_owned)
+            check_answer(parts, has_no_body, request_id).map_err(str::to_owned)?;
+            // These upstreams have no statement that a request has not run.
+            Ok(Reuse::Keep)
         };
         self.connections.send(connection, request, check).await
     }
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use hibiscusdoor::http_client::{BodyLimits, ConnectionPool, SendFailure};
+use hibiscusdoor::http_client::{BodyLimits, ConnectionPool, Reuse, SendFailure};
 use http::{HeaderValue, Request, response::Parts};
 use http_body_util::Full;
 use tokio::{
@@ -39,10 +39,13 @@
 }
 
 /// Accepts only the answer with this id.
-fn has_id(id: &str) -> impl FnOnce(&Parts, bool) -> Result<(), String> + use<> {
+fn has_id(id: &str) -> impl FnOnce(&Parts, bool) -> Result<Reuse, String> + use<> {
     let id = id.to_owned();
     move |parts, _| match parts.headers.get("x-id") {
-        Some(found) if found.as_bytes() == id.as_bytes() => Ok(()),
+        Some(found) if found.as_bytes() == id.as_bytes() => match parts.status.is_success() {
+            true => Ok(Reuse::Keep),
+            false => Ok(Reuse::Close),
+        },
         found => Err(format!("the answer belongs to {found:?}")),
     }
 }
@@ -208,3 +211,63 @@
     after_a_millisecond(Duration::from_millis(1)),
     after_three_milliseconds(Duration::from_millis(3)),
 }
+
+/// Whole answers that an upstream cuts off at every byte.
+const WHOLE_ANSWERS: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+];
+
+/// Guards against an answer that broke off, in its head or its body, and counts as complete: callers of
+/// another operator's system got a success with an empty body.
+#[tokio::test]
+async fn an_answer_that_breaks_off_is_not_complete() -> anyhow::Result<()> {
+    for whole in WHOLE_ANSWERS {
+        for length in 0..=whole.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let address = listener.local_addr()?;
+            let upstream = tokio::spawn(async move {
+                let (mut stream, _) = listener.accept().await?;
+                read_request(&mut stream).await;
+                stream.write_all(&whole.as_bytes()[..length]).await?;
+                stream.shutdown().await
+            });
+            let answer = send(&pool(), address, "a").await;
+            let is_whole = length == whole.len();
+            assert_eq!(answer.is_ok(), is_whole, "{length} bytes of {whole:?}: {answer:?}");
+            upstream.await??;
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a late second copy of a refusal that counts as the refusal of the same request when it
+/// is sent once more: the caller is told that it has not run while it runs.
+#[tokio::test]
+async fn a_copy_of_a_refusal_does_not_refuse_the_request_sent_again() -> anyhow::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let upstream = tokio::spawn(async move {
+        let refusal = "HTTP/1.1 503 Full\r\nx-id: a\r\ncontent-length: 0\r\n\r\n";
+        let success = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 3\r\n\r\nran";
+        let (mut first, _) = listener.accept().await?;
+        read_request(&mut first).await;
+        first.write_all(refusal.as_bytes()).await?;
+        // The copy is written when the next request has arrived, on whichever connection.
+        let mut second = tokio::select! {
+            Some(_) = read_request(&mut first) => None,
+            accepted = listener.accept() => Some(accepted?.0),
+        };
+        if let Some(second) = &mut second {
+            read_request(second).await;
+        }
+        let _ = first.write_all(refusal.as_bytes()).await;
+        let answering = second.as_mut().unwrap_or(&mut first);
+        answering.write_all(success.as_bytes()).await
+    });
+    let pool = pool();
+    assert_eq!(send(&pool, address, "a").await, Ok(Bytes::new()), "the refusal");
+    assert_eq!(send(&pool, address, "a").await, Ok(Bytes::from_static(b"ran")));
+    upstream.await??;
+    Ok(())
+}
