Refuse requests that may outlast a planned stop

In a planned stop a request that came late in the grace period was taken and passed on, and cut without an answer at its end, among them requests that may not be repeated (LOST).

Cause: the listener for callers stays open while the local upstream still runs requests, up to 5.1 s of a grace of 6 s, and what it took then had the rest of that time only. Ruled out: the guard, which refuses new requests half a second after the signal, and the accept queue, since the requests had run.

Change: from 2.5 s after the signal on (half of the time where the grace is short), a root request is taken only if its deadline lies before the end; otherwise it is refused as not run, with the time until the restart. Calls of requests that the upstream is running are taken, as those would fail.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -297,6 +297,15 @@
         call.root_organisation = parent_call.root_organisation.clone();
         call.depth = parent_call.depth + 1;
         call.repeated = parent_call.repeated;
+    } else if let Some(stop) = node.planned_stop()
+        && !stop.takes(arrived, call.deadline)
+    {
+        // Calls of requests that the upstream is running are taken, as those requests would fail.
+        return Err(EntryRefusal {
+            reason: Reason::Leaving,
+            detail: "the node stops before the request may have ended".to_owned(),
+            retry_after: stop.ends_at().saturating_sub(arrived).max(DEFAULT_RETRY_AFTER),
+        });
     }
     Ok(Admitted { route: route.clone(), call, parent, organisation })
 }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -42,6 +42,7 @@
 mod run;
 mod running;
 mod settings;
+mod stop;
 pub mod supervise;
 mod sync;
 
@@ -79,4 +80,5 @@
 pub use settings::{
     LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
 };
+pub use stop::PlannedStop;
 pub use sync::{home_hub, hub_count, min_sync_interval, to_token_count};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -20,9 +20,9 @@
     mesh::{
         Bounds, Call, Catalog, CatalogSource, Dialect, Directory, Guard, GuardResult,
         InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
-        MessageEffect, Placement, Position, RateHomes, RetryBound, RetryBudget, RootAdmission,
-        RootFloor, RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker, link::Links,
-        proto::mesh_client::MeshClient, request::BufferedRequest,
+        MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound, RetryBudget,
+        RootAdmission, RootFloor, RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker,
+        link::Links, proto::mesh_client::MeshClient, request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
@@ -104,7 +104,7 @@
     first_hub_at_ms: AtomicU64,
     /// Number of hubs, as decided by the first hub.
     hub_count: watch::Sender<usize>,
-    is_leaving: AtomicBool,
+    stop: OnceLock<PlannedStop>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -156,7 +156,7 @@
             refresh_source: Mutex::default(),
             first_hub_at_ms: AtomicU64::new(0),
             hub_count: watch::Sender::new(1),
-            is_leaving: AtomicBool::new(false),
+            stop: OnceLock::new(),
             settings,
         }
     }
@@ -183,12 +183,18 @@
 
     /// Whether the node is stopping: it finishes its running requests and then exits.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
+        self.stop.get().is_some()
     }
 
-    /// Marks the node as stopping and announces this in its record.
-    pub fn begin_leaving(&self) {
-        self.is_leaving.store(true, Ordering::Release);
+    /// The planned stop, once it has begun.
+    pub fn planned_stop(&self) -> Option<&PlannedStop> {
+        self.stop.get()
+    }
+
+    /// Begins a planned stop and announces it in the node's record.
+    pub fn begin_leaving(&self, stop: PlannedStop) {
+        // A node stops once; a second signal does not extend the time.
+        let _ = self.stop.set(stop);
         self.update_record();
     }
 
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -20,9 +20,9 @@
     findings::{Collector, Findings},
     http_server::{self, pipelined},
     mesh::{
-        Dialect, MeshSettings, MessageEffect, Node, ProcessorLimit, Upstream, UpstreamMessage,
-        configuration, control, entry::CallerHandler, operators, peer_service, probe,
-        processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
+        Dialect, MeshSettings, MessageEffect, Node, PlannedStop, ProcessorLimit, Upstream,
+        UpstreamMessage, configuration, control, entry::CallerHandler, operators, peer_service,
+        probe, processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
     },
     store::ObjectApi as _,
 };
@@ -135,9 +135,10 @@
 
     shutdown.cancelled().await;
     let grace = node.live_settings.load().bounds.grace;
-    let deadline = Instant::now() + grace.saturating_sub(STOP_MARGIN);
+    let usable = grace.saturating_sub(STOP_MARGIN);
+    let deadline = Instant::now() + usable;
     log::info!(running = node.guard.running.len(); "node is stopping");
-    node.begin_leaving();
+    node.begin_leaving(PlannedStop::new(clock::now(), usable));
     let drain = async {
         sleep(LEAVE_NOTICE_TIME).await;
         node.guard.refuse_new();
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -464,6 +464,16 @@
         Ok(())
     }
 
+    /// Makes each request at the upstream of a node take this much longer.
+    pub fn slow_upstream(&self, index: usize, extra: Duration) {
+        self.nodes[index].upstream.lock().set_fault(UpstreamFault::Slow(extra));
+    }
+
+    /// Returns the address of a node's listener for callers.
+    pub fn callers(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.nodes[index].address, CALLERS_PORT)
+    }
+
     /// Returns the address of a node's listener for operators.
     pub fn operators(&self, index: usize) -> SocketAddr {
         SocketAddr::new(self.nodes[index].address, OPERATORS_PORT)
