--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -225,7 +225,7 @@
 }
 
 /// Puts a configuration in force at this node if it is newer, and records the freshness proof of the
-/// read that began at `began` if no later one is needed for it.
+/// read that began at `began` if it or a later one is in force afterwards.
 fn apply_configuration<D: Dialect>(
     node: &Node<D>,
     began: Option<Timestamp>,
