--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -162,7 +162,7 @@
         self.notify_if_token_is_wanted(&mut state);
     }
 
-    /// Records a limit of the upstream that another node knows; see [`RateLimit::record_relayed`].
+    /// Records a limit of the upstream that another node knows, until the upstream answers.
     pub fn record_relayed_rate(&self, per_s: f64) {
         if let Some(admission) = &mut self.state.lock().admission {
             admission.rate_mut().record_relayed(clock::now(), per_s);
