--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -274,6 +274,8 @@
         self.ports = fleet.ports
         self.process = None
         self.target = None
+        # Address under which other nodes reach this node, if it is that of a proxy.
+        self.announced_peers = None
 
     async def start(self, slots=50):
         self.target = Target(self, self.fleet.record, f"i-{self.name}", self.service, slots)
@@ -289,7 +291,10 @@
             "listen": {name: f"{self.ip}:{ports[name]}" for name in ("inbound", "outbound", "ready", "control")},
         }
         settings = fleet.folder / f"{self.name}.json"
-        settings.write_text(render((ROOT / fleet.role["template"]).read_text(), fields))
+        text = render((ROOT / fleet.role["template"]).read_text(), fields)
+        if self.announced_peers:
+            text = json.dumps(json.loads(text) | {"announced_peers": self.announced_peers})
+        settings.write_text(text)
         command = fleet.role["run"].replace("/etc/hibiscusdoor/settings.yaml", str(settings)).split()
         environment = {"PATH": os.environ["PATH"], "HOME": str(fleet.folder), "LANG": "C",
                        "HIBISCUSDOOR_SETTINGS": str(settings)}
@@ -336,6 +341,60 @@
             return False
 
 
+class Partition:
+    """A proxy in front of a node's listener for other nodes, by which the node can be cut off from them.
+
+    While the node is cut off, nothing passes in either direction and nothing answers. At the end the
+    connections of that time are reset, and new ones work.
+    """
+
+    def __init__(self, machine):
+        self.machine, self.is_cut, self.writers = machine, False, set()
+
+    async def start(self):
+        port = free_ports(1)[0]
+        self.server = await asyncio.start_server(self.serve, self.machine.ip, port)
+        self.machine.announced_peers = f"{self.machine.ip}:{port}"
+
+    def cut(self):
+        self.is_cut = True
+        self.machine.fleet.record("cut off from the other nodes", machine=self.machine.name)
+
+    def heal(self):
+        self.is_cut = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.machine.fleet.record("no longer cut off", machine=self.machine.name)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        onward = None
+        try:
+            if self.is_cut:
+                while await reader.read(65536):
+                    pass
+                return
+            answers, onward = await asyncio.open_connection(self.machine.ip, self.machine.ports["inbound"])
+            self.writers.add(onward)
+            await asyncio.gather(self.pass_on(reader, onward), self.pass_on(answers, writer))
+        except OSError:
+            pass
+        finally:
+            for it in filter(None, (writer, onward)):
+                self.writers.discard(it)
+                it.close()
+
+    async def pass_on(self, reader, writer):
+        is_silent = False
+        while data := await reader.read(65536):
+            is_silent = is_silent or self.is_cut
+            if not is_silent:
+                writer.write(data)
+                await writer.drain()
+        if not is_silent and writer.can_write_eof():
+            writer.write_eof()
+
+
 class Fleet:
     """The platform: machines, store and operator of one small deployment."""
 
