--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -571,6 +571,7 @@
 def run(folder, play):
     """Plays a case: exit code 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     async def whole():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         fleet = Fleet(folder)
         try:
             await fleet.open()
@@ -578,7 +579,8 @@
             fleet.record("verdict", trouble=int(TROUBLE), broken=broken)
             print("broken:" if broken else "held", broken or "")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever goes wrong in the script itself says nothing about the rule.
             fleet.record("verdict", could_not_run=repr(error))
             print("could not run:", repr(error))
             return 2
