--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http_server;
 pub mod load;
 pub mod membership;
+pub mod memory;
 pub mod mesh;
 pub mod names;
 pub mod node;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -40,7 +40,6 @@
 struct RouteSpec {
     host: String,
     path_prefix: String,
-    /// `safe` where requests may run more than once.
     kind: RouteKind,
     #[serde(deserialize_with = "text::deserialize")]
     timeout: Duration,
@@ -63,8 +62,16 @@
 #[derive(Clone, Copy, PartialEq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum RouteKind {
+    /// Requests may run more than once.
     Safe,
+    /// Requests may run at most once for each attempt of a client.
     Unsafe,
+    /// Requests have large bodies, and may run at most once.
+    Upload,
+    /// A kind that this build does not know; requests may run at most once. A configuration that was
+    /// rejected for one such route left a fleet without any route.
+    #[serde(other)]
+    Unknown,
 }
 
 #[derive(Deserialize)]
@@ -175,6 +182,9 @@
             "routes/{name}: expected a service, or a traffic split with a weight above 0"
         ));
     }
+    if spec.kind == RouteKind::Unknown {
+        log::warn!(route = name; "the route has an unknown kind; its requests are never repeated");
+    }
     Ok(Route {
         name: name.into(),
         host: spec.host.to_ascii_lowercase().into(),
