Reserve response bodies in a memory budget, and keep connections after refusals

A faulty upstream that sends bytes without end took its node above the memory of the machine: the limit did not count the copies made while a body grew, and each connection had a read buffer of 400 KiB. Bodies are now reserved before their buffer grows, small bodies may use more of the budget than large ones, and the read buffer is limited to 64 KiB.

The pool counts and logs why each connection is opened. A connection that has carried a refusal is kept: it rests for 100 ms, in which a second copy of the refusal closes it, and is never used for the refused id. A connection that is not ready yet goes back to the pool instead of being closed. Keep-Alive of the upstream and maxConnections of the service are honoured.

--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -27,7 +27,11 @@
     },
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
     clock,
-    http_client::{BodyLimits, ConnectFailure, Connection, ConnectionPool, Reuse, SendFailure},
+    http_client::{
+        ConnectFailure, ConnectRequest, Connection, ConnectionPool, OpenCounts, PoolLimits, Reuse,
+        SendFailure,
+    },
+    memory::MemoryBudget,
     mesh::{
         AnswerHead, Call, Crashes, Dialect, Heartbeat, LoadReport, RunningCalls, Upstream,
         UpstreamHead, Usage, crash_check::CrashDetector, fingerprint, request::BufferedRequest,
@@ -36,15 +40,20 @@
     once::Fingerprint,
 };
 
-/// Maximum number of idle connections to the upstream that are kept open.
-const MAX_IDLE_CONNECTIONS: usize = 512;
-/// Connections that were idle for longer are not reused: upstreams close idle connections after 10 s.
+/// Connections that were idle for longer are not reused: upstreams close idle connections after 10 s,
+/// unless their answers state another time.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 /// The same for requests that must not run twice. If the upstream has closed the connection unnoticed,
 /// such a request cannot be sent again.
 const MAX_NON_IDEMPOTENT_IDLE_TIME: Duration = Duration::from_secs(2);
-/// Limits on answers of the upstream, which may send bytes without end; a machine has 160 MB or more.
-const BODY_LIMITS: BodyLimits = BodyLimits { max_bytes: 32 << 20, max_total_bytes: 64 << 20 };
+/// Limits of the connections to the upstream and its answers.
+const POOL_LIMITS: PoolLimits =
+    PoolLimits { max_idle: 512, max_idle_time: MAX_IDLE_TIME, max_body_bytes: 32 << 20 };
+/// Memory for the bodies of answers, which an upstream in trouble may send without end; a machine has
+/// 160 MB or more.
+const ANSWER_MEMORY_BYTES: usize = 64 << 20;
+/// Connections of the upstream that the node leaves free.
+const SPARE_CONNECTIONS: usize = 2;
 /// Time after the upstream's announcement that it is leaving in which requests already in transit are
 /// still sent to it; the platform allows twice as long.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
@@ -121,7 +130,10 @@
             tasks: TaskTracker::new(),
             upstream: ArcSwapOption::empty(),
             gate: Gate::default(),
-            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, MAX_IDLE_TIME, BODY_LIMITS),
+            connections: ConnectionPool::new(
+                POOL_LIMITS,
+                Arc::new(MemoryBudget::new(ANSWER_MEMORY_BYTES)),
+            ),
             crashes: Mutex::default(),
             crash_check: CrashDetector::default(),
             sent: Counter::default(),
@@ -184,6 +196,21 @@
         self.gate.status()
     }
 
+    /// Sets the number of connections that the upstream accepts; 0 where it is unknown.
+    pub fn set_max_connections(&self, max_connections: u32) {
+        let max_open = (max_connections > 0).then_some(max_connections as usize);
+        self.connections.set_max_open(max_open.map(|it| {
+            // The upstream notices the end of a connection later than the node, and the checks for
+            // crashes also open connections.
+            it - SPARE_CONNECTIONS.min(it / 8)
+        }));
+    }
+
+    /// Counts of opened connections to the upstream by reason.
+    pub fn opened_connections(&self) -> &OpenCounts {
+        self.connections.opened()
+    }
+
     /// Limit that the upstream's last answer named.
     pub fn named_rate(&self) -> NamedRate {
         *self.named_rate.lock()
@@ -210,7 +237,8 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, String> {
-        let connection = self.connections.connect(address, MAX_IDLE_TIME).await;
+        let connect = ConnectRequest { address, max_idle_time: Duration::MAX, request_id: None };
+        let connection = self.connections.connect(connect).await;
         let connection = connection.map_err(|failure| failure.to_string())?;
         let sent = self.connections.send(connection, request, |_, _| Ok(Reuse::Keep)).await;
         sent.map_err(|failure| match failure {
@@ -305,8 +333,13 @@
             return Err(undispatched.refuse(Reason::Leaving, "the upstream has left"));
         };
         let max_idle_time =
-            if call.idempotent { MAX_IDLE_TIME } else { MAX_NON_IDEMPOTENT_IDLE_TIME };
-        let connected = self.connections.connect(upstream.heartbeat.address, max_idle_time).await;
+            if call.idempotent { Duration::MAX } else { MAX_NON_IDEMPOTENT_IDLE_TIME };
+        let connect = ConnectRequest {
+            address: upstream.heartbeat.address,
+            max_idle_time,
+            request_id: Some(&call.request_id),
+        };
+        let connected = self.connections.connect(connect).await;
         let connection = match connected {
             Ok(connection) => connection,
             Err(failure) => {
@@ -346,7 +379,9 @@
                     true if !head.is_from_upstream => {
                         Err("the success does not carry the upstream's signature".to_owned())
                     }
-                    _ if head.not_run => Ok(Reuse::Close),
+                    // Another upstream listens at the address.
+                    _ if head.misdirected => Ok(Reuse::Close),
+                    _ if head.not_run => Ok(Reuse::KeepForOthers(id)),
                     _ => Ok(Reuse::Keep),
                 },
                 Some(id) => Err(format!("the answer belongs to {id}")),
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -215,9 +215,17 @@
         }
         self.catalog.store(Some(Arc::new(catalog)));
         self.catalog_source.store(Some(Arc::new(source)));
+        self.apply_connection_limit();
         true
     }
 
+    /// Sets the number of connections that the configuration permits to the local upstream.
+    fn apply_connection_limit(&self) {
+        let catalog = self.catalog.load();
+        let service = catalog.as_ref().and_then(|it| it.service(&self.own_service()));
+        self.guard.set_max_connections(service.map_or(0, |it| it.max_connections));
+    }
+
     /// Whether keys may be accepted: the freshness proof of the configuration is younger than the
     /// platform's bound on withdrawn keys, if it sets one, and the configuration has been compared with
     /// that of another node. A store that has come back from a copy may hold keys that were withdrawn.
@@ -306,6 +314,8 @@
         own.upstream = upstream;
         own.sequence += 1;
         self.publish_record(&own);
+        drop(own);
+        self.apply_connection_limit();
     }
 
     /// Raises the generation of the node's record above that of another process under its name, so
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -311,6 +311,11 @@
 fn metrics_text<D: Dialect>(node: &Node<D>) -> Result<String, std::fmt::Error> {
     let mut registry = Registry::with_prefix("hibiscusdoor");
     node.metrics.register(&mut registry);
+    registry.register(
+        "upstream_connections_opened",
+        "Connections to the local upstream that were opened, by reason",
+        node.guard.opened_connections().clone(),
+    );
     StateDump::capture(node).register(&mut registry);
     let mut text = String::new();
     encode_registry(&mut text, &registry)?;
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -23,13 +23,16 @@
 use crate::{
     call::{Answer, headers},
     http_client::{
-        self, BodyLimits, ConnectFailure, Connection, ConnectionPool, Reuse, SendFailure,
+        self, ConnectFailure, ConnectRequest, Connection, ConnectionPool, PoolLimits, Reuse,
+        SendFailure,
     },
+    memory::MemoryBudget,
     names::ServiceName,
 };
 
-/// Number of bodies of the largest size that may be received at the same time.
-const MAX_LARGE_BODIES: usize = 8;
+/// Memory for bodies, as a number of bodies of the largest size. Half as many may be received at the
+/// same time, since a body of unknown length is copied while it grows.
+const MAX_LARGE_BODIES: usize = 16;
 /// Idle connections older than this are not reused; many servers close them after some minutes.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -79,15 +82,17 @@
 impl UpstreamLink {
     /// Creates a link without an upstream.
     pub fn new(max_body_bytes: usize) -> Self {
-        let body_limits = BodyLimits {
-            max_bytes: max_body_bytes,
-            max_total_bytes: max_body_bytes.saturating_mul(MAX_LARGE_BODIES),
+        let limits = PoolLimits {
+            max_idle: MAX_IDLE_CONNECTIONS,
+            max_idle_time: IDLE_TIMEOUT,
+            max_body_bytes,
         };
+        let memory = MemoryBudget::new(max_body_bytes.saturating_mul(MAX_LARGE_BODIES));
         Self {
             announced: ArcSwapOption::empty(),
             report: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
-            connections: ConnectionPool::new(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT, body_limits),
+            connections: ConnectionPool::new(limits, Arc::new(memory)),
         }
     }
 
@@ -166,7 +171,8 @@
 
     /// Returns a connection that is ready for a request.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectFailure> {
-        self.connections.connect(address, IDLE_TIMEOUT).await
+        let request = ConnectRequest { address, max_idle_time: IDLE_TIMEOUT, request_id: None };
+        self.connections.connect(request).await
     }
 
     /// Sends one request and reads the complete response.
