--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     admission::{
-        Action, Admission, Arrival, Completion, ConcurrencyLimit, Limit, NamedRate, Refusal, Ticket,
+        Action, Admission, Arrival, ColdRate, Completion, ConcurrencyLimit, Limit, NamedRate,
+        PaceReport, Refusal, Ticket,
     },
     clock::{self, Timestamp},
     config::Importance,
@@ -88,6 +89,20 @@
     /// The limit that the upstream names, without the gradual rise after its end.
     #[serde(default)]
     pub named_per_s: Option<f64>,
+    /// Requests per second that the upstream accepts while it is cold; `None` while it is warm.
+    #[serde(default)]
+    pub pace_per_s: Option<f64>,
+    /// Time for which the upstream is still cold, in seconds.
+    #[serde(default)]
+    pub pace_remaining_s: f64,
+}
+
+impl GateStatus {
+    /// Pace of a cold upstream; `None` while it is warm.
+    pub fn pace(&self) -> Option<PaceReport> {
+        let remaining = Duration::from_secs_f64(self.pace_remaining_s);
+        self.pace_per_s.map(|per_s| PaceReport { per_s, remaining })
+    }
 }
 
 /// The slot of a started request. Dropping it without [`Slot::complete`] counts the request as
@@ -178,6 +193,53 @@
         self.notify_if_token_is_wanted(&mut state);
     }
 
+    /// Sets what a cold upstream tolerates; `None` if its service has no cold rate.
+    pub fn set_cold_rate(&self, rate: Option<ColdRate>) {
+        let mut state = self.state.lock();
+        if let Some(admission) = &mut state.admission {
+            admission.pace_mut().cold_mut().set_rate(rate);
+        }
+        self.notify_if_token_is_wanted(&mut state);
+    }
+
+    /// Records the statement of the upstream that it is cold for this time; see
+    /// [`ColdPace::record_statement`](crate::admission::ColdPace::record_statement).
+    pub fn record_cold(&self, remaining: Duration, is_current: bool) {
+        let mut state = self.state.lock();
+        if let Some(admission) = &mut state.admission {
+            let cold = admission.pace_mut().cold_mut();
+            cold.record_statement(clock::now(), remaining, is_current);
+        }
+        self.notify_if_token_is_wanted(&mut state);
+    }
+
+    /// Assumes that the upstream is cold, since it has crashed, until a statement says otherwise.
+    pub fn assume_cold(&self) {
+        if let Some(admission) = &mut self.state.lock().admission {
+            let cold = admission.pace_mut().cold_mut();
+            if let Some(rate) = cold.configured() {
+                cold.assume_cold(clock::now(), rate.duration);
+            }
+        }
+    }
+
+    /// Records a sign that the upstream may have crashed; see
+    /// [`ColdPace::doubt`](crate::admission::ColdPace::doubt).
+    pub fn doubt(&self) {
+        if let Some(admission) = &mut self.state.lock().admission {
+            admission.pace_mut().cold_mut().doubt(clock::now());
+        }
+    }
+
+    /// Requests per second that the upstream accepts while it is cold, and the time for which it is;
+    /// `None` while it is warm.
+    pub fn cold_pace(&self) -> Option<PaceReport> {
+        let state = self.state.lock();
+        let (now, admission) = (clock::now(), state.admission.as_ref()?);
+        let cold = admission.pace().cold();
+        Some(PaceReport { per_s: cold.per_s(now)?, remaining: cold.remaining(now) })
+    }
+
     fn notify_if_token_is_wanted(&self, state: &mut State<L>) {
         let admission = state.admission.as_mut();
         if admission.is_some_and(|it| it.time_to_token(clock::now()).is_some()) {
@@ -253,8 +315,10 @@
             waiting: admission.waiting(),
             shed_below: admission.shed_below(now).0,
             mean_s: admission.mean_own_time().as_secs_f64(),
-            rate_per_s: admission.rate().per_s(now),
-            named_per_s: admission.rate().named_per_s(),
+            rate_per_s: admission.pace().per_s(now),
+            named_per_s: admission.pace().named().named_per_s(),
+            pace_per_s: admission.pace().cold().per_s(now),
+            pace_remaining_s: admission.pace().cold().remaining(now).as_secs_f64(),
         })
     }
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,6 +8,7 @@
 mod limit;
 mod mean_time;
 mod own_time;
+mod pace;
 mod queue;
 mod rate_limit;
 mod slot_limit;
@@ -20,6 +21,7 @@
 pub use limit::ConcurrencyLimit;
 pub use mean_time::MeanTime;
 pub use own_time::OwnTime;
+pub use pace::{ColdPace, ColdRate, Pace, PaceReport};
 pub use queue::{FairQueue, WaitingRequest};
 pub use rate_limit::{NamedRate, RateLimit};
 pub use slot_limit::SlotLimit;
@@ -142,8 +144,8 @@
     limit: L,
     /// Fraction of the limit that is used.
     limit_factor: f64,
-    /// Limit on the rate of starts, which the upstream names in its answers.
-    rate: RateLimit,
+    /// Limit on the rate of starts.
+    pace: Pace,
     queue: FairQueue,
     in_flight: u32,
     activity: BTreeMap<Importance, ClassActivity>,
@@ -155,7 +157,7 @@
         Self {
             limit: L::new(now, slots),
             limit_factor: 1.0,
-            rate: RateLimit::default(),
+            pace: Pace::default(),
             queue: FairQueue::default(),
             in_flight: 0,
             activity: BTreeMap::new(),
@@ -174,13 +176,18 @@
     }
 
     /// Limit on the rate of starts.
-    pub fn rate(&self) -> &RateLimit {
-        &self.rate
+    pub fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// The same, to record what the upstream states.
+    pub fn pace_mut(&mut self) -> &mut Pace {
+        &mut self.pace
     }
 
-    /// The same, to record what the upstream names.
+    /// Part of the pace that the upstream names in its answers.
     pub fn rate_mut(&mut self) -> &mut RateLimit {
-        &mut self.rate
+        self.pace.named_mut()
     }
 
     /// Starts the waiting requests for which the rate limit has gained tokens.
@@ -193,7 +200,7 @@
     /// Time until [`Self::on_token`] must be called; `None` while no request waits for a token.
     pub fn time_to_token(&mut self, now: Timestamp) -> Option<Duration> {
         let waits = !self.queue.is_empty() && self.in_flight < self.limit(now);
-        waits.then(|| self.rate.time_to_token(now))
+        waits.then(|| self.pace.time_to_token(now))
     }
 
     /// Handles an arriving request.
@@ -287,13 +294,13 @@
     }
 
     fn start_waiting_requests(&mut self, now: Timestamp, actions: &mut Actions) {
-        while self.in_flight < self.limit(now) && self.rate.time_to_token(now).is_zero() {
+        while self.in_flight < self.limit(now) && self.pace.time_to_token(now).is_zero() {
             let Some((importance, waiting)) = self.queue.pop() else { return };
             if self.cannot_meet_deadline(now, &waiting) {
                 actions.push(Action::Refuse(waiting.ticket, Refusal::DeadlinePassed));
                 continue;
             }
-            self.rate.take(now);
+            self.pace.take(now);
             self.in_flight += 1;
             self.activity.entry(importance).or_default().started_at = Some(now);
             actions.push(Action::Start(waiting.ticket));
@@ -311,7 +318,7 @@
 
     fn queue_capacity(&self, now: Timestamp) -> usize {
         let capacity = (self.limit(now) as usize).max(MIN_QUEUE_CAPACITY);
-        match self.rate.per_s(now) {
+        match self.pace.per_s(now) {
             // More requests than can be started within the maximum wait would only be refused later.
             Some(per_s) => capacity.min((per_s * self.max_wait().as_secs_f64()).ceil() as usize),
             None => capacity,
--- a/src/mesh/attempts.rs
+++ b/src/mesh/attempts.rs
@@ -15,7 +15,8 @@
     clock,
     mesh::{
         AttemptResult, Call, Candidate, Dialect, GuardResult, LoadReport, Member, Node, Route,
-        Usage, forward::forward_request, request::BufferedRequest,
+        UpstreamRecord, Usage, evacuation, forward::forward_request, pace,
+        request::BufferedRequest,
     },
     names::InstanceName,
 };
@@ -188,25 +189,40 @@
     tried: &[InstanceName],
 ) -> (Option<InstanceName>, GuardResult) {
     let members = node.members.load_full();
-    let ready: SmallVec<[(&Arc<Member>, u32); 16]> = members
+    let ready: SmallVec<[(&Arc<Member>, &UpstreamRecord); 16]> = members
         .for_service(&call.service)
         .iter()
         .filter(|member| !tried.contains(&member.record.instance))
-        .filter_map(|member| Some((member, member.ready_upstream()?.slots)))
+        .filter(|member| node.accepts_zone(&member.record.address.zone))
+        .filter_map(|member| Some((member, member.ready_upstream()?)))
         .collect();
     let candidates: SmallVec<[Candidate<'_>; 16]> = ready
         .iter()
-        .map(|(member, slots)| Candidate {
+        .map(|(member, upstream)| Candidate {
             instance: &member.record.instance,
             is_same_zone: member.record.address.zone == node.settings.zone,
-            slots: *slots,
+            slots: upstream.slots,
+            pace_per_ks: upstream.pace_per_ks,
         })
         .collect();
     let now = clock::now();
-    let chosen = node.placement.lock().choose(now, &route.name, route.answer_within, &candidates);
+    let chosen = {
+        let mut placement = node.placement.lock();
+        pace::choose(
+            &mut placement,
+            &members,
+            now,
+            &candidates,
+            rand::random(),
+            |placement, warm| placement.choose(now, &route.name, route.answer_within, warm),
+        )
+    };
     let Some(index) = chosen else {
         let detail = format!("no instance of {} takes requests", call.service);
-        let not_run = undispatched.refuse(Reason::NoUpstream, detail);
+        let mut not_run = undispatched.refuse(Reason::NoUpstream, detail);
+        if let Some(delay) = evacuation::retry_after(node, &call.service) {
+            not_run = not_run.retry_after(delay);
+        }
         return (None, GuardResult::from_outcome(Outcome::NotRun(not_run)));
     };
     let member = ready[index].0;
--- a/src/mesh/bounds.rs
+++ b/src/mesh/bounds.rs
@@ -24,6 +24,13 @@
     pub retry_slack: u32,
     /// Time window over which an organisation's rate is measured.
     pub rate_window: Duration,
+    /// Requests that a cold upstream may receive in any second, as a multiple of its cold rate.
+    pub cold_over: f64,
+    /// Requests that it may receive in addition in any second.
+    pub cold_slack: f64,
+    /// Time after the request to evacuate an availability zone, from which no upstream in the zone may
+    /// receive a request; `None` if the platform evacuates no zones.
+    pub evacuate: Option<Duration>,
 }
 
 impl Default for Bounds {
@@ -37,6 +44,9 @@
             retry_window: Duration::from_secs(10),
             retry_slack: 40,
             rate_window: Duration::from_secs(5),
+            cold_over: 1.5,
+            cold_slack: 8.0,
+            evacuate: None,
         }
     }
 }
--- a/src/mesh/catalog.rs
+++ b/src/mesh/catalog.rs
@@ -64,6 +64,11 @@
     pub health_path: Arc<str>,
     /// Maximum number of connections to one upstream.
     pub max_connections: u32,
+    /// Time for which an upstream is cold after its start.
+    pub cold_start: Duration,
+    /// Requests per second that a cold upstream accepts from all nodes together; `None` if upstreams
+    /// of the service accept any rate when they are cold.
+    pub cold_per_s: Option<f64>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/src/mesh/dialect.rs
+++ b/src/mesh/dialect.rs
@@ -50,6 +50,17 @@
     pub slots: u32,
 }
 
+/// Fields that the node reads from the head of an answer to a health check.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthHead {
+    /// Id of the upstream.
+    pub upstream: InstanceName,
+    /// Load of the upstream, if the answer reports it.
+    pub load: Option<ReportedLoad>,
+    /// Time for which the upstream is still cold; `None` if the answer does not state it.
+    pub cold: Option<Duration>,
+}
+
 /// Fields that the node reads from the head of an upstream's answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
@@ -122,6 +133,9 @@
 
     /// Kind and name of the operators' configuration in the store.
     const CONFIGURATION: (&'static str, &'static str);
+    /// Kind of the store objects that request the evacuation of the availability zone they are named
+    /// after.
+    const EVACUATIONS: &'static str;
     /// HTTP path that the readiness listener answers.
     const READINESS_PATH: &'static str;
 
@@ -147,8 +161,8 @@
     /// Reads the fields for the node from an upstream's answer.
     fn answer_head(status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
-    /// Reads the head of a successful health check answer: the upstream's id, and its load if reported.
-    fn health_head(headers: &HeaderMap) -> Option<(InstanceName, Option<ReportedLoad>)>;
+    /// Reads the head of a successful health check answer; `None` if it names no upstream.
+    fn health_head(headers: &HeaderMap) -> Option<HealthHead>;
 
     /// Id of the request that the upstream was running when it made the call with this id, if the id
     /// contains it. It is a hint: the node checks whether its upstream is running that request.
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -53,13 +53,15 @@
     pub started_unix_ms: u64,
     /// Sequence number of the upstream's last message that changed the record.
     pub sequence: u64,
+    /// Requests in 1000 s that it accepts from all nodes together while it is cold; 0 while it is warm.
+    pub pace_per_ks: u32,
 }
 
 impl UpstreamRecord {
     /// Whether both records describe the same state, regardless of the messages that they come from.
     pub fn has_same_state(&self, other: &Self) -> bool {
-        (&self.id, self.slots, self.ready, self.has_left)
-            == (&other.id, other.slots, other.ready, other.has_left)
+        (&self.id, self.slots, self.ready, self.has_left, self.pace_per_ks)
+            == (&other.id, other.slots, other.ready, other.has_left, other.pace_per_ks)
     }
 }
 
@@ -149,9 +151,16 @@
     services: HashMap<ServiceName, Vec<Arc<Member>>>,
     /// Includes instances that are in the store but have not published a record yet.
     addresses: Addresses,
+    /// Whether any upstream is cold.
+    has_cold: bool,
 }
 
 impl Members {
+    /// Whether the pace of any upstream is limited, since it is cold.
+    pub fn has_cold(&self) -> bool {
+        self.has_cold
+    }
+
     /// Instances of a service.
     pub fn for_service(&self, service: &str) -> &[Arc<Member>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -325,6 +334,8 @@
         let mut members = Members { addresses: self.addresses.clone(), ..Default::default() };
         for entry in self.entries.values() {
             let service = entry.member.record.service.clone();
+            members.has_cold |=
+                entry.member.ready_upstream().is_some_and(|upstream| upstream.pace_per_ks > 0);
             members.services.entry(service).or_default().push(entry.member.clone());
         }
         members
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -16,7 +16,8 @@
         RunningCall,
         attempts::{self, CallResult},
         charge::{self, Charge, ChargeRefusal},
-        fingerprint,
+        evacuation, fingerprint,
+        pace::{self, PacedCharge},
         request::{BufferedRequest, remove_connection_headers},
     },
     names::ServiceName,
@@ -96,6 +97,13 @@
     organisation: Option<Arc<Organisation>>,
 }
 
+/// What a request was charged for before it begins.
+#[derive(Default)]
+struct Charges {
+    rate: Option<Charge>,
+    paced: PacedCharge,
+}
+
 /// Answers a request of a caller or of the local upstream.
 async fn answer_request<D: Dialect>(
     node: Arc<Node<D>>,
@@ -111,10 +119,10 @@
     let admitted = admitted.and_then(|it| refuse_quarantined(&node, it, &request));
     let charged = match &admitted {
         Ok(admitted) => charge_and_admit_root(&node, admitted).await,
-        Err(_) => Ok(None),
+        Err(_) => Ok(Charges::default()),
     };
-    let (admitted, charge) = match (admitted, charged) {
-        (Ok(admitted), Ok(charge)) => (admitted, charge),
+    let (admitted, charges) = match (admitted, charged) {
+        (Ok(admitted), Ok(charges)) => (admitted, charges),
         (Err(refusal), _) | (_, Err(refusal)) => {
             let not_run = refusal.into_not_run(undispatched);
             log::info!(
@@ -130,7 +138,7 @@
         }
     };
     let mut abandon_log = AbandonLog { call: &admitted.call, is_finished: false };
-    let result = run_admitted(&node, &admitted, request, undispatched, charge).await;
+    let result = run_admitted(&node, &admitted, request, undispatched, charges).await;
     abandon_log.is_finished = true;
     let took = clock::now().saturating_sub(arrived);
     node.metrics.record_request(request_origin::<D>(request_id.as_deref()), &result.outcome, took);
@@ -315,7 +323,7 @@
 async fn charge_and_admit_root<D: Dialect>(
     node: &Arc<Node<D>>,
     admitted: &Admitted,
-) -> Result<Option<Charge>, EntryRefusal> {
+) -> Result<Charges, EntryRefusal> {
     let route = &admitted.route;
     let charge = match &admitted.organisation {
         None => None,
@@ -334,11 +342,21 @@
             })?,
     };
     if admitted.call.depth > 0 {
-        return Ok(charge);
+        return Ok(Charges { rate: charge, paced: PacedCharge::default() });
     }
+    let paced = match admit_by_pace(node, admitted) {
+        Ok(paced) => paced,
+        Err(refusal) => {
+            if let Some(charge) = charge {
+                charge.refund(node);
+            }
+            return Err(refusal);
+        }
+    };
     match wait_for_root_admission(node, admitted).await {
-        RootVerdict::Admit => Ok(charge),
+        RootVerdict::Admit => Ok(Charges { rate: charge, paced }),
         RootVerdict::Refuse { service, load } => {
+            paced.refund(node);
             if let Some(charge) = charge {
                 charge.refund(node);
             }
@@ -351,6 +369,25 @@
     }
 }
 
+/// Decides whether the services that a root request's chain uses have instances outside of evacuated zones,
+/// and, where all of them are cold, whether it fits into what they accept.
+fn admit_by_pace<D: Dialect>(
+    node: &Node<D>,
+    admitted: &Admitted,
+) -> Result<PacedCharge, EntryRefusal> {
+    if let Some((service, retry_after)) = evacuation::refuse_root(node, &admitted.call) {
+        let detail = format!("all upstreams of the service {service} are in evacuated zones");
+        return Err(EntryRefusal { reason: Reason::NoUpstream, detail, retry_after });
+    }
+    let catalog = node.catalog.load();
+    let urgency = catalog.as_ref().map_or(1.0, |it| it.urgency(admitted.call.rank));
+    pace::admit_root(node, &admitted.call, urgency).map_err(|refusal| EntryRefusal {
+        reason: Reason::Overload,
+        detail: format!("all upstreams of the service {} are cold", refusal.service),
+        retry_after: refusal.retry_after.max(MIN_RETRY_AFTER),
+    })
+}
+
 /// Decides whether a root request is admitted. If a service of its call chain is overloaded, the
 /// decision is repeated for up to [`MAX_ROOT_WAIT`].
 async fn wait_for_root_admission<D: Dialect>(
@@ -435,12 +472,14 @@
     admitted: &Admitted,
     request: BufferedRequest,
     undispatched: Undispatched,
-    charge: Option<Charge>,
+    charges: Charges,
 ) -> CallResult {
     let mut result =
         attempts::run(node, &admitted.route, &admitted.call, request, undispatched).await;
+    let was_refused = result.was_refused;
     let outcome = &mut result.outcome;
-    if let Some(charge) = charge.filter(|_| matches!(outcome, Outcome::NotRun(_))) {
+    charges.paced.record_result(node, was_refused);
+    if let Some(charge) = charges.rate.filter(|_| matches!(outcome, Outcome::NotRun(_))) {
         charge.refund(node);
     }
     let succeeded = matches!(outcome, Outcome::Whole(answer) if answer.status.is_success());
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -6,6 +6,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    admission::PaceReport,
     call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched},
     clock,
     mesh::{
@@ -176,6 +177,10 @@
             mean_s: f64::from(load.mean_us) / 1e6,
             route_mean_s: f64::from(load.route_us) / 1e6,
             named_rate_per_s: (load.named_rate_per_s > 0.0).then_some(load.named_rate_per_s),
+            pace: (load.pace_per_ks > 0).then(|| PaceReport {
+                per_s: f64::from(load.pace_per_ks) / 1000.0,
+                remaining: Duration::from_millis(u64::from(load.pace_remaining_ms)),
+            }),
         }),
         usage,
         leaving_upstream: None,
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -17,13 +17,13 @@
 use http_body_util::Full;
 use parking_lot::Mutex;
 use prometheus_client::metrics::counter::Counter;
-use tokio::time::timeout;
+use tokio::{sync::Notify, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     admission::{
-        AdmissionRequest, Completion, Gate, GateStatus, MeanTime, NamedRate, Refusal, Slot,
-        SlotLimit,
+        AdmissionRequest, ColdRate, Completion, Gate, GateStatus, MeanTime, NamedRate, PaceReport,
+        Refusal, Slot, SlotLimit,
     },
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
     clock,
@@ -56,6 +56,12 @@
 /// Weight of a new sample in the mean time of a route's requests.
 const ROUTE_TIME_WEIGHT: f64 = 0.1;
 
+const EVACUATED_DETAIL: &str = "the availability zone is evacuated, or its state is not known yet";
+/// Time of an answer, as a multiple of the mean of its route, above which it is slow.
+const SLOW_FACTOR: f64 = 2.5;
+/// Slow answers in succession after which the upstream is asked whether it is cold.
+const SLOW_ANSWERS: u32 = 3;
+
 /// Result of a request at the guard of an upstream.
 #[derive(Debug)]
 pub struct GuardResult {
@@ -109,6 +115,14 @@
     named_rate: Mutex<NamedRate>,
     /// Mean time of each route's requests.
     route_times: Mutex<HashMap<Arc<str>, MeanTime>>,
+    /// What the upstream tolerates while it is cold.
+    cold_rate: Mutex<Option<ColdRate>>,
+    /// Notified at a sign that the upstream may have become cold.
+    pub cold_sign: Notify,
+    /// Slow answers in succession.
+    slow_answers: AtomicU32,
+    /// Whether requests are refused since the zone of the upstream is evacuated, or not known not to be.
+    is_evacuated: AtomicBool,
     /// Set when the node is stopping.
     refuses_requests: AtomicBool,
     dialect: PhantomData<D>,
@@ -127,6 +141,10 @@
             sent: Counter::default(),
             named_rate: Mutex::default(),
             route_times: Mutex::default(),
+            cold_rate: Mutex::default(),
+            cold_sign: Notify::new(),
+            slow_answers: AtomicU32::new(0),
+            is_evacuated: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
             dialect: PhantomData,
         }
@@ -153,7 +171,7 @@
         let slots = upstream.heartbeat.slots;
         let (id, started_unix_ms) =
             (upstream.heartbeat.upstream.clone(), upstream.heartbeat.started_unix_ms);
-        let before = self.upstream.swap(Some(Arc::new(upstream)));
+        let before = self.upstream.load_full();
         // The start of an upstream that was found by a health request is unknown.
         let is_same_start = |known: &Heartbeat| {
             known.upstream == id && [0, started_unix_ms].contains(&known.started_unix_ms)
@@ -161,9 +179,54 @@
         if before.as_ref().is_some_and(|before| !is_same_start(&before.heartbeat)) {
             self.gate.reset_rate();
         }
-        if before.is_none_or(|before| before.heartbeat.slots != slots) {
+        if before.as_ref().is_none_or(|before| before.heartbeat.slots != slots) {
             self.gate.on_announcement(slots);
         }
+        self.gate.set_cold_rate(*self.cold_rate.lock());
+        if before.as_ref().is_none_or(|before| !is_same_start(&before.heartbeat)) {
+            let is_current = before.is_some_and(|it| it.heartbeat.started_unix_ms != 0);
+            let remaining = upstream.cold_until.saturating_sub(clock::now());
+            self.gate.record_cold(remaining, is_current);
+        }
+        self.upstream.store(Some(Arc::new(upstream)));
+    }
+
+    /// Sets what the upstream tolerates while it is cold; `None` if its service has no cold rate.
+    pub fn set_cold_rate(&self, rate: Option<ColdRate>) {
+        *self.cold_rate.lock() = rate;
+        self.gate.set_cold_rate(rate);
+    }
+
+    /// What the upstream tolerates while it is cold; `None` if its service has no cold rate.
+    pub fn cold_rate(&self) -> Option<ColdRate> {
+        *self.cold_rate.lock()
+    }
+
+    /// Records the statement of a heartbeat that the upstream is cold for this time. The heartbeat may
+    /// have been sent before a sign that the upstream has crashed.
+    pub fn record_cold_heartbeat(&self, remaining: Duration) {
+        self.gate.record_cold(remaining, false);
+    }
+
+    /// Records the same statement of an answer to a health check.
+    pub fn record_cold_answer(&self, remaining: Duration) {
+        self.gate.record_cold(remaining, true);
+    }
+
+    /// Requests per second that the upstream accepts while it is cold, and the time for which it is;
+    /// `None` while it is warm.
+    pub fn cold_pace(&self) -> Option<PaceReport> {
+        self.gate.cold_pace()
+    }
+
+    /// Sets whether requests are refused since the zone of the upstream is evacuated.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::Release);
+    }
+
+    /// Whether requests are refused since the zone of the upstream is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated.load(Ordering::Acquire)
     }
 
     /// Refuses new requests from now on, since the node is stopping.
@@ -272,6 +335,9 @@
         undispatched: Undispatched,
         cancelled: &CancellationToken,
     ) -> Result<(PreparedRequest<'_>, Undispatched), NotRun> {
+        if self.is_evacuated() {
+            return Err(undispatched.refuse(Reason::Leaving, EVACUATED_DETAIL));
+        }
         if self.serving_upstream(call).is_none() {
             return Err(undispatched.refuse(Reason::NoUpstream, "no upstream of the service here"));
         }
@@ -301,6 +367,9 @@
                 return Err(undispatched.refuse(Reason::DeadlinePassed, detail));
             }
         };
+        if self.is_evacuated() {
+            return Err(undispatched.refuse(Reason::Leaving, EVACUATED_DETAIL));
+        }
         let Some(upstream) = self.serving_upstream(call) else {
             return Err(undispatched.refuse(Reason::Leaving, "the upstream has left"));
         };
@@ -311,6 +380,8 @@
             Ok(connection) => connection,
             Err(failure) => {
                 if matches!(failure, ConnectFailure::Refused) {
+                    self.gate.assume_cold();
+                    self.cold_sign.notify_one();
                     log::warn!(
                         upstream:% = upstream.heartbeat.upstream;
                         "the upstream refuses connections; refusing the request without running it"
@@ -369,6 +440,7 @@
         let outcome = match sent {
             Ok(Ok(answer)) => {
                 if !answer.status.is_server_error() {
+                    self.check_slowness(&call.route, held);
                     slot.complete(Completion::Answered { own_time: held, total_time: held });
                     self.record_route_time(&call.route, held);
                 }
@@ -388,8 +460,11 @@
                     cause = detail;
                     "no whole answer of the upstream"
                 );
+                self.gate.doubt();
+                self.cold_sign.notify_one();
                 if let Some(crash) = self.crash_check.detect_crash(upstream.heartbeat.address).await
                 {
+                    self.gate.assume_cold();
                     self.crashes.lock().record_crash(clock::now(), &fingerprint, crash);
                 }
                 dispatch.unknown(Reason::UpstreamFailed, detail)
@@ -407,6 +482,18 @@
         }
     }
 
+    /// Asks for a health check after several slow answers in succession: the upstream may be cold again
+    /// without having started again, and its next heartbeat may be more than a second away.
+    fn check_slowness(&self, route: &str, held: Duration) {
+        let mean = self.mean_route_time(route);
+        if mean.is_zero() || held < mean.mul_f64(SLOW_FACTOR) {
+            self.slow_answers.store(0, Ordering::Relaxed);
+        } else if self.slow_answers.fetch_add(1, Ordering::Relaxed) + 1 == SLOW_ANSWERS {
+            self.slow_answers.store(0, Ordering::Relaxed);
+            self.cold_sign.notify_one();
+        }
+    }
+
     fn record_named_rate(&self, upstream: &Upstream, rate: NamedRate) {
         self.gate.record_named_rate(rate);
         let before = std::mem::replace(&mut *self.named_rate.lock(), rate);
@@ -451,6 +538,7 @@
             limit,
             mean_s,
             named_rate_per_s: status.named_per_s,
+            pace: status.pace(),
             route_mean_s: self
                 .route_times
                 .lock()
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -17,11 +17,13 @@
 mod dialect;
 mod directory;
 mod entry;
+pub mod evacuation;
 mod forward;
 mod guard;
 pub mod link;
 mod node;
 mod operators;
+pub mod pace;
 mod pacing;
 mod pause;
 mod peer_service;
@@ -52,8 +54,8 @@
 pub use configuration::CatalogSource;
 pub use crashes::{Crashes, fingerprint};
 pub use dialect::{
-    AnswerHead, CallHead, Dialect, Heartbeat, ReportedLoad, UpstreamHead, UpstreamMessage,
-    UpstreamState,
+    AnswerHead, CallHead, Dialect, HealthHead, Heartbeat, ReportedLoad, UpstreamHead,
+    UpstreamMessage, UpstreamState,
 };
 pub use directory::{
     Addresses, Changes, Directory, InstanceAddress, InstanceRecord, Member, Members, MergeResult,
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    admission::ColdRate,
     call::Undispatched,
     clock::{self, Timestamp},
     mesh::{
@@ -22,7 +23,11 @@
         InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
         MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound, RetryBudget,
         RootAdmission, RootFloor, RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker,
-        link::Links, proto::mesh_client::MeshClient, request::BufferedRequest,
+        evacuation::Evacuations,
+        link::Links,
+        pace::{self, PacedRoots},
+        proto::mesh_client::MeshClient,
+        request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
@@ -70,6 +75,12 @@
     pub placement: Mutex<Placement>,
     /// Admission of root requests by the load of the services that their call chains use.
     pub root_admission: Mutex<RootAdmission>,
+    /// Admission of root requests to services whose upstreams are all cold.
+    pub paced_roots: Mutex<PacedRoots>,
+    /// Availability zones under evacuation.
+    pub evacuations: ArcSwap<Evacuations>,
+    /// Held while `evacuations` is replaced.
+    pub evacuation_updates: Mutex<()>,
     /// Floors under the admission of root requests.
     pub root_floor: Mutex<RootFloor>,
     /// Mean usage of services by the requests of each route.
@@ -137,6 +148,9 @@
             upstream_tracker: Mutex::default(),
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
+            paced_roots: Mutex::new(PacedRoots::new(rand::random())),
+            evacuations: ArcSwap::default(),
+            evacuation_updates: Mutex::default(),
             root_floor: Mutex::default(),
             route_usage: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(retry_bound(&settings.bounds))),
@@ -215,6 +229,7 @@
         }
         self.catalog.store(Some(Arc::new(catalog)));
         self.catalog_source.store(Some(Arc::new(source)));
+        self.update_cold_rate();
         true
     }
 
@@ -253,7 +268,19 @@
 
     /// Whether the node should receive requests of callers, as reported on the readiness listener.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.catalog.load().is_some()
+        !self.is_leaving()
+            && self.catalog.load().is_some()
+            && (!self.evacuates_zones() || self.evacuations.load().is_known())
+    }
+
+    /// Whether the platform evacuates availability zones.
+    pub fn evacuates_zones(&self) -> bool {
+        self.live_settings.load().bounds.evacuate.is_some()
+    }
+
+    /// Whether requests may be sent to upstreams in this zone.
+    pub fn accepts_zone(&self, zone: &str) -> bool {
+        !self.evacuates_zones() || self.evacuations.load().accepts(zone)
     }
 
     /// Whether the local upstream has announced that it is removed permanently, and the instance with
@@ -290,6 +317,7 @@
             has_left: tracker.has_left(clock::now()),
             started_unix_ms: it.heartbeat.started_unix_ms,
             sequence: it.heartbeat.sequence,
+            pace_per_ks: self.guard.cold_pace().map_or(0, |pace| pace::to_per_ks(pace.per_s)),
         });
         drop(tracker);
         let mut own = self.own_record.lock();
@@ -302,10 +330,30 @@
             return;
         }
         own.leaving = leaving;
+        let is_other_service = own.service != service;
         own.service = service;
         own.upstream = upstream;
         own.sequence += 1;
         self.publish_record(&own);
+        drop(own);
+        if is_other_service {
+            self.update_cold_rate();
+        }
+    }
+
+    /// Passes to the guard what the upstream tolerates while it is cold, from the configuration and the
+    /// bounds of the platform.
+    pub fn update_cold_rate(&self) {
+        let catalog = self.catalog.load();
+        let service = self.own_service();
+        let service = catalog.as_ref().and_then(|catalog| catalog.service(&service));
+        let bounds = self.live_settings.load().bounds;
+        let rate = service.and_then(|service| {
+            let per_s = service.cold_per_s?;
+            let max_in_second = per_s * bounds.cold_over + bounds.cold_slack;
+            Some(ColdRate { per_s, max_in_second, duration: service.cold_start })
+        });
+        self.guard.set_cold_rate(rate);
     }
 
     /// Raises the generation of the node's record above that of another process under its name, so
@@ -389,6 +437,7 @@
     pub fn apply_settings(&self, live: LiveSettings) {
         self.retries.lock().set_bound(retry_bound(&live.bounds));
         self.live_settings.store(Arc::new(live));
+        self.update_cold_rate();
         self.update_record();
     }
 
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -22,9 +22,10 @@
 use crate::{
     admission::{GateStatus, NamedRate},
     call::Outcome,
-    clock, http_server,
+    clock::{self, Timestamp},
+    http_server,
     mesh::{Dialect, Node},
-    names::{InstanceName, Revision, ServiceName},
+    names::{InstanceName, Revision, ServiceName, ZoneName},
     store::{ObjectApi as _, ObjectVersion, StoreEra},
     telemetry,
 };
@@ -127,6 +128,13 @@
     allowance_per_s: Option<f64>,
 }
 
+/// Share of this entry node in the paces of a service's cold upstreams.
+#[derive(Debug, Serialize)]
+struct PacedService {
+    service: ServiceName,
+    per_s: f64,
+}
+
 /// The state of one node in a mesh.
 #[derive(Debug, Serialize)]
 struct StateDump {
@@ -156,6 +164,19 @@
     gate: Option<GateStatus>,
     /// Requests per second that the upstream's last answer named as its limit.
     named_rate_per_s: Option<f64>,
+    /// Requests per second that the upstream accepts while it is cold.
+    pace_per_s: Option<f64>,
+    /// Time for which it is still cold.
+    pace_remaining_ms: Option<u64>,
+    /// Requests per second that the root requests of this entry node may make to services whose upstreams
+    /// are all cold.
+    paced_roots: Vec<PacedService>,
+    /// Evacuated availability zones; `None` while they are not known.
+    evacuated_zones: Option<Vec<ZoneName>>,
+    /// Age of the newest read of the store that the evacuated zones rest on.
+    evacuation_age_ms: Option<u64>,
+    /// Whether the node refuses requests to its upstream for it.
+    refuses_for_evacuation: bool,
     /// Requests that were sent to the upstream.
     sent: u64,
     loads: Vec<ServiceLoad>,
@@ -164,11 +185,19 @@
     dropped_log_lines: u64,
 }
 
+fn paced_roots<D: Dialect>(node: &Node<D>, now: Timestamp) -> Vec<PacedService> {
+    let roots = node.paced_roots.lock();
+    let shares = roots.shares(now);
+    shares.map(|(service, per_s)| PacedService { service: service.clone(), per_s }).collect()
+}
+
 impl StateDump {
     fn capture<D: Dialect>(node: &Node<D>) -> Self {
         let now = clock::now();
         let upstream = node.guard.upstream();
         let members = node.members.load();
+        let pace = node.guard.cold_pace();
+        let evacuations = node.evacuations.load();
         let out_of_use = members.with_record().filter(|member| member.ready_upstream().is_none());
         let loads = node.root_admission.lock().service_loads().into_iter();
         Self {
@@ -192,6 +221,12 @@
                 NamedRate::PerSecond(per_s) => Some(per_s),
                 NamedRate::Unlimited | NamedRate::Invalid => None,
             },
+            pace_per_s: pace.map(|it| it.per_s),
+            pace_remaining_ms: pace.map(|it| clock::to_millis(it.remaining)),
+            paced_roots: paced_roots(node, now),
+            evacuated_zones: evacuations.known().map(|it| it.zones.iter().cloned().collect()),
+            evacuation_age_ms: evacuations.age(now).map(clock::to_millis),
+            refuses_for_evacuation: node.guard.is_evacuated(),
             sent: node.guard.sent.get(),
             loads: loads
                 .map(|(service, load, allowance_per_s)| ServiceLoad {
@@ -256,6 +291,21 @@
             "Limit on requests per second that the upstream's last answer named; -1 without one",
             self.named_rate_per_s.unwrap_or(-1.0),
         );
+        gauge(
+            "upstream_pace_per_second",
+            "Requests per second that the upstream accepts while it is cold; -1 while it is warm",
+            self.pace_per_s.unwrap_or(-1.0),
+        );
+        gauge(
+            "zones_evacuated",
+            "Availability zones that the node knows to be evacuated",
+            self.evacuated_zones.as_ref().map_or(0.0, |zones| zones.len() as f64),
+        );
+        gauge(
+            "evacuation_state_age_seconds",
+            "Age of the newest read of the evacuated zones; -1 without one",
+            self.evacuation_age_ms.map_or(-1.0, |age_ms| age_ms as f64 / 1000.0),
+        );
         gauge(
             "store_era",
             "Era of the store, which rises when it comes back from an earlier copy; 0 if unknown",
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -19,7 +19,7 @@
     clock,
     http_server::accept_until,
     mesh::{
-        Call, Dialect, GuardResult, Node, Rank, Usage, link,
+        Call, Dialect, GuardResult, Node, Rank, Usage, link, pace,
         proto::{
             self,
             mesh_server::{Mesh, MeshServer},
@@ -182,6 +182,8 @@
             mean_us: to_micros(load.mean_s),
             route_us: to_micros(load.route_mean_s),
             named_rate_per_s: load.named_rate_per_s.unwrap_or(0.0),
+            pace_per_ks: load.pace.map_or(0, |pace| pace::to_per_ks(pace.per_s)),
+            pace_remaining_ms: load.pace.map_or(0, |it| clock::to_millis_u32(it.remaining)),
         }),
         uses: service_uses(node, service, &result.usage),
         refused_below: result.refused_below,
--- a/src/mesh/placement.rs
+++ b/src/mesh/placement.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use crate::{clock::Timestamp, names::InstanceName};
+use crate::{admission::PaceReport, clock::Timestamp, names::InstanceName};
 
 /// Age from which a load report no longer describes the present queue.
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
@@ -18,6 +18,8 @@
 const CROSS_ZONE_COST: f64 = 0.06;
 /// Expected time of a request, in seconds, while no candidate has reported one for its route.
 const DEFAULT_REQUEST_TIME_S: f64 = 0.05;
+/// Shortest mean time of requests that a capacity is computed from.
+const MIN_REQUEST_TIME_S: f64 = 0.001;
 /// Relative random variation of costs, so that nodes with the same view do not all choose the same
 /// instance.
 const COST_JITTER: f64 = 0.1;
@@ -54,6 +56,8 @@
     pub is_same_zone: bool,
     /// Requests that its upstream can run at the same time.
     pub slots: u32,
+    /// Requests in 1000 s that its upstream accepts from all nodes while it is cold; 0 while it is warm.
+    pub pace_per_ks: u32,
 }
 
 /// Load of an upstream, as reported by its local node.
@@ -71,6 +75,8 @@
     pub route_mean_s: f64,
     /// Requests per second that the upstream accepts from all nodes together, if it names a limit.
     pub named_rate_per_s: Option<f64>,
+    /// Pace of the upstream while it is cold; `None` while it is warm.
+    pub pace: Option<PaceReport>,
 }
 
 /// How an attempt at an instance ended.
@@ -200,6 +206,25 @@
         self.instances.get(instance)?.report?.0.named_rate_per_s
     }
 
+    /// Requests per second that an instance can run by its last report, and its pace if it was cold then;
+    /// `None` without a current report.
+    pub fn reported_capacity(
+        &self,
+        now: Timestamp,
+        instance: &InstanceName,
+    ) -> Option<(f64, Option<PaceReport>)> {
+        let (report, at) = self.instances.get(instance)?.report?;
+        if now >= at + REPORT_LIFETIME {
+            return None;
+        }
+        let capacity_per_s = f64::from(report.limit) / report.mean_s.max(MIN_REQUEST_TIME_S);
+        let pace = report.pace.and_then(|pace| {
+            let remaining = pace.remaining.saturating_sub(now.saturating_sub(at));
+            (!remaining.is_zero()).then_some(PaceReport { remaining, ..pace })
+        });
+        Some((capacity_per_s, pace))
+    }
+
     /// Load of a service: running and queued requests of its instances divided by their concurrency
     /// limits; `None` without a current report.
     pub fn service_load<'a>(
--- a/src/mesh/probe.rs
+++ b/src/mesh/probe.rs
@@ -3,17 +3,20 @@
 //! Upstreams send heartbeats every second or two, so a restarted node would have no upstream until the
 //! next one arrives. It requests the upstream's health instead; the answer carries the upstream's id.
 //! The first heartbeat replaces the state found in this way.
+//!
+//! Health requests also tell whether the upstream is cold, after a crash and at signs that it may have
+//! become cold again, since it may lose its caches between two heartbeats.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     clock,
-    mesh::{Dialect, Heartbeat, Node, UpstreamState},
+    mesh::{Dialect, HealthHead, Heartbeat, Node, UpstreamState},
 };
 
 /// Time between two health requests, and between two checks for a configuration, which contains the
@@ -25,6 +28,17 @@
 /// together with its machine does not listen yet, and each request costs the upstream some milliseconds.
 const MAX_PROBES: u32 = 5;
 
+/// Time between two checks whether the upstream is cold.
+const COLD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two such checks where the service has no cold rate.
+const COLD_IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two health requests to an upstream that may be cold; each one costs it 6 ms of a
+/// slot.
+const COLD_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after a cold state or a sign of a crash in which health requests are made: an upstream that has
+/// just been cold may be cold again.
+const COLD_PROBE_TIME: Duration = Duration::from_secs(5);
+
 /// Requests the upstream's health until the upstream is known, at most [`MAX_PROBES`] times.
 pub async fn run<D: Dialect>(node: Arc<Node<D>>) {
     let mut probes = 0;
@@ -32,7 +46,10 @@
         if let Some(path) = health_path(&node) {
             probes += 1;
             match timeout(PROBE_TIMEOUT, query_health(&node, &path)).await {
-                Ok(Ok(heartbeat)) => return apply_found(&node, heartbeat),
+                Ok(Ok(head)) => match to_heartbeat(&node, head) {
+                    Ok(heartbeat) => return apply_found(&node, heartbeat),
+                    Err(cause) => log::debug!(cause = cause; "unusable answer to a health request"),
+                },
                 Ok(Err(cause)) => {
                     log::debug!(cause = cause; "health request to the upstream failed")
                 }
@@ -51,7 +68,7 @@
     (!service.health_path.is_empty()).then(|| service.health_path.clone())
 }
 
-async fn query_health<D: Dialect>(node: &Node<D>, path: &str) -> Result<Heartbeat, String> {
+async fn query_health<D: Dialect>(node: &Node<D>, path: &str) -> Result<HealthHead, String> {
     let address = node.settings.upstream;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().map_err(|error| format!("unusable path: {error}"))?;
@@ -61,22 +78,74 @@
     if answer.status != StatusCode::OK {
         return Err(format!("the health check answered status {}, expected 200", answer.status));
     }
-    let (upstream, load) =
-        D::health_head(&answer.headers).ok_or("the health answer carries no upstream id")?;
+    D::health_head(&answer.headers)
+        .ok_or_else(|| "the health answer carries no upstream id".to_owned())
+}
+
+/// State of the upstream as a health answer shows it. If the answer does not state whether the upstream is
+/// cold, it counts as cold until the first heartbeat.
+fn to_heartbeat<D: Dialect>(node: &Node<D>, head: HealthHead) -> Result<Heartbeat, String> {
+    let cold = head.cold.or_else(|| Some(node.guard.cold_rate()?.duration));
     Ok(Heartbeat {
-        upstream,
-        address,
+        upstream: head.upstream,
+        address: node.settings.upstream,
         service: node.own_service(),
         zone: node.settings.zone.clone(),
-        slots: load.ok_or("the health answer carries no number of slots")?.slots,
+        slots: head.load.ok_or("the health answer carries no number of slots")?.slots,
         state: UpstreamState::Ready,
         sequence: 0,
         // Earlier than any heartbeat, so that the first one replaces this state.
         started_unix_ms: 0,
-        cold: Duration::ZERO,
+        cold: cold.unwrap_or_default(),
     })
 }
 
+/// Requests the upstream's health while it may be cold, and publishes changes of its pace.
+pub async fn watch_cold<D: Dialect>(node: Arc<Node<D>>) {
+    let mut probed_at: Option<Instant> = None;
+    let mut probe_until = Instant::now();
+    let mut was_cold = false;
+    loop {
+        let interval = match node.guard.cold_rate() {
+            Some(_) => COLD_CHECK_INTERVAL,
+            None => COLD_IDLE_INTERVAL,
+        };
+        let has_sign = timeout(interval, node.guard.cold_sign.notified()).await.is_ok();
+        let pace = node.guard.cold_pace();
+        let now = Instant::now();
+        if pace.is_some() != was_cold {
+            was_cold = pace.is_some();
+            log::info!(
+                per_s = pace.map(|it| it.per_s),
+                remaining_ms = pace.map_or(0, |it| clock::to_millis(it.remaining));
+                "the upstream has become {}", if was_cold { "cold" } else { "warm" }
+            );
+            probe_until = now + COLD_PROBE_TIME;
+        }
+        node.update_record();
+        if has_sign {
+            probe_until = probe_until.max(now + COLD_PROBE_TIME);
+        }
+        let is_due = probed_at.is_none_or(|at| now >= at + COLD_PROBE_INTERVAL);
+        if !is_due || now >= probe_until || node.guard.cold_rate().is_none() {
+            continue;
+        }
+        let Some(path) = health_path(&node) else { continue };
+        probed_at = Some(now);
+        let cause = match timeout(PROBE_TIMEOUT, query_health(&node, &path)).await {
+            Ok(Ok(head)) => {
+                if let Some(cold) = head.cold {
+                    node.guard.record_cold_answer(cold);
+                }
+                continue;
+            }
+            Ok(Err(cause)) => cause,
+            Err(_) => format!("no answer within {PROBE_TIMEOUT:?}"),
+        };
+        log::debug!(cause = cause; "health request to an upstream that may be cold failed");
+    }
+}
+
 fn apply_found<D: Dialect>(node: &Node<D>, heartbeat: Heartbeat) {
     let upstream = {
         let mut tracker = node.upstream_tracker.lock();
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -110,6 +110,13 @@
     /// Requests per second that the upstream accepts from all nodes together; 0 if it names no limit.
     #[prost(double, tag = "6")]
     pub named_rate_per_s: f64,
+    /// Requests in 1000 s that the upstream accepts from all nodes together while it is cold or its pace is
+    /// limited otherwise; 0 if it is not limited.
+    #[prost(uint32, tag = "10")]
+    pub pace_per_ks: u32,
+    /// Time after which the limit is expected to end; 0 if unknown.
+    #[prost(uint32, tag = "11")]
+    pub pace_remaining_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceUse {
@@ -169,6 +176,10 @@
     /// The upstream has announced that it is removed permanently.
     #[prost(bool, tag = "15")]
     pub upstream_left: bool,
+    /// Requests in 1000 s that the upstream accepts from all nodes together while it is cold or its pace is
+    /// limited otherwise; 0 if it is not limited.
+    #[prost(uint32, tag = "18")]
+    pub pace_per_ks: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncRequest {
@@ -206,6 +217,23 @@
     /// Position of the sender's configuration; absent in messages of earlier builds.
     #[prost(message, optional, tag = "12")]
     pub position: ::core::option::Option<ConfigurationPosition>,
+    /// Evacuated zones that the sender knows; absent if it knows no state.
+    #[prost(message, optional, tag = "15")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+/// Availability zones under evacuation, as read from the store; see src/mesh/evacuation.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuations {
+    #[prost(string, repeated, tag = "1")]
+    pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Era and version of the store at the read.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Age of the read when the message was sent.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
 }
 /// Position of a configuration among all that the operators have written; see src/mesh/position.rs.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -256,6 +284,9 @@
     /// Position of the hub's configuration; absent in replies of earlier builds.
     #[prost(message, optional, tag = "14")]
     pub position: ::core::option::Option<ConfigurationPosition>,
+    /// Evacuated zones that the hub knows; absent if it knows no state.
+    #[prost(message, optional, tag = "17")]
+    pub evacuations: ::core::option::Option<Evacuations>,
 }
 /// A request that was running when upstreams crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -21,8 +21,8 @@
     http_server::{self, pipelined},
     mesh::{
         Dialect, MeshSettings, MessageEffect, Node, PlannedStop, ProcessorLimit, Upstream,
-        UpstreamMessage, configuration, control, entry::CallerHandler, operators, peer_service,
-        probe, processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
+        UpstreamMessage, configuration, control, entry::CallerHandler, evacuation, operators,
+        peer_service, probe, processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
     },
     store::ObjectApi as _,
 };
@@ -101,6 +101,8 @@
     spawn(&mut control_tasks, "registration", |node| control::register(node).boxed());
     spawn(&mut control_tasks, "configuration", |node| configuration::run(node).boxed());
     spawn(&mut control_tasks, "probe", |node| probe::run(node).boxed());
+    spawn(&mut control_tasks, "evacuation", |node| evacuation::run(node).boxed());
+    spawn(&mut control_tasks, "cold state", |node| probe::watch_cold(node).boxed());
     spawn(&mut control_tasks, "state log", |node| log_state(node).boxed());
     spawn(&mut control_tasks, "processor limit", |node| limit_by_processor(node).boxed());
     spawn(&mut control_tasks, "rate limit", |node| {
@@ -213,6 +215,8 @@
             waiting = gate.map_or(0, |it| it.waiting),
             limit = gate.map_or(0, |it| it.limit),
             sent = node.guard.sent.get(), named_rate:? = node.guard.named_rate(),
+            evacuations:? = node.evacuations.load().known().map(|it| &it.zones),
+            pace_per_s = gate.and_then(|it| it.pace_per_s),
             home_parts:? = node.homes.lock().granted_fractions(clock::now()),
             loads:? = node.root_admission.lock().service_loads();
             "state"
@@ -281,6 +285,9 @@
         };
         (effect, tracker.current().cloned())
     };
+    let heard_cold =
+        matches!(message, UpstreamMessage::Heartbeat(_)) && effect != MessageEffect::Late;
+    let cold_until = upstream.as_ref().map(|upstream| upstream.cold_until);
     if effect != MessageEffect::Unchanged {
         log::info!(heard:? = effect, received:? = message; "message of the upstream received");
     }
@@ -290,5 +297,9 @@
         node.guard.set_upstream(upstream);
         node.update_record();
     }
+    if let Some(cold_until) = cold_until.filter(|_| heard_cold) {
+        node.guard.record_cold_heartbeat(cold_until.saturating_sub(now));
+        node.update_record();
+    }
     http_server::json(StatusCode::OK, &serde_json::json!({}))
 }
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -14,8 +14,8 @@
     clock::{self, Timestamp},
     mesh::{
         Addresses, Dialect, Grant, HubNumber, InstanceAddress, InstanceRecord, MergeResult, Node,
-        OrganisationHash, Pacer, Position, UpstreamRecord, Want, configuration, pause::jittered,
-        proto,
+        OrganisationHash, Pacer, Position, UpstreamRecord, Want, configuration, evacuation,
+        pause::jittered, proto,
     },
     names::InstanceName,
     once::QuarantineEntry,
@@ -203,6 +203,7 @@
         crashed: crashed.iter().map(crashed_to_proto).collect(),
         verdicts: contact.known_verdict_change,
         position: Some(node.position().into()),
+        evacuations: evacuation::to_proto(node, sent_at),
     };
     let mut peer = node.peer(address.peer_address);
     let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
@@ -225,6 +226,7 @@
         node.set_hub_count(usize::try_from(reply.hubs).unwrap_or(MAX_HUBS).min(MAX_HUBS));
     }
     configuration::apply_peer_configuration(node, sent_at, &reply);
+    evacuation::apply_stated(node, sent_at, reply.evacuations.take());
     node.record_comparison(reply.position.map(Position::from));
     let grants = reply.grants.into_iter().map(|grant| Grant {
         tokens: to_token_count(grant.tokens),
@@ -341,6 +343,7 @@
     let record = request.record.and_then(from_proto);
     apply_later_records(node, request.later);
     apply_crashed(node, &request.crashed);
+    evacuation::apply_stated(node, now, request.evacuations);
     let (changes, known) = {
         let mut directory = node.directory.lock();
         let mut changed =
@@ -403,6 +406,7 @@
             .collect(),
         catalog_version: position.version,
         position: Some(position.into()),
+        evacuations: evacuation::to_proto(node, now),
         proof_age_ms: match node.catalog.load().is_some() {
             true => clock::to_millis_u32(node.proof.age(now)),
             false => NO_PROOF_AGE_MS,
@@ -540,6 +544,7 @@
         upstream_started_unix_ms: upstream.map_or(0, |it| it.started_unix_ms),
         upstream_sequence: upstream.map_or(0, |it| it.sequence),
         upstream_left: upstream.is_some_and(|it| it.has_left),
+        pace_per_ks: upstream.map_or(0, |it| it.pace_per_ks),
     }
 }
 
@@ -562,6 +567,7 @@
         has_left: record.upstream_left,
         started_unix_ms: record.upstream_started_unix_ms,
         sequence: record.upstream_sequence,
+        pace_per_ks: record.pace_per_ks,
     });
     Some(InstanceRecord {
         instance: record.instance.into(),
--- a/src/platform/bounds.rs
+++ b/src/platform/bounds.rs
@@ -50,6 +50,22 @@
                 Some(slack) if slack >= 0.0 => bounds.retry_slack = slack as u32,
                 _ => collector.add(&place, "a number of requests", value),
             },
+            // Requests that a cold target may get in a second, as a multiple of its cold rate.
+            "coldOver" => match value.as_f64() {
+                Some(factor) if factor > 0.0 => bounds.cold_over = factor,
+                _ => collector.add(&place, "a factor above 0", value),
+            },
+            // Requests that it may get in addition in a second.
+            "coldSlack" => match value.as_f64() {
+                Some(slack) if slack >= 0.0 => bounds.cold_slack = slack,
+                _ => collector.add(&place, "a number of requests", value),
+            },
+            // Time after which an evacuated zone must get no request.
+            "evacuate" => {
+                let mut limit = bounds.evacuate.unwrap_or_default();
+                read_time(&mut limit);
+                bounds.evacuate = (!limit.is_zero()).then_some(limit);
+            }
             _ => {}
         }
     }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -89,6 +89,12 @@
     /// Connections that one upstream accepts.
     #[serde(default)]
     max_connections: u32,
+    /// Time for which an upstream is cold after its start.
+    #[serde(default, deserialize_with = "text::deserialize_option")]
+    cold_start: Option<Duration>,
+    /// Requests per second that a cold upstream accepts from all nodes together; 0 means no limit.
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 /// An organisation, which the platform calls a tenant.
@@ -140,6 +146,8 @@
                 let service = Service {
                     health_path: spec.health_path.into(),
                     max_connections: spec.max_connections,
+                    cold_start: spec.cold_start.unwrap_or_default(),
+                    cold_per_s: (spec.cold_per_s > 0.0).then_some(spec.cold_per_s),
                 };
                 parts.services.insert(name.into(), service);
             }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,8 +7,7 @@
 use crate::{
     admission::NamedRate,
     clock,
-    mesh::{AnswerHead, CallHead, ReportedLoad, UpstreamHead},
-    names::InstanceName,
+    mesh::{AnswerHead, CallHead, HealthHead, ReportedLoad, UpstreamHead},
 };
 
 /// Id of one attempt of a client; targets copy it to their answers.
@@ -32,6 +31,8 @@
 /// Numbers of running requests, waiting requests and slots of the upstream, separated by commas.
 const INSTANCE_LOAD: HeaderName = HeaderName::from_static("x-instance-load");
 
+/// Time for which the upstream is still cold, in whole milliseconds, in its answers to health checks.
+const COLD_MS: HeaderName = HeaderName::from_static("x-cold-ms");
 /// Requests per second that the upstream accepts from all nodes together, as a decimal number.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// `1` in all answers of an upstream that is leaving.
@@ -83,9 +84,14 @@
     }
 }
 
-pub fn health_head(headers: &HeaderMap) -> Option<(InstanceName, Option<ReportedLoad>)> {
-    let load = headers.get(INSTANCE_LOAD).and_then(|value| parse_load(value.to_str().ok()?));
-    Some((header_text(headers, &INSTANCE_ID)?, load))
+pub fn health_head(headers: &HeaderMap) -> Option<HealthHead> {
+    Some(HealthHead {
+        upstream: header_text(headers, &INSTANCE_ID)?,
+        load: headers.get(INSTANCE_LOAD).and_then(|value| parse_load(value.to_str().ok()?)),
+        cold: header_text(headers, &COLD_MS)
+            .and_then(|text| text.trim().parse().ok())
+            .map(Duration::from_millis),
+    })
 }
 
 /// Returns the id of the parent request. Targets form the id of a call from the id of the request
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,10 +19,10 @@
 use crate::{
     findings::Collector,
     mesh::{
-        AnswerHead, Bounds, CallHead, CatalogParts, Dialect, ReportedLoad, UpstreamHead,
+        AnswerHead, Bounds, CallHead, CatalogParts, Dialect, HealthHead, UpstreamHead,
         UpstreamMessage,
     },
-    names::{InstanceName, Revision},
+    names::Revision,
     store::ObjectVersion,
 };
 
@@ -34,6 +34,7 @@
     type Store = PlatformStore;
 
     const CONFIGURATION: (&'static str, &'static str) = ("config", "main");
+    const EVACUATIONS: &'static str = "evacuations";
     const READINESS_PATH: &'static str = "/readiness";
 
     fn store(address: SocketAddr, timeout: Duration) -> Self::Store {
@@ -64,7 +65,7 @@
         headers::answer_head(status, headers)
     }
 
-    fn health_head(headers: &HeaderMap) -> Option<(InstanceName, Option<ReportedLoad>)> {
+    fn health_head(headers: &HeaderMap) -> Option<HealthHead> {
         headers::health_head(headers)
     }
 
--- a/tests/mesh_directory.rs
+++ b/tests/mesh_directory.rs
@@ -27,6 +27,7 @@
             has_left: false,
             started_unix_ms: 1,
             sequence: 1,
+            pace_per_ks: 0,
         }),
     }
 }
--- a/tests/mesh_placement.rs
+++ b/tests/mesh_placement.rs
@@ -77,6 +77,7 @@
                 instance,
                 is_same_zone: spec.is_same_zone,
                 slots: SLOTS,
+                pace_per_ks: 0,
             })
             .collect();
         let chosen = placement.choose(now, ROUTE, ANSWER_WITHIN, &candidates);
@@ -107,6 +108,7 @@
         limit: SLOTS,
         mean_s: instance.work.as_secs_f64(),
         named_rate_per_s: None,
+        pace: None,
         route_mean_s: instance.work.as_secs_f64(),
     }
 }
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -117,7 +117,15 @@
 
 /// Record of the draining upstream `a` that an earlier process of the node published.
 fn earlier(has_left: bool, started_unix_ms: u64, sequence: u64) -> UpstreamRecord {
-    UpstreamRecord { id: "a".into(), slots: 10, ready: false, has_left, started_unix_ms, sequence }
+    UpstreamRecord {
+        id: "a".into(),
+        slots: 10,
+        ready: false,
+        has_left,
+        started_unix_ms,
+        sequence,
+        pace_per_ks: 0,
+    }
 }
 
 /// Guards against a restarted node that treats its draining upstream as ready again because of a late
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -132,6 +132,12 @@
         revision
     }
 
+    /// Removes an object at once, whatever the fault.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.revision.fetch_add(1, Ordering::Relaxed);
+        self.objects.lock().remove(&(kind.to_owned(), name.to_owned()));
+    }
+
     /// Writes an object if its revision is the one that the caller states, otherwise responds with
     /// the present object.
     fn conditional_write(&self, kind: &str, name: &str, body: &Value) -> (StatusCode, Value) {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -126,6 +126,17 @@
         Self::start_with_heartbeats(program, folder, count, network, HEARTBEAT_INTERVAL).await
     }
 
+    /// Starts a fleet as `start` does, with these bounds of the platform in addition.
+    pub async fn start_with_bounds(
+        program: &Path,
+        folder: &Path,
+        count: usize,
+        network: u16,
+        bounds: serde_json::Value,
+    ) -> anyhow::Result<Arc<Self>> {
+        Self::start_fleet(program, folder, count, network, HEARTBEAT_INTERVAL, bounds).await
+    }
+
     /// Starts a fleet as `start` does, with this time between two heartbeats of an upstream.
     pub async fn start_with_heartbeats(
         program: &Path,
@@ -133,6 +144,17 @@
         count: usize,
         network: u16,
         heartbeat_interval: Duration,
+    ) -> anyhow::Result<Arc<Self>> {
+        Self::start_fleet(program, folder, count, network, heartbeat_interval, json!({})).await
+    }
+
+    async fn start_fleet(
+        program: &Path,
+        folder: &Path,
+        count: usize,
+        network: u16,
+        heartbeat_interval: Duration,
+        bounds: serde_json::Value,
     ) -> anyhow::Result<Arc<Self>> {
         let record = Arc::new(Record::default());
         let stop = CancellationToken::new();
@@ -167,7 +189,7 @@
                 Proxy::start(at(UPSTREAM_PROXY_PORT), at(UPSTREAM_PORT), stop.clone()).await?;
             let to_store = Proxy::start(at(STORE_PROXY_PORT), store_address, stop.clone()).await?;
             let settings = folder.join(format!("node-{index}.json"));
-            std::fs::write(&settings, settings_text(index, &upstream_config, address)?)?;
+            std::fs::write(&settings, settings_text(index, &upstream_config, address, &bounds)?)?;
             let upstream =
                 Upstream::start(format!("u-{index}-0"), upstream_config.clone(), record.clone())
                     .await?;
@@ -511,9 +533,10 @@
     index: usize,
     upstream_config: &UpstreamConfig,
     address: IpAddr,
+    bounds: &serde_json::Value,
 ) -> anyhow::Result<String> {
     let at = |port: u16| SocketAddr::new(address, port).to_string();
-    Ok(serde_json::to_string_pretty(&json!({
+    let mut settings = json!({
         "instance": format!("node-{index}"),
         "zone": upstream_config.zone,
         "service": upstream_config.plan.name,
@@ -533,7 +556,11 @@
             "budgetSlack": 50, "quotaWindow": "5s",
         },
         "log": { "level": "info", "format": "json" },
-    }))?)
+    });
+    for (name, value) in bounds.as_object().into_iter().flatten() {
+        settings["bounds"][name] = value.clone();
+    }
+    Ok(serde_json::to_string_pretty(&settings)?)
 }
 
 /// Starts a node. Where `SOAK_OLD_PROGRAM` names the program of an earlier build, every second process
