Admit root requests by fair shares of organisations within a rank

One organisation at seven times its usual load took as large a part of the requests of every other one as of its own. Within a rank, an organisation below its max-min fair share may now overdraw the allowance of a full service further than the others. An overdraft also shrinks with the allowance, as the refusals that followed a lower allowance hit all organisations.

--- a/src/mesh/chains/mod.rs
+++ b/src/mesh/chains/mod.rs
@@ -7,13 +7,17 @@
 //! nodes with the replies ([`ServiceRefusals`]), and each entry node begins only the chains whose
 //! retries the bound permits ([`ChainAdmission`]); their retries are reserved
 //! ([`RetryReservation`]).
+//!
+//! Where a service is full, [`OrganisationShares`] divides it between organisations of one rank.
 
 mod admission;
+mod organisation_shares;
 mod refusal_meter;
 mod retry_rank;
 mod service_refusals;
 
 pub use admission::{ChainAdmission, ChainVerdict, RetryReservation};
+pub use organisation_shares::OrganisationShares;
 pub use refusal_meter::RefusalMeter;
 pub use retry_rank::retry_rank;
 pub use service_refusals::ServiceRefusals;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -411,7 +411,7 @@
             let route_usage = node.route_usage.lock();
             let Some(usage) = route_usage.mean(&route.name) else { return RootVerdict::Admit };
             let mut root_admission = node.root_admission.lock();
-            match root_admission.try_admit(now, usage, urgency) {
+            match root_admission.try_admit_for(now, usage, urgency, organisation) {
                 RootVerdict::Refuse { .. }
                     if node.root_floor.lock().is_below(&route.name, organisation) =>
                 {
@@ -424,6 +424,10 @@
         let is_admitted = verdict == RootVerdict::Admit;
         if is_admitted || now >= give_up_at {
             node.root_floor.lock().record(now, &route.name, organisation, is_admitted);
+            if let Some(usage) = node.route_usage.lock().mean(&route.name) {
+                let mut root_admission = node.root_admission.lock();
+                root_admission.record_decision(now, usage, urgency, organisation, is_admitted);
+            }
             return verdict;
         }
         sleep(ROOT_CHECK_INTERVAL).await;
--- a/src/mesh/root_admission.rs
+++ b/src/mesh/root_admission.rs
@@ -13,10 +13,17 @@
 //! load, that is, the entry node's share of the use that fills the service. It limits admission
 //! only while the service is nearly full. A chain takes some time to reach the service, so the
 //! use is delayed accordingly before it is compared with the load.
+//!
+//! Between organisations, requests of one rank are admitted by max-min fair shares: those of an
+//! organisation below its share may overdraw the allowance a little further than the others.
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::{clock::Timestamp, mesh::Usage, names::ServiceName};
+use crate::{
+    clock::Timestamp,
+    mesh::{OrganisationShares, Usage},
+    names::{OrganisationName, ServiceName},
+};
 
 /// Load (running and queued requests divided by the concurrency limit) at which a full service is
 /// kept.
@@ -42,6 +49,13 @@
 /// accrues.
 const MAX_OVERDRAFT: Duration = Duration::from_millis(2000);
 
+/// Additional overdraft for organisations below their share, as the time in which it accrues. Ranks are
+/// further apart if there are at most five of them. With 250 ms, one in twenty of their requests was
+/// refused.
+const SHARE_OVERDRAFT: Duration = Duration::from_millis(400);
+/// Number of ranks above which shares are not kept for further ones.
+const MAX_RANKS: usize = 64;
+
 /// Decision on a root request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RootVerdict {
@@ -73,6 +87,8 @@
     is_binding: bool,
     /// Unused slot time of the allowance, in seconds; negative if overdrawn.
     available_s: f64,
+    /// Shares of organisations, for each rank by its urgency.
+    shares: HashMap<u64, OrganisationShares>,
 }
 
 /// Decides which root requests are admitted.
@@ -87,10 +103,21 @@
     /// `usage` is the mean use of services by requests of its route; `urgency` is 1 for the most
     /// urgent rank and 0 for the least.
     pub fn try_admit(&mut self, now: Timestamp, usage: &Usage, urgency: f64) -> RootVerdict {
+        self.try_admit_for(now, usage, urgency, None)
+    }
+
+    /// The same for a request of an organisation.
+    pub fn try_admit_for(
+        &mut self,
+        now: Timestamp,
+        usage: &Usage,
+        urgency: f64,
+        organisation: Option<&OrganisationName>,
+    ) -> RootVerdict {
         for used in &usage.services {
             let Some(allowance) = self.allowances.get_mut(&used.service) else { continue };
             allowance.advance_to(now);
-            if allowance.should_refuse(urgency) {
+            if allowance.should_refuse(now, urgency, organisation) {
                 let (service, load) = (used.service.clone(), allowance.load);
                 return RootVerdict::Refuse { service, load };
             }
@@ -110,6 +137,25 @@
         }
     }
 
+    /// Records the final decision on a request of an organisation.
+    pub fn record_decision(
+        &mut self,
+        now: Timestamp,
+        usage: &Usage,
+        urgency: f64,
+        organisation: Option<&OrganisationName>,
+        is_admitted: bool,
+    ) {
+        for used in &usage.services {
+            let Some(allowance) = self.allowances.get_mut(&used.service) else { continue };
+            let key = urgency.to_bits();
+            if allowance.shares.len() < MAX_RANKS || allowance.shares.contains_key(&key) {
+                let shares = allowance.shares.entry(key).or_default();
+                shares.record(now, organisation, used.held_s, is_admitted);
+            }
+        }
+    }
+
     /// Records the load of a service at the time `at`; a load older than the last one is ignored.
     pub fn record_load(&mut self, now: Timestamp, service: &ServiceName, load: f64, at: Timestamp) {
         match self.allowances.get_mut(service) {
@@ -146,6 +192,7 @@
             share_per_s: None,
             is_binding: false,
             available_s: 0.0,
+            shares: HashMap::new(),
         }
     }
 
@@ -175,12 +222,24 @@
         }
     }
 
-    fn should_refuse(&self, urgency: f64) -> bool {
-        self.allowance_per_s()
-            .is_some_and(|per_s| self.available_s < -per_s * MAX_OVERDRAFT.as_secs_f64() * urgency)
+    fn should_refuse(
+        &mut self,
+        now: Timestamp,
+        urgency: f64,
+        organisation: Option<&OrganisationName>,
+    ) -> bool {
+        let Some(per_s) = self.allowance_per_s() else { return false };
+        let overdraft_s = per_s * MAX_OVERDRAFT.as_secs_f64() * urgency;
+        if self.available_s >= -overdraft_s {
+            return false;
+        }
+        let shares = self.shares.get_mut(&urgency.to_bits());
+        let is_below_share = shares.is_some_and(|it| it.is_below_share(now, organisation));
+        !is_below_share || self.available_s < -overdraft_s - per_s * SHARE_OVERDRAFT.as_secs_f64()
     }
 
     fn record_load(&mut self, load: f64, at: Timestamp) {
+        let allowance_before = self.allowance_per_s();
         let elapsed = at.saturating_sub(self.reported_at);
         self.reported_at = at;
         self.load += weight(elapsed, LOAD_TIME_CONSTANT) * (load - self.load);
@@ -195,6 +254,13 @@
             true => self.load > LIFT_LOAD,
             false => self.load > BIND_LOAD,
         };
+        // An overdraft is limited by the time in which it accrues, so it shrinks with the allowance.
+        if let (Some(before), Some(after)) = (allowance_before, self.allowance_per_s())
+            && after < before
+            && self.available_s < 0.0
+        {
+            self.available_s *= after / before;
+        }
     }
 }
 
--- a/tests/mesh_root_admission.rs
+++ b/tests/mesh_root_admission.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use hibiscusdoor::mesh::{RootAdmission, RootVerdict, Usage};
 use rand::{RngExt as _, SeedableRng as _};
@@ -151,3 +151,96 @@
         "{refused_after} root requests refused although there is spare capacity"
     );
 }
+
+/// Fractions of the requests that are admitted of each organisation, with its demand as a multiple of
+/// the capacity of the service, and the fraction of the capacity that is used.
+fn admitted_fractions(demands: &[(f64, f64)], has_names: bool, seed: u64) -> (Vec<f64>, f64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut entry_nodes: Vec<RootAdmission> =
+        (0..ENTRY_NODES).map(|_| RootAdmission::default()).collect();
+    let names: Vec<Arc<str>> = (0..demands.len()).map(|it| format!("org-{it}").into()).collect();
+    let mut usage = Usage::default();
+    usage.add(&"stock".into(), HELD_PER_ROOT_S, 5.0);
+    let delay_steps = (CALL_DELAY.as_millis() / STEP.as_millis()) as usize;
+    let spread_steps = (CALL_SPREAD.as_millis() / STEP.as_millis()) as usize;
+    let mut arriving_s: VecDeque<f64> = vec![0.0; delay_steps + spread_steps].into();
+    let (mut backlog_s, mut done_total_s) = (0.0, 0.0);
+    let mut counts = vec![(0.0, 0.0); demands.len()];
+    let (length, settled) = (Duration::from_secs(40), Duration::from_secs(8));
+    let mut now = Duration::ZERO;
+    while now < length {
+        now += STEP;
+        for (index, (demand, urgency)) in demands.iter().enumerate() {
+            let mut roots = demand * CAPACITY_PER_S * STEP.as_secs_f64();
+            while roots > random.random_range(0.0..1.0) {
+                roots -= 1.0;
+                let entry = &mut entry_nodes[random.random_range(0..ENTRY_NODES)];
+                let name = has_names.then_some(&names[index]);
+                let verdict = entry.try_admit_for(now, &usage, *urgency, name);
+                let is_admitted = verdict == RootVerdict::Admit;
+                entry.record_decision(now, &usage, *urgency, name, is_admitted);
+                if is_admitted {
+                    for step_s in arriving_s.iter_mut().skip(delay_steps).take(spread_steps) {
+                        *step_s += HELD_PER_ROOT_S / spread_steps as f64;
+                    }
+                }
+                if now > settled {
+                    counts[index].0 += 1.0;
+                    counts[index].1 += f64::from(u8::from(is_admitted));
+                }
+            }
+        }
+        backlog_s += arriving_s.pop_front().unwrap_or(0.0);
+        arriving_s.push_back(0.0);
+        let capacity_s = SLOTS * STEP.as_secs_f64();
+        let done_s = backlog_s.min(capacity_s);
+        if now > settled {
+            done_total_s += done_s;
+        }
+        let queue_s = SLOTS * CALL_TIME.as_secs_f64();
+        backlog_s = (backlog_s - done_s).min(queue_s);
+        let load = done_s / capacity_s + backlog_s / queue_s;
+        for entry in &mut entry_nodes {
+            if random.random_range(0..4) == 0 {
+                entry.record_load(now, &"stock".into(), load, now);
+            }
+        }
+    }
+    let fractions = counts.iter().map(|(requests, admitted)| admitted / requests).collect();
+    (fractions, done_total_s / (SLOTS * (length - settled).as_secs_f64()))
+}
+
+/// Replays organisations of which some send several times their usual load. Guards against an
+/// organisation that loses requests within its share because of another one's, and against a service
+/// that is left idle for it.
+fn an_organisation_keeps_its_share(demands: &[(f64, f64)], within_share: &[usize]) {
+    for seed in 0..2 {
+        let (without_shares, _) = admitted_fractions(demands, false, seed);
+        let (fractions, used) = admitted_fractions(demands, true, seed);
+        println!("{fractions:.2?} admitted, {without_shares:.2?} without shares, {used:.2} used");
+        for index in within_share {
+            assert!(without_shares[*index] < 0.8, "the load is not as intended");
+            assert!(fractions[*index] > 0.92, "seed {seed}, organisation {index}: {fractions:.2?}");
+        }
+        assert!(used > 0.85, "seed {seed}: {used:.2} of the capacity is used");
+    }
+}
+
+crate::cases! { an_organisation_keeps_its_share:
+    beside_one_at_seven_times_its_load(
+        &[(0.9, 0.0), (0.13, 0.0), (0.13, 0.0), (0.13, 0.0), (0.13, 0.0), (0.13, 0.0)],
+        &[1, 2, 3, 4, 5],
+    ),
+    beside_three_at_five_to_eight_times_their_load(
+        &[(0.5, 0.5), (0.65, 0.5), (0.8, 0.5), (0.1, 0.5), (0.1, 0.5), (0.1, 0.5)],
+        &[3, 4, 5],
+    ),
+    with_a_small_one(&[(1.5, 1.0), (0.02, 1.0), (0.1, 1.0)], &[1, 2]),
+}
+
+/// Guards against shares that go before ranks.
+#[test]
+fn a_more_urgent_rank_goes_before_shares() {
+    let (fractions, _) = admitted_fractions(&[(0.7, 1.0), (0.4, 0.0), (0.4, 0.0)], true, 1);
+    assert!(fractions[0] > 0.95, "{fractions:.2?}");
+}
