--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -19,10 +19,11 @@
     call::Undispatched,
     clock::{self, Timestamp},
     mesh::{
-        Bounds, Call, Catalog, CatalogSource, Dialect, Directory, Guard, GuardResult,
-        InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
-        MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound, RetryBudget,
-        RootAdmission, RootFloor, RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker,
+        Bounds, Call, Catalog, CatalogSource, ChainAdmission, Dialect, Directory, Guard,
+        GuardResult, InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics,
+        MeshSettings, MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound,
+        RetryBudget, RootAdmission, RootFloor, RouteUsage, ServiceRefusals, TokenStock,
+        UpstreamRecord, UpstreamTracker,
         evacuation::Evacuations,
         link::Links,
         pace::{self, PacedRoots},
@@ -81,6 +82,10 @@
     pub evacuations: ArcSwap<Evacuations>,
     /// Held while `evacuations` is replaced.
     pub evacuation_updates: Mutex<()>,
+    /// Admission of call chains by the retries that they need.
+    pub chain_admission: Mutex<ChainAdmission>,
+    /// Share of requests that each service refuses without running them.
+    pub refusals: Mutex<ServiceRefusals>,
     /// Floors under the admission of root requests.
     pub root_floor: Mutex<RootFloor>,
     /// Mean usage of services by the requests of each route.
@@ -151,6 +156,8 @@
             paced_roots: Mutex::new(PacedRoots::new(rand::random())),
             evacuations: ArcSwap::default(),
             evacuation_updates: Mutex::default(),
+            chain_admission: Mutex::new(ChainAdmission::new(retry_bound(&settings.bounds))),
+            refusals: Mutex::default(),
             root_floor: Mutex::default(),
             route_usage: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(retry_bound(&settings.bounds))),
@@ -445,11 +452,23 @@
     /// Applies settings that were read again.
     pub fn apply_settings(&self, live: LiveSettings) {
         self.retries.lock().set_bound(retry_bound(&live.bounds));
+        self.chain_admission.lock().set_bound(retry_bound(&live.bounds));
         self.live_settings.store(Arc::new(live));
         self.update_cold_rate();
         self.update_record();
     }
 
+    /// Records the share of requests that a service refuses, from a report that was made at `at`.
+    pub fn record_refused_share(&self, service: &ServiceName, share: f64, at: Timestamp) {
+        let change = self.refusals.lock().record(service, share, at);
+        if let Some(is_refusing) = change {
+            log::info!(
+                service:% = service, refusing = is_refusing, share = share;
+                "the service has begun or ceased to refuse a part of its requests"
+            );
+        }
+    }
+
     /// Replaces the addresses that were read from the store.
     pub fn set_stored_addresses(&self, addresses: BTreeMap<InstanceName, InstanceAddress>) {
         let mut directory = self.directory.lock();
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -58,6 +58,12 @@
     /// 0 if none. A receiver that has just started does not know it yet.
     #[prost(double, tag = "18")]
     pub named_rate_per_s: f64,
+    /// Retries that the entry node of the root request has reserved for the call chain: the service whose
+    /// calls may be retried, and the retries for each call in 1/1000. Empty if none are reserved.
+    #[prost(string, tag = "19")]
+    pub reserved_service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "20")]
+    pub reserved_retries_permille: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ForwardReply {
@@ -117,6 +123,10 @@
     /// Time after which the limit is expected to end; 0 if unknown.
     #[prost(uint32, tag = "11")]
     pub pace_remaining_ms: u32,
+    /// Share of requests that the upstream refuses without running them although it has free slots, in
+    /// 1/1000; 0 if it is not significant.
+    #[prost(uint32, tag = "12")]
+    pub refused_permille: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceUse {
@@ -134,6 +144,15 @@
     pub load_permille: u32,
     #[prost(uint32, tag = "5")]
     pub load_age_ms: u32,
+    /// Share of requests that the service refuses, as last known to the sender, in 1/1000; absent if
+    /// unknown.
+    #[prost(uint32, optional, tag = "6")]
+    pub refused_permille: ::core::option::Option<u32>,
+    #[prost(uint32, tag = "7")]
+    pub refused_age_ms: u32,
+    /// Requests to the service, each counted once; absent in messages of earlier builds.
+    #[prost(uint32, optional, tag = "8")]
+    pub requests: ::core::option::Option<u32>,
 }
 /// Record of a node and its local upstream, made by the node.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
