Choose among instances by capacity and expected wait where they report their speed

Entry nodes took the instance with the least expected time, so that with reports a second old all of them took the same one. Where the load header carries the relative service time, the guard publishes the expected time of a request that starts now, and an entry node draws two instances by capacity and moves to the cheaper one with a probability that rises with the difference. Old reports decay to the instance's mean. Requests stay in their zone until the cost exceeds the measured time of the network to another one. Other deployments keep the former costs.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -258,6 +258,11 @@
         self.open.counts()
     }
 
+    /// Number of connections that were opened for this reason.
+    pub fn opened_for(&self, reason: OpenReason) -> u64 {
+        self.open.count(reason)
+    }
+
     /// Returns a connection that is ready for a request: the idle one that was used last, or a new one.
     pub async fn connect(&self, request: ConnectRequest<'_>) -> Result<Connection, ConnectFailure> {
         let give_up_at = Instant::now() + RELEASE_TIMEOUT;
--- a/src/http_client/opened.rs
+++ b/src/http_client/opened.rs
@@ -112,6 +112,11 @@
         &self.counts
     }
 
+    /// Number of connections that were opened for this reason.
+    pub fn count(&self, reason: OpenReason) -> u64 {
+        self.counts.get_or_create(&OpenLabels { reason: reason.as_str() }).get()
+    }
+
     /// Counts a connection that is to be opened, if fewer than `max_open` are open.
     pub fn begin(&self, max_open: usize) -> bool {
         let update = |open: usize| (open < max_open).then_some(open + 1);
--- a/src/mesh/attempts.rs
+++ b/src/mesh/attempts.rs
@@ -5,7 +5,7 @@
 //!
 //! Load pattern: some instances of a service fail all their requests, while the others work.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
 use smallvec::SmallVec;
@@ -211,6 +211,7 @@
     };
     let member = ready[index].0;
     let mut attempt_guard = AttemptGuard::begin(node, member, call);
+    let sent_at = clock::now();
     let guard_result = match member.record.instance == node.settings.instance {
         true => node.run_at_upstream(call.clone(), request, undispatched).await,
         false => forward_request(node, member, call, request, undispatched).await,
@@ -218,6 +219,13 @@
     attempt_guard.set_result(&guard_result);
     drop(attempt_guard);
     let now = clock::now();
+    if let (Outcome::Whole(_), Some(held_s)) =
+        (&guard_result.outcome, guard_result.usage.held_s(&call.service))
+    {
+        let took = now.saturating_sub(sent_at).as_secs_f64();
+        let network = Duration::from_secs_f64((took - held_s).max(0.0));
+        node.placement.lock().record_network_time(&member.record.instance, network);
+    }
     let load = {
         let names = members.for_service(&call.service).iter().map(|member| &member.record.instance);
         node.placement.lock().service_load(now, names)
--- a/src/mesh/call.rs
+++ b/src/mesh/call.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Total time that slots of a service were held, in seconds; `None` if none was held.
+    pub fn held_s(&self, service: &ServiceName) -> Option<f64> {
+        let used = self.services.iter().find(|used| used.service == *service)?;
+        Some(used.held_s)
+    }
+
     /// Adds the use of services by another request.
     pub fn merge(&mut self, other: &Self) {
         for used in &other.services {
--- a/src/mesh/dialect.rs
+++ b/src/mesh/dialect.rs
@@ -48,6 +48,8 @@
     pub waiting: u32,
     /// Requests that it can run concurrently.
     pub slots: u32,
+    /// Its current service time in percent of the usual one, if it reports it.
+    pub relative_time_percent: Option<u32>,
 }
 
 /// Fields that the node reads from the head of an upstream's answer.
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -175,6 +175,8 @@
             limit: load.limit,
             mean_s: f64::from(load.mean_us) / 1e6,
             route_mean_s: f64::from(load.route_us) / 1e6,
+            relative_time: (load.relative_time_permille > 0)
+                .then(|| f64::from(load.relative_time_permille) / 1000.0),
             named_rate_per_s: (load.named_rate_per_s > 0.0).then_some(load.named_rate_per_s),
         }),
         usage,
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -34,7 +34,8 @@
     memory::MemoryBudget,
     mesh::{
         AnswerHead, Call, Crashes, Dialect, Heartbeat, LoadReport, RunningCalls, Upstream,
-        UpstreamHead, Usage, crash_check::CrashDetector, fingerprint, request::BufferedRequest,
+        UpstreamHead, UpstreamSpeed, Usage, crash_check::CrashDetector, fingerprint,
+        request::BufferedRequest,
     },
     names::InstanceName,
     once::Fingerprint,
@@ -116,6 +117,8 @@
     pub sent: Counter,
     /// Limit that the upstream's last answer named.
     named_rate: Mutex<NamedRate>,
+    /// Current speed of the upstream, if it reports it.
+    speed: Mutex<UpstreamSpeed>,
     /// Mean time of each route's requests.
     route_times: Mutex<HashMap<Arc<str>, MeanTime>>,
     /// Set when the node is stopping.
@@ -138,6 +141,7 @@
             crash_check: CrashDetector::default(),
             sent: Counter::default(),
             named_rate: Mutex::default(),
+            speed: Mutex::default(),
             route_times: Mutex::default(),
             refuses_requests: AtomicBool::new(false),
             dialect: PhantomData,
@@ -172,6 +176,7 @@
         };
         if before.as_ref().is_some_and(|before| !is_same_start(&before.heartbeat)) {
             self.gate.reset_rate();
+            *self.speed.lock() = UpstreamSpeed::default();
         }
         if before.is_none_or(|before| before.heartbeat.slots != slots) {
             self.gate.on_announcement(slots);
@@ -396,6 +401,7 @@
         let sent = timeout(remaining + ANSWER_GRACE, send).await;
         let held = clock::now().saturating_sub(begun);
         let mut usage = entry.call.used_below();
+        let below_s: f64 = usage.services.iter().map(|it| it.held_s).sum();
         usage.add(&call.service, held.as_secs_f64(), 1.0);
         let refused_below = entry.call.was_refused_below();
         let failed_below = entry.call.has_failed_below();
@@ -410,6 +416,11 @@
                 self.crashes.lock().record_survival(clock::now(), &fingerprint);
                 let head = D::answer_head(answer.status, &answer.headers);
                 self.record_named_rate(&upstream, head.rate);
+                if let Some(percent) = head.load.and_then(|it| it.relative_time_percent) {
+                    let (relative, below) =
+                        (f64::from(percent) / 100.0, Duration::from_secs_f64(below_s));
+                    self.speed.lock().record(clock::now(), relative, held, below);
+                }
                 leaving_upstream = head.is_leaving.then(|| upstream.heartbeat.upstream.clone());
                 to_outcome(dispatch, answer, &head)
             }
@@ -486,6 +497,7 @@
             limit,
             mean_s,
             named_rate_per_s: status.named_per_s,
+            relative_time: self.speed.lock().relative_time(clock::now()),
             route_mean_s: self
                 .route_times
                 .lock()
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -63,7 +63,7 @@
 pub use node::{FreshnessProof, Node};
 pub use operators::{MeshMetrics, Origin};
 pub use pacing::Pacer;
-pub use placement::{AttemptResult, Candidate, LoadReport, Placement};
+pub use placement::{AttemptResult, Candidate, LoadReport, Placement, UpstreamSpeed};
 pub use position::Position;
 pub use processor::ProcessorLimit;
 pub use rank::{Rank, RankOrder};
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -182,6 +182,9 @@
             mean_us: to_micros(load.mean_s),
             route_us: to_micros(load.route_mean_s),
             named_rate_per_s: load.named_rate_per_s.unwrap_or(0.0),
+            relative_time_permille: load
+                .relative_time
+                .map_or(0, |it| (it * 1000.0).round().max(1.0) as u32),
         }),
         uses: service_uses(node, service, &result.usage),
         refused_below: result.refused_below,
--- a/src/mesh/placement.rs
+++ b/src/mesh/placement/mod.rs
@@ -4,11 +4,18 @@
 //! of them may be the only one in its availability zone. A choice by zone or by number of requests
 //! in flight would fill the slow instance while fast ones have spare capacity.
 
+mod balanced;
+mod speed;
+mod view;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
 
+pub use self::speed::UpstreamSpeed;
+use self::{balanced::Estimate, view::View};
 use crate::{clock::Timestamp, names::InstanceName};
 
 /// Age from which a load report no longer describes the present queue.
@@ -42,6 +49,11 @@
 const FAILURE_TIME_CONSTANT: Duration = Duration::from_secs(2);
 /// Time without an attempt after which the statistics of an instance may be evicted.
 const UNUSED_LIFETIME: Duration = Duration::from_secs(60);
+/// Weight of a new attempt in the least time in the network while it is longer than that time.
+const NETWORK_TIME_WEIGHT: f64 = 0.01;
+/// Exponent of the occupied fraction in the cost of an instance that reports its speed. With all slots
+/// occupied, the cost is the mean time of a request.
+const PRESSURE_EXPONENT: i32 = 4;
 /// Number of instances above which unused ones are evicted.
 const EVICTION_THRESHOLD: usize = 256;
 
@@ -71,6 +83,9 @@
     pub route_mean_s: f64,
     /// Requests per second that the upstream accepts from all nodes together, if it names a limit.
     pub named_rate_per_s: Option<f64>,
+    /// Expected time of a request that starts now, relative to `mean_s`; `None` if the upstream does not
+    /// report its speed.
+    pub relative_time: Option<f64>,
 }
 
 /// How an attempt at an instance ended.
@@ -92,6 +107,10 @@
 struct InstanceStats {
     in_flight: u32,
     report: Option<(LoadReport, Timestamp)>,
+    /// View of an instance whose upstream reports its speed.
+    view: Option<View>,
+    /// Least time in the network of the last attempts, in seconds.
+    network_s: Option<f64>,
     /// Value of `in_flight` when the report arrived.
     in_flight_at_report: u32,
     /// Mean time of requests in seconds, by route.
@@ -126,6 +145,9 @@
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
         let mean_route_s = self.mean_route_time_s(route, candidates);
+        if candidates.iter().any(|it| self.recent_view(now, it.instance).is_some()) {
+            return self.choose_by_speed(now, route, answer_within, candidates, mean_route_s);
+        }
         let mut best: Option<(f64, usize)> = None;
         for (index, candidate) in candidates.iter().enumerate() {
             let stats = self.instances.get(candidate.instance);
@@ -138,6 +160,53 @@
         best.map(|(_, index)| index)
     }
 
+    fn recent_view(&self, now: Timestamp, instance: &InstanceName) -> Option<&View> {
+        let view = self.instances.get(instance)?.view.as_ref()?;
+        view.is_recent(now).then_some(view)
+    }
+
+    /// Chooses among instances that report their speed.
+    fn choose_by_speed(
+        &mut self,
+        now: Timestamp,
+        route: &str,
+        answer_within: Duration,
+        candidates: &[Candidate<'_>],
+        mean_route_s: f64,
+    ) -> Option<usize> {
+        let is_reachable = |it: &Candidate<'_>| {
+            self.instances.get(it.instance).is_none_or(|stats| now >= stats.unreachable_until)
+        };
+        let mut indices: SmallVec<[usize; 16]> =
+            (0..candidates.len()).filter(|index| is_reachable(&candidates[*index])).collect();
+        if indices.is_empty() {
+            indices.extend(0..candidates.len());
+        }
+        let estimates: SmallVec<[Estimate; 16]> = indices
+            .iter()
+            .map(|index| {
+                let candidate = &candidates[*index];
+                let stats = self.instances.get(candidate.instance);
+                estimate(now, route, answer_within, candidate, stats, mean_route_s)
+            })
+            .collect();
+        let chosen = balanced::choose(&mut self.random, &estimates, mean_route_s)?;
+        Some(indices[chosen])
+    }
+
+    /// Records the time of an answered attempt beyond the time that the request held its slot.
+    pub fn record_network_time(&mut self, instance: &InstanceName, time: Duration) {
+        let Some(stats) = self.instances.get_mut(instance) else { return };
+        let time_s = time.as_secs_f64();
+        stats.network_s = Some(match stats.network_s {
+            // Waiting at the node of the instance is part of longer times.
+            Some(least_s) if time_s > least_s => {
+                least_s + NETWORK_TIME_WEIGHT * (time_s - least_s).min(least_s)
+            }
+            _ => time_s,
+        });
+    }
+
     /// Mean time of the route, in seconds, over the candidates that have reported one.
     fn mean_route_time_s(&self, route: &str, candidates: &[Candidate<'_>]) -> f64 {
         let known = candidates
@@ -174,6 +243,7 @@
         stats.in_flight = stats.in_flight.saturating_sub(1);
         if let Some(report) = report {
             stats.report = Some((report, now));
+            stats.view = View::update(stats.view, now, &report);
             stats.in_flight_at_report = stats.in_flight;
             if report.route_mean_s > 0.0 {
                 stats.route_mean_s.insert(route.clone(), report.route_mean_s);
@@ -227,6 +297,52 @@
     }
 }
 
+/// What is expected of an instance where the upstreams report their speed.
+fn estimate(
+    now: Timestamp,
+    route: &str,
+    answer_within: Duration,
+    candidate: &Candidate<'_>,
+    stats: Option<&InstanceStats>,
+    mean_route_s: f64,
+) -> Estimate {
+    let answer_within_s = answer_within.as_secs_f64();
+    let slots = f64::from(candidate.slots.max(1));
+    let far_s = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_COST * answer_within_s };
+    let unknown = Estimate {
+        capacity_per_s: slots / mean_route_s,
+        cost_s: 0.0,
+        is_same_zone: candidate.is_same_zone,
+        network_s: far_s,
+    };
+    let Some(stats) = stats else { return unknown };
+    let network_s = stats.network_s.unwrap_or(far_s);
+    let failure_rate = stats.failure_rate(now);
+    let failure_s = failure_rate * FAILURE_COST * answer_within_s;
+    let reliability = (1.0 - failure_rate).powi(2).max(0.01);
+    let Some((view, (report, _))) = stats.view.zip(stats.report) else {
+        let capacity_per_s = unknown.capacity_per_s * reliability;
+        return Estimate { capacity_per_s, cost_s: failure_s, network_s, ..unknown };
+    };
+    let sent_since = stats.in_flight.saturating_sub(stats.in_flight_at_report);
+    let occupied = view.occupied(now, sent_since);
+    let capacity_per_s = view.capacity_per_s(now);
+    let limit = f64::from(report.limit.max(1));
+    let wait_s = (occupied * limit + 1.0 - limit).max(0.0) / capacity_per_s;
+    let route_s = stats.route_mean_s.get(route).copied().unwrap_or(mean_route_s);
+    let answer_s = wait_s + route_s * view.relative_time(now, report.mean_s) + network_s;
+    // Any answer within the time is worth the same, so that slow instances are used for what they can
+    // still answer in time.
+    let late_s = 2.0 * (answer_s - answer_within_s).max(0.0);
+    let pressure_s = mean_route_s * occupied.min(1.0).powi(PRESSURE_EXPONENT);
+    Estimate {
+        capacity_per_s: capacity_per_s * reliability,
+        cost_s: pressure_s + wait_s + late_s + failure_s,
+        is_same_zone: candidate.is_same_zone,
+        network_s,
+    }
+}
+
 /// Expected time until the answer plus the penalties of the candidate, in seconds.
 fn cost(
     now: Timestamp,
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -110,6 +110,10 @@
     /// Requests per second that the upstream accepts from all nodes together; 0 if it names no limit.
     #[prost(double, tag = "6")]
     pub named_rate_per_s: f64,
+    /// Expected time of a request that starts now, in 1/1000 of the mean time; 0 if the upstream does not
+    /// report its speed.
+    #[prost(uint32, tag = "7")]
+    pub relative_time_permille: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceUse {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -29,7 +29,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 /// Seal that marks an answer as the upstream's own.
 const RESPONSE_SEAL: HeaderName = HeaderName::from_static("x-response-seal");
-/// Numbers of running requests, waiting requests and slots of the upstream, separated by commas.
+/// Numbers of running requests, waiting requests and slots of the upstream, separated by commas, and on
+/// some deployments its current relative service time in percent.
 const INSTANCE_LOAD: HeaderName = HeaderName::from_static("x-instance-load");
 
 /// Requests per second that the upstream accepts from all nodes together, as a decimal number.
@@ -107,6 +108,7 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        relative_time_percent: numbers.next().flatten(),
     })
 }
 
--- a/tests/mesh_placement.rs
+++ b/tests/mesh_placement.rs
@@ -107,6 +107,7 @@
         limit: SLOTS,
         mean_s: instance.work.as_secs_f64(),
         named_rate_per_s: None,
+        relative_time: None,
         route_mean_s: instance.work.as_secs_f64(),
     }
 }
