--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -34,7 +34,7 @@
     memory::MemoryBudget,
     mesh::{
         AnswerHead, Call, Crashes, Dialect, Heartbeat, LoadReport, RefusalMeter, RunningCalls,
-        Upstream, UpstreamHead, Usage, crash_check::CrashDetector, fingerprint,
+        Upstream, UpstreamHead, UpstreamSpeed, Usage, crash_check::CrashDetector, fingerprint,
         request::BufferedRequest,
     },
     names::InstanceName,
@@ -128,6 +128,8 @@
     named_rate: Mutex<NamedRate>,
     /// Share of requests that the upstream refuses.
     refusals: Mutex<RefusalMeter>,
+    /// Current speed of the upstream, if it reports it.
+    speed: Mutex<UpstreamSpeed>,
     /// Mean time of each route's requests.
     route_times: Mutex<HashMap<Arc<str>, MeanTime>>,
     /// What the upstream tolerates while it is cold.
@@ -159,6 +161,7 @@
             sent: Counter::default(),
             named_rate: Mutex::default(),
             refusals: Mutex::default(),
+            speed: Mutex::default(),
             route_times: Mutex::default(),
             cold_rate: Mutex::default(),
             cold_sign: Notify::new(),
@@ -197,6 +200,7 @@
         };
         if before.as_ref().is_some_and(|before| !is_same_start(&before.heartbeat)) {
             self.gate.reset_rate();
+            *self.speed.lock() = UpstreamSpeed::default();
         }
         if before.as_ref().is_none_or(|before| before.heartbeat.slots != slots) {
             self.gate.on_announcement(slots);
@@ -475,6 +479,7 @@
         let sent = timeout(remaining + ANSWER_GRACE, send).await;
         let held = clock::now().saturating_sub(begun);
         let mut usage = entry.call.used_below();
+        let below_s: f64 = usage.services.iter().map(|it| it.held_s).sum();
         usage.add(&call.service, held.as_secs_f64(), 1.0);
         let refused_below = entry.call.was_refused_below();
         let failed_below = entry.call.has_failed_below();
@@ -491,6 +496,11 @@
                 let head = D::answer_head(answer.status, &answer.headers);
                 self.record_named_rate(&upstream, head.rate);
                 self.record_refusal(&upstream, &head);
+                if let Some(percent) = head.load.and_then(|it| it.relative_time_percent) {
+                    let (relative, below) =
+                        (f64::from(percent) / 100.0, Duration::from_secs_f64(below_s));
+                    self.speed.lock().record(clock::now(), relative, held, below);
+                }
                 leaving_upstream = head.is_leaving.then(|| upstream.heartbeat.upstream.clone());
                 to_outcome(dispatch, answer, &head)
             }
@@ -603,6 +613,7 @@
             mean_s,
             named_rate_per_s: status.named_per_s,
             pace: status.pace(),
+            relative_time: self.speed.lock().relative_time(clock::now()),
             route_mean_s: self
                 .route_times
                 .lock()
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -193,6 +193,9 @@
             pace_per_ks: load.pace.map_or(0, |pace| pace::to_per_ks(pace.per_s)),
             pace_remaining_ms: load.pace.map_or(0, |it| clock::to_millis_u32(it.remaining)),
             refused_permille: to_permille(result.refused_share),
+            relative_time_permille: load
+                .relative_time
+                .map_or(0, |it| (it * 1000.0).round().max(1.0) as u32),
         }),
         uses: service_uses(node, service, &result.usage),
         refused_below: result.refused_below,
--- a/tests/mesh_placement.rs
+++ b/tests/mesh_placement.rs
@@ -109,6 +109,7 @@
         mean_s: instance.work.as_secs_f64(),
         named_rate_per_s: None,
         pace: None,
+        relative_time: None,
         route_mean_s: instance.work.as_secs_f64(),
     }
 }
