--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -78,7 +78,8 @@
 pub use run::{MeshListeners, run};
 pub use running::{RunningCall, RunningCalls};
 pub use settings::{
-    LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
+    LiveSettings, MachineLimits, MeshListen, MeshSettings, RawMachineLimits, RawMeshListen,
+    RawMeshSettings, RawStore,
 };
 pub use stop::PlannedStop;
 pub use sync::{home_hub, hub_count, min_sync_interval, to_token_count};
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -46,11 +46,28 @@
     /// Bounds that the platform sets, under the platform's own names.
     #[serde(default)]
     pub bounds: Map<String, Value>,
+    /// Limits of the node's machine, or of the process where the platform limits it.
+    #[serde(default)]
+    pub limits: RawMachineLimits,
     /// Logging.
     #[serde(default)]
     pub log: RawLog,
 }
 
+/// Limits of the machine, from which the bounds on what callers and other nodes may hold are derived.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RawMachineLimits {
+    /// Memory that the process may use; where there is none, `MemTotal` of `/proc/meminfo`.
+    #[serde(default)]
+    #[schemars(range(min = 32, max = 1_048_576), extend("x-unit" = "MiB"))]
+    pub memory_mb: Option<u64>,
+    /// File descriptors that the process may open; where there is none, the limit of the process.
+    #[serde(default)]
+    #[schemars(range(min = 128, max = 1_048_576), extend("x-unit" = "descriptors"))]
+    pub max_descriptors: Option<u64>,
+}
+
 /// Listening addresses, each an IP address and a port.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -114,10 +131,21 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
+    /// Limits of the machine.
+    pub limits: MachineLimits,
     /// Logging.
     pub log: RawLog,
 }
 
+/// Limits of the machine; `None` where the settings do not state one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory that the process may use.
+    pub memory_bytes: Option<usize>,
+    /// File descriptors that the process may open.
+    pub max_descriptors: Option<usize>,
+}
+
 /// Settings that may change while the node runs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LiveSettings {
@@ -212,6 +240,12 @@
         });
         let seeds = seeds.collect();
         let bounds = D::bounds(&raw.bounds, "/bounds", &mut collector);
+        // The schema limits both numbers, so that they are in range on all platforms.
+        let to_usize = |number: u64| usize::try_from(number).unwrap_or(usize::MAX);
+        let limits = MachineLimits {
+            memory_bytes: raw.limits.memory_mb.map(|mb| to_usize(mb << 20)),
+            max_descriptors: raw.limits.max_descriptors.map(to_usize),
+        };
         collector.finish(Self {
             file,
             instance: raw.instance.into(),
@@ -224,6 +258,7 @@
             store_timeout: Duration::from_millis(raw.store.timeout_ms),
             seeds,
             bounds,
+            limits,
             log: raw.log,
         })
     }
