--- a/src/http_server/mod.rs
+++ b/src/http_server/mod.rs
@@ -1,9 +1,19 @@
 //! An HTTP/1.1 and HTTP/2 server that joins the tasks of all its connections before it returns.
 
+pub mod intake;
 pub mod pipelined;
 mod stalled;
 
-use std::{convert::Infallible, future::Future, io, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{
@@ -11,7 +21,10 @@
     header::{CONNECTION, CONTENT_TYPE},
 };
 use http_body_util::Full;
-use hyper::{body::Incoming, service::service_fn};
+use hyper::{
+    body::{Body as _, Incoming},
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -23,6 +36,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use intake::{Activity, Intake, Misuse, Ticket};
 use stalled::StalledWriteTimeout;
 
 /// Time that a client has to send the headers of an HTTP/1.1 request; also the interval of
@@ -39,6 +53,13 @@
 /// Pause after an accept error, which is mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Buffer of an HTTP/1.1 connection within bounds; it limits the head of a request, too.
+const MAX_HTTP1_BUFFER_BYTES: usize = 32 << 10;
+/// Concurrent requests, window and list of header fields of an HTTP/2 connection within bounds.
+const MAX_HTTP2_STREAMS: u32 = 8;
+const HTTP2_WINDOW_BYTES: u32 = 64 << 10;
+const MAX_HTTP2_HEADER_BYTES: u32 = 16 << 10;
+
 /// Serves `listener` until `shutdown` is cancelled, then waits for the requests in flight.
 pub async fn serve<H, F>(listener: TcpListener, shutdown: CancellationToken, handler: H)
 where
@@ -58,14 +79,56 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
+    serve_connections(listener, shutdown, abort, handler, builder(), Intake::unlimited()).await;
+}
+
+/// Like [`serve_until`], within bounds on connections and their buffers.
+pub async fn serve_within<H, F>(
+    listener: TcpListener,
+    shutdown: CancellationToken,
+    abort: CancellationToken,
+    handler: H,
+    intake: Arc<Intake>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let mut builder = builder();
+    builder.http1().max_buf_size(MAX_HTTP1_BUFFER_BYTES);
+    builder
+        .http2()
+        .max_concurrent_streams(MAX_HTTP2_STREAMS)
+        .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_WINDOW_BYTES)
+        .max_header_list_size(MAX_HTTP2_HEADER_BYTES);
+    serve_connections(listener, shutdown, abort, handler, builder, intake).await;
+}
+
+fn builder() -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
     builder.http2().timer(TokioTimer::new()).keep_alive_interval(Some(HEADER_TIMEOUT));
+    builder
+}
+
+async fn serve_connections<H, F>(
+    listener: TcpListener,
+    shutdown: CancellationToken,
+    abort: CancellationToken,
+    handler: H,
+    builder: auto::Builder<TokioExecutor>,
+    intake: Arc<Intake>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
     let graceful = GracefulShutdown::new();
     let mut connections = JoinSet::new();
-    accept_until(listener, &shutdown, |stream| {
+    accept_within(listener, &shutdown, &intake, |stream, ticket| {
         while connections.try_join_next().is_some() {}
-        connections.spawn(serve_stream(stream, &builder, &graceful, &shutdown, &handler));
+        let served =
+            serve_stream(stream, &builder, &graceful, &shutdown, &handler, &intake, ticket);
+        connections.spawn(served);
     })
     .await;
     let finish_requests = async {
@@ -82,19 +145,24 @@
 }
 
 /// Accepts connections and passes them to `start` until `shutdown`, then those that are waiting in the
-/// kernel's queue, which closing the listener would reset.
-pub(crate) async fn accept_until(
+/// kernel's queue, which closing the listener would reset. Connections beyond the bound wait in that queue
+/// until one has been closed.
+pub(crate) async fn accept_within(
     listener: TcpListener,
     shutdown: &CancellationToken,
-    mut start: impl FnMut(TcpStream),
+    intake: &Arc<Intake>,
+    mut start: impl FnMut(TcpStream, Ticket),
 ) {
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = async {
+                intake.wait_for_room().await;
+                listener.accept().await
+            } => accepted,
             () = shutdown.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => start(stream),
+            Ok((stream, _)) => start(stream, intake.register()),
             Err(error) => {
                 log::warn!(
                     cause:% = error;
@@ -105,7 +173,7 @@
         }
     }
     for stream in accept_queued(listener) {
-        start(stream);
+        start(stream, intake.register());
     }
 }
 
@@ -147,6 +215,8 @@
     graceful: &GracefulShutdown,
     shutdown: &CancellationToken,
     handler: &H,
+    intake: &Arc<Intake>,
+    ticket: Ticket,
 ) -> impl Future<Output = ()> + Send + use<H, F>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -154,12 +224,16 @@
 {
     let _ = stream.set_nodelay(true);
     let (handler, shutdown) = (handler.clone(), shutdown.clone());
+    let ticket = Arc::new(ticket);
+    let (activity, intake) = (Arc::new(RequestCount::new(ticket.clone())), intake.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let supports_close_header = request.version() <= Version::HTTP_11;
+        let running = activity.begin(!request.body().is_end_stream());
         let answer = handler(request);
         let shutdown = shutdown.clone();
         async move {
             let mut answer = answer.await;
+            drop(running);
             if supports_close_header && shutdown.is_cancelled() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -170,8 +244,45 @@
     let connection = builder.serve_connection(stream, service).into_owned();
     let connection = graceful.watch(connection);
     async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection ended: {error}");
+        tokio::select! {
+            ended = connection => {
+                let Err(error) = ended else { return };
+                if error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_timeout) {
+                    intake.record(Misuse::SlowHead);
+                }
+                log::debug!("connection ended: {error}");
+            }
+            () = ticket.evicted() => {}
+        }
+    }
+}
+
+/// Counts the running requests of a connection, and reports what it is doing.
+struct RequestCount {
+    ticket: Arc<Ticket>,
+    running: AtomicUsize,
+}
+
+impl RequestCount {
+    fn new(ticket: Arc<Ticket>) -> Self {
+        Self { ticket, running: AtomicUsize::new(0) }
+    }
+
+    /// Counts a request until the returned value is dropped.
+    fn begin(self: &Arc<Self>, has_body: bool) -> RunningRequest {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        let activity = if has_body { Activity::ReadingBody } else { Activity::Busy };
+        self.ticket.set_activity(activity);
+        RunningRequest(self.clone())
+    }
+}
+
+struct RunningRequest(Arc<RequestCount>);
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        if self.0.running.fetch_sub(1, Ordering::AcqRel) == 1 {
+            self.0.ticket.set_activity(Activity::Idle);
         }
     }
 }
--- a/src/http_server/pipelined/head.rs
+++ b/src/http_server/pipelined/head.rs
@@ -6,15 +6,17 @@
     header, request::Parts,
 };
 
-const MAX_HEADERS: usize = 96;
-/// Largest line with the size of a chunk, including its extensions.
-const MAX_CHUNK_LINE_BYTES: usize = 1 << 10;
-/// Largest trailer after the last chunk; trailers are discarded.
-const MAX_TRAILER_BYTES: usize = 8 << 10;
+/// Header fields that are parsed without an allocation.
+const USUAL_FIELDS: usize = 96;
+/// Memory of a header field beside its name and value, also where the request is forwarded to another
+/// node or to the upstream: there, the fields exist a second time.
+const FIELD_BYTES: usize = 320;
+/// Memory of a request without header fields, with its task and its place in queues.
+const HEAD_BYTES: usize = 2 << 10;
 
 /// Why a request cannot be read; no further request can be read from its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum HeadError {
+pub enum HeadError {
     /// The input is not an HTTP/1.x request, or the length of its body is ambiguous.
     Malformed,
     /// The head is larger than the limit.
@@ -35,7 +37,7 @@
 
 /// How the end of a body is found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Framing {
+pub enum Framing {
     /// The body has this length in bytes.
     Length(usize),
     /// The body has the chunked transfer coding.
@@ -44,30 +46,98 @@
 
 /// The parsed head of a request.
 #[derive(Debug)]
-pub(super) struct ParsedHead {
-    pub(super) parts: Parts,
-    pub(super) framing: Framing,
+pub struct ParsedHead {
+    /// Method, path, version and header fields.
+    pub parts: Parts,
+    /// How the end of the body is found.
+    pub framing: Framing,
     /// Whether the connection is closed after the answer, as the request states.
-    pub(super) must_close: bool,
-    pub(super) expects_continue: bool,
+    pub must_close: bool,
+    /// Whether the caller waits for the interim answer 100 before it sends the body.
+    pub expects_continue: bool,
 }
 
-/// Removes the head of a request from the input; none if the head is still incomplete.
-pub(super) fn parse(
-    input: &mut BytesMut,
-    max_bytes: usize,
-) -> Result<Option<ParsedHead>, HeadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    let length = match request.parse(input) {
-        Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
-        Ok(httparse::Status::Partial) if input.len() <= max_bytes => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::HeadTooLarge),
-        Err(_) => return Err(HeadError::Malformed),
-    };
-    let head = to_parsed_head(&request).ok_or(HeadError::Malformed)?;
-    input.advance(length);
-    Ok(Some(head))
+impl ParsedHead {
+    /// Estimate of the memory that the head holds: names and values have allocations of their own, and the
+    /// map has an entry and an index for each field.
+    pub fn held_bytes(&self) -> usize {
+        let headers = &self.parts.headers;
+        let field_bytes = |(name, value): (&HeaderName, &HeaderValue)| {
+            FIELD_BYTES + name.as_str().len() + value.len()
+        };
+        let path_bytes = self.parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+        HEAD_BYTES + path_bytes + headers.iter().map(field_bytes).sum::<usize>()
+    }
+}
+
+/// Finds the heads of requests in the input of a connection.
+///
+/// A head that arrives byte by byte is not parsed anew for each byte: the time for a head is linear in its
+/// size.
+#[derive(Debug, Default)]
+pub struct HeadDecoder {
+    /// Bytes of the input that have been searched for the end of the head.
+    searched_bytes: usize,
+    /// Length of the input when it was last parsed.
+    parsed_bytes: usize,
+}
+
+impl HeadDecoder {
+    /// Removes the head of a request from the input; none if the head is still incomplete.
+    pub fn decode(
+        &mut self,
+        input: &mut BytesMut,
+        max_bytes: usize,
+    ) -> Result<Option<ParsedHead>, HeadError> {
+        if self.searched_bytes == 0 {
+            // Empty lines before a request are permitted.
+            let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+            let skipped = input.iter().take_while(|byte| is_line_end(byte)).count();
+            input.advance(skipped);
+        }
+        // The end is an empty line, which may have begun in the bytes searched before.
+        let unsearched = &input[self.searched_bytes.saturating_sub(2)..];
+        let has_end = unsearched.windows(2).any(|bytes| bytes == b"\n\n")
+            || unsearched.windows(3).any(|bytes| bytes == b"\n\r\n");
+        self.searched_bytes = input.len();
+        let may_be_malformed = input.len() >= 2 * self.parsed_bytes;
+        if input.is_empty() || !(has_end || may_be_malformed || input.len() > max_bytes) {
+            return Ok(None);
+        }
+        self.parsed_bytes = input.len();
+        let head = with_fields(input, |input, fields| {
+            let mut request = httparse::Request::new(fields);
+            Ok(match request.parse(input)? {
+                httparse::Status::Complete(length) => Some((length, to_parsed_head(&request))),
+                httparse::Status::Partial => None,
+            })
+        });
+        let (length, head) = match head {
+            Ok(Some((length, head))) if length <= max_bytes => (length, head),
+            Ok(None) if input.len() <= max_bytes => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::HeadTooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let head = head.ok_or(HeadError::Malformed)?;
+        input.advance(length);
+        *self = Self::default();
+        Ok(Some(head))
+    }
+}
+
+/// Parses with as many header fields as the input may hold. Few requests have more than
+/// [`USUAL_FIELDS`]; a field takes a line.
+pub(super) fn with_fields<'a, T>(
+    input: &'a [u8],
+    parse: impl Fn(&'a [u8], &mut [httparse::Header<'a>]) -> Result<T, httparse::Error>,
+) -> Result<T, httparse::Error> {
+    let mut fields = [httparse::EMPTY_HEADER; USUAL_FIELDS];
+    match parse(input, &mut fields) {
+        Err(httparse::Error::TooManyHeaders) => {}
+        parsed => return parsed,
+    }
+    let lines = input.iter().filter(|byte| **byte == b'\n').count();
+    parse(input, &mut vec![httparse::EMPTY_HEADER; lines + 1])
 }
 
 fn to_parsed_head(request: &httparse::Request<'_, '_>) -> Option<ParsedHead> {
@@ -77,10 +147,10 @@
         1 => Version::HTTP_11,
         _ => Version::HTTP_10,
     };
-    let mut headers = HeaderMap::with_capacity(request.headers.len());
+    let mut headers = HeaderMap::try_with_capacity(request.headers.len()).ok()?;
     for header in request.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
-        headers.append(name, HeaderValue::from_bytes(header.value).ok()?);
+        headers.try_append(name, HeaderValue::from_bytes(header.value).ok()?).ok()?;
     }
     let framing = framing(&headers, version)?;
     let must_close = match version {
@@ -118,69 +188,6 @@
     values.flat_map(|value| value.split(',')).any(|part| part.trim().eq_ignore_ascii_case(token))
 }
 
-/// Moves the received part of a body from the input to `body`; true once the body is complete.
-pub(super) fn take_body(
-    input: &mut BytesMut,
-    framing: &Framing,
-    body: &mut BytesMut,
-    max_bytes: usize,
-) -> Result<bool, HeadError> {
-    match *framing {
-        Framing::Length(length) if length > max_bytes => Err(HeadError::BodyTooLarge),
-        Framing::Length(length) => {
-            let taken = (length - body.len()).min(input.len());
-            body.extend_from_slice(&input.split_to(taken));
-            Ok(body.len() == length)
-        }
-        Framing::Chunked => take_chunks(input, body, max_bytes),
-    }
-}
-
-fn take_chunks(
-    input: &mut BytesMut,
-    body: &mut BytesMut,
-    max_bytes: usize,
-) -> Result<bool, HeadError> {
-    loop {
-        let (line_bytes, size) = match httparse::parse_chunk_size(input) {
-            Ok(httparse::Status::Complete(parsed)) => parsed,
-            Ok(httparse::Status::Partial) if input.len() <= MAX_CHUNK_LINE_BYTES => {
-                return Ok(false);
-            }
-            _ => return Err(HeadError::Malformed),
-        };
-        let size = usize::try_from(size).map_err(|_| HeadError::BodyTooLarge)?;
-        if size == 0 {
-            return take_trailer(input, line_bytes);
-        }
-        if size.saturating_add(body.len()) > max_bytes {
-            return Err(HeadError::BodyTooLarge);
-        }
-        let chunk_end = line_bytes + size + 2;
-        if input.len() < chunk_end {
-            return Ok(false);
-        }
-        if &input[line_bytes + size..chunk_end] != b"\r\n" {
-            return Err(HeadError::Malformed);
-        }
-        body.extend_from_slice(&input[line_bytes..line_bytes + size]);
-        input.advance(chunk_end);
-    }
-}
-
-/// Discards the trailer after the last chunk; `line_bytes` is the length of that chunk's line.
-fn take_trailer(input: &mut BytesMut, line_bytes: usize) -> Result<bool, HeadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    match httparse::parse_headers(&input[line_bytes..], &mut headers) {
-        Ok(httparse::Status::Complete((length, _))) => {
-            input.advance(line_bytes + length);
-            Ok(true)
-        }
-        Ok(httparse::Status::Partial) if input.len() <= MAX_TRAILER_BYTES => Ok(false),
-        _ => Err(HeadError::Malformed),
-    }
-}
-
 /// Encodes the head of an answer to a request; `is_head` is set if its method was HEAD, and
 /// `must_close` if the connection is closed after the answer.
 pub(super) fn encode(response: &Response<Bytes>, is_head: bool, must_close: bool) -> BytesMut {
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -7,7 +7,8 @@
 //! the answer to a pipelined request, the caller assumes that the request was not read and sends it
 //! again.
 
-mod head;
+pub mod body;
+pub mod head;
 
 use std::{
     collections::VecDeque,
@@ -18,7 +19,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut as _, Bytes, BytesMut};
 use futures::{StreamExt as _, stream::FuturesOrdered};
 use http::{Request, Response, StatusCode, request::Parts};
 use tokio::{
@@ -31,14 +32,43 @@
 
 use crate::{
     clock::{self, Timestamp},
-    http_server::accept_until,
+    http_server::{
+        accept_within,
+        intake::{Activity, Intake, Misuse, Ticket},
+    },
+    memory::{Reservation, reserved_bytes},
 };
-use head::ParsedHead;
+use body::BodyDecoder;
+use head::{HeadDecoder, HeadError, ParsedHead};
 
-/// Bytes of one connection that are read ahead of the running requests.
-const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
 /// Requests of one connection that run concurrently.
 const MAX_CONCURRENT_REQUESTS: usize = 32;
+/// Requests of one connection that were received and have not started; more are not read. Callers that
+/// send thousands of requests without reading an answer held 368 MB of a machine of 160 MB.
+const MAX_WAITING_REQUESTS: usize = 32;
+/// Size of one read of a body.
+const BODY_READ_BYTES: usize = 64 << 10;
+/// Body up to which a request counts as small. It may use a part of the budget that larger bodies leave
+/// free, so that ordinary requests are read while large ones wait.
+const MAX_SMALL_BODY_BYTES: usize = 32 << 10;
+/// Part of the budget, in eighths, up to which small requests are read.
+const SMALL_REQUEST_EIGHTHS: usize = 7;
+/// Part of the budget, in eighths, up to which the bodies of others are read. At 160 MB it holds one body
+/// of 64 MiB.
+const LARGE_REQUEST_EIGHTHS: usize = 5;
+/// Part of the budget, in eighths, above which the requests of a connection run one after the other, since
+/// their answers would be held until those before them have been written.
+const SERIAL_EIGHTHS: usize = 4;
+/// Bytes of a body that must arrive in each interval of `request_timeout`.
+const MIN_BODY_PROGRESS_BYTES: usize = 1 << 10;
+/// Bytes of an answer that a caller must accept in each interval of [`WRITE_STALL_TIMEOUT`].
+const MIN_WRITE_PROGRESS_BYTES: usize = 1 << 10;
+/// Time after which a request that waits for memory tries again.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(30);
+/// Time and bytes for which input is discarded after the last answer to a caller that still sends: closing
+/// the connection at once would make its machine discard the answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+const MAX_LINGER_BYTES: usize = 4 << 20;
 /// Time within which a caller must accept some bytes of an answer.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time since it was accepted or used last in which a connection without a request stays open after the
@@ -57,7 +87,8 @@
     pub max_header_bytes: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
-    /// Time from the first byte of a request within which the whole request must be received.
+    /// Time from the first byte of a request within which its head must be received. A body may take
+    /// longer while it makes progress.
     pub request_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
@@ -94,16 +125,29 @@
     shutdown: CancellationToken,
     abort: CancellationToken,
     handler: impl Handler,
+) {
+    serve_within(listener, shutdown, abort, handler, Intake::unlimited()).await;
+}
+
+/// Like [`serve`], within bounds on connections and memory.
+pub async fn serve_within(
+    listener: TcpListener,
+    shutdown: CancellationToken,
+    abort: CancellationToken,
+    handler: impl Handler,
+    intake: Arc<Intake>,
 ) {
     let mut connections = JoinSet::new();
     let open_connections = Arc::new(());
-    accept_until(listener, &shutdown, |stream| {
+    accept_within(listener, &shutdown, &intake, |stream, ticket| {
         while connections.try_join_next().is_some() {}
         connections.spawn(run_connection(
             stream,
             handler.clone(),
             shutdown.clone(),
             open_connections.clone(),
+            intake.clone(),
+            ticket,
         ));
     })
     .await;
@@ -128,20 +172,31 @@
     handler: H,
     shutdown: CancellationToken,
     open_connections: Arc<()>,
+    intake: Arc<Intake>,
+    ticket: Ticket,
 ) {
     // Nagle's algorithm would only delay answers; if the option cannot be set, they are still sent.
     let _ = stream.set_nodelay(true);
     let connection = Connection {
         stream,
         handler,
+        intake,
+        ticket,
+        activity: Activity::ReadingHead,
         input: BytesMut::new(),
+        input_memory: None,
+        head_decoder: HeadDecoder::default(),
         first_byte_at: None,
         last_activity: Instant::now(),
-        partial_request: None,
+        incoming: None,
+        memory_wait: MemoryWait::None,
         waiting: VecDeque::new(),
         running: FuturesOrdered::new(),
+        finished: VecDeque::new(),
         is_exclusive: false,
         has_read_last_request: false,
+        has_rejected: false,
+        is_closing: false,
         close_idle_at: None,
         open_connections,
     };
@@ -150,22 +205,6 @@
     }
 }
 
-/// Reads some bytes from a caller. The buffer is allocated once there are bytes to read, so that an idle
-/// connection, of which there may be thousands, holds none.
-async fn read_some(stream: &TcpStream, input: &mut BytesMut) -> io::Result<usize> {
-    if input.is_empty() {
-        *input = BytesMut::new();
-    }
-    loop {
-        stream.readable().await?;
-        input.reserve(READ_BYTES);
-        match stream.try_read_buf(input) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            read => return read,
-        }
-    }
-}
-
 type AnswerFuture = Pin<Box<dyn Future<Output = FinishedAnswer> + Send>>;
 
 /// An answer with the properties of its request that determine how it is written.
@@ -175,6 +214,7 @@
     is_head: bool,
     /// The connection is closed after the answer.
     must_close: bool,
+    _memory: Reservation,
 }
 
 /// A request that was received completely and has not started.
@@ -183,23 +223,90 @@
     arrived: Timestamp,
     must_close: bool,
     may_overlap: bool,
+    /// Memory of its head.
+    memory: Reservation,
+}
+
+/// A request with a complete head that is being received.
+struct IncomingRequest {
+    head: ParsedHead,
+    decoder: BodyDecoder,
+    body: BytesMut,
+    /// Memory of the head; none until there was enough in the budget.
+    head_memory: Option<Reservation>,
+    /// Memory of the body.
+    body_memory: Option<Reservation>,
+    /// Start of the interval in which [`MIN_BODY_PROGRESS_BYTES`] must arrive, and bytes of the body at it.
+    interval_start: Instant,
+    interval_start_bytes: usize,
+}
+
+impl IncomingRequest {
+    /// Whether there is something to do without further input.
+    fn needs_parsing(&self) -> bool {
+        self.head_memory.is_none() || self.decoder.is_complete()
+    }
+
+    /// Bytes of the body that are still to come, as far as that is known.
+    fn expected_bytes(&self) -> usize {
+        self.decoder.contiguous_bytes()
+    }
+
+    fn record_progress(&mut self) {
+        if self.body.len() >= self.interval_start_bytes + MIN_BODY_PROGRESS_BYTES {
+            (self.interval_start, self.interval_start_bytes) = (Instant::now(), self.body.len());
+        }
+    }
+}
+
+/// Result of reading from a connection.
+#[derive(PartialEq, Eq)]
+enum ReadResult {
+    Closed,
+    Read,
+    /// No bytes were there, or there is no memory for them.
+    Nothing,
+}
+
+/// Whether a connection waits for memory.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum MemoryWait {
+    None,
+    /// Nothing is read.
+    Paused,
+    /// The next read tries again to reserve memory.
+    Retrying,
 }
 
 struct Connection<H> {
     stream: TcpStream,
     handler: H,
+    intake: Arc<Intake>,
+    ticket: Ticket,
+    /// Activity that was last reported to the ticket.
+    activity: Activity,
     input: BytesMut,
+    /// Memory of the input beyond one read.
+    input_memory: Option<Reservation>,
+    head_decoder: HeadDecoder,
     /// When the first byte of the request that is being received was read.
     first_byte_at: Option<(Timestamp, Instant)>,
     last_activity: Instant,
-    /// Head of the request that is being received, and the part of its body that was received.
-    partial_request: Option<(ParsedHead, BytesMut)>,
+    /// The request that is being received.
+    incoming: Option<IncomingRequest>,
+    memory_wait: MemoryWait,
     waiting: VecDeque<PendingRequest>,
     running: FuturesOrdered<AnswerFuture>,
+    /// Answers that became ready while an earlier one was being written.
+    finished: VecDeque<FinishedAnswer>,
     /// The running request must not overlap with others.
     is_exclusive: bool,
     /// No further request is read from the connection.
     has_read_last_request: bool,
+    /// The last request was rejected before its end, so its caller may still be sending.
+    has_rejected: bool,
+    /// The connection is closed with the answer to its last running request.
+    is_closing: bool,
     /// When the connection is closed if no request arrives; set once the shutdown has started.
     close_idle_at: Option<Instant>,
     /// Shared by the open connections and the listener; its reference count counts them.
@@ -208,14 +315,26 @@
 
 impl<H: Handler> Connection<H> {
     async fn run(mut self, shutdown: CancellationToken) -> io::Result<()> {
+        let mut is_evicted = false;
         loop {
+            if self.memory_wait != MemoryWait::Paused {
+                self.parse().await?;
+            }
             self.start_waiting();
+            if let Some(finished) = self.finished.pop_front() {
+                if self.write_answer(finished).await? {
+                    return self.close().await;
+                }
+                continue;
+            }
             let is_idle = self.running.is_empty() && self.waiting.is_empty();
             if is_idle && self.has_read_last_request {
                 return self.close().await;
             }
+            self.report_activity();
             let limit = self.time_limit();
-            let may_read = self.input.len() < MAX_READ_AHEAD_BYTES;
+            let is_paused = self.memory_wait == MemoryWait::Paused;
+            let may_read = !is_paused && self.waiting.len() < MAX_WAITING_REQUESTS;
             tokio::select! {
                 biased;
                 Some(finished) = self.running.next() => {
@@ -223,20 +342,31 @@
                         return self.close().await;
                     }
                 }
-                read = read_some(&self.stream, &mut self.input), if may_read => {
-                    if read? == 0 {
+                ready = self.stream.readable(), if may_read => {
+                    ready?;
+                    if self.read()? == ReadResult::Closed {
                         // The caller closed the connection; its running requests are dropped.
                         return Ok(());
                     }
-                    self.last_activity = Instant::now();
-                    match self.has_read_last_request {
-                        true => self.input.clear(),
-                        false => self.parse().await?,
-                    }
                 }
                 () = sleep(limit.unwrap_or(Duration::MAX)), if limit.is_some() => {
                     return self.close_after_timeout().await;
                 }
+                () = sleep(MEMORY_RETRY_INTERVAL), if is_paused => {
+                    self.intake.shed();
+                    self.memory_wait = MemoryWait::Retrying;
+                }
+                () = self.ticket.evicted(), if !is_evicted => {
+                    is_evicted = true;
+                    if self.incoming.is_some() {
+                        self.intake.record(Misuse::Memory);
+                        self.reject(StatusCode::SERVICE_UNAVAILABLE);
+                    } else if self.running.is_empty() && self.waiting.is_empty() {
+                        return self.close().await;
+                    } else {
+                        self.is_closing = true;
+                    }
+                }
                 () = shutdown.cancelled(), if self.close_idle_at.is_none() => {
                     self.close_idle_at = Some(self.last_activity + IDLE_GRACE_PERIOD);
                 }
@@ -244,15 +374,37 @@
         }
     }
 
-    /// Time after which a connection without a running or waiting request is closed.
+    /// Reports what the connection is doing, for the choice of those that make room for others.
+    fn report_activity(&mut self) {
+        let is_running = !self.running.is_empty() || !self.waiting.is_empty();
+        let activity = match &self.incoming {
+            _ if self.memory_wait != MemoryWait::None => Activity::WaitingForMemory,
+            Some(_) => Activity::ReadingBody,
+            None if is_running => Activity::Busy,
+            None if self.first_byte_at.is_some() => Activity::ReadingHead,
+            // A connection on which no request has arrived yet is no more worth than an incomplete head.
+            None if self.activity == Activity::ReadingHead => Activity::ReadingHead,
+            None => Activity::Idle,
+        };
+        if activity != self.activity {
+            self.activity = activity;
+            self.ticket.set_activity(activity);
+        }
+    }
+
+    /// Time after which a connection is closed on which no request is running or waiting.
     fn time_limit(&self) -> Option<Duration> {
-        if !self.running.is_empty() || !self.waiting.is_empty() {
+        let is_paused = self.memory_wait == MemoryWait::Paused;
+        if !self.running.is_empty() || !self.waiting.is_empty() || is_paused {
             return None;
         }
         let limits = self.handler.limits();
-        let until = match self.first_byte_at {
-            Some((_, since)) => since + limits.request_timeout,
-            None => {
+        let until = match (self.first_byte_at, &self.incoming) {
+            (Some((_, since)), None) => since + limits.request_timeout,
+            (Some((_, since)), Some(incoming)) => {
+                since.max(incoming.interval_start) + limits.request_timeout
+            }
+            (None, _) => {
                 let until = self.last_activity + limits.idle_timeout;
                 self.close_idle_at.map_or(until, |at| until.min(at))
             }
@@ -262,81 +414,245 @@
 
     async fn close_after_timeout(mut self) -> io::Result<()> {
         if self.first_byte_at.is_some() {
+            let is_body = self.incoming.is_some();
+            self.intake.record(if is_body { Misuse::SlowBody } else { Misuse::SlowHead });
+            self.incoming = None;
+            self.has_rejected = true;
             self.write_error(StatusCode::REQUEST_TIMEOUT).await?;
         }
         self.close().await
     }
 
-    /// Moves all completely received requests from the input to `waiting`.
+    /// Reserves memory if the bytes in use stay below this part of the budget.
+    fn reserve(&self, bytes: usize, eighths: usize) -> Option<Reservation> {
+        let memory = &self.intake.memory;
+        memory.reserve_up_to(bytes, memory.limit_bytes() / 8 * eighths)
+    }
+
+    /// Extends a reservation to `bytes`; false if the budget does not permit it.
+    fn extend(&self, held: &mut Option<Reservation>, bytes: usize, eighths: usize) -> bool {
+        let missing = bytes.saturating_sub(held.as_ref().map_or(0, Reservation::bytes));
+        if missing == 0 {
+            return true;
+        }
+        let Some(reservation) = self.reserve(missing, eighths) else { return false };
+        match held {
+            Some(held) => held.merge(reservation),
+            None => *held = Some(reservation),
+        }
+        true
+    }
+
+    /// Reads the bytes that are there, directly into the body that is being received if they belong to it.
+    fn read(&mut self) -> io::Result<ReadResult> {
+        if self.has_read_last_request {
+            let mut discarded = [0; READ_BYTES];
+            return to_read_result(self.stream.try_read(&mut discarded));
+        }
+        if let Some(mut incoming) = self.incoming.take() {
+            let result = match incoming.decoder.contiguous_bytes() {
+                bytes if bytes > 0 && self.input.is_empty() => {
+                    self.read_body(&mut incoming, bytes.min(BODY_READ_BYTES))
+                }
+                _ => self.read_input(),
+            };
+            self.incoming = Some(incoming);
+            return result;
+        }
+        self.read_input()
+    }
+
+    fn read_body(
+        &mut self,
+        incoming: &mut IncomingRequest,
+        bytes: usize,
+    ) -> io::Result<ReadResult> {
+        if !self.reserve_body(incoming, bytes) {
+            self.memory_wait = MemoryWait::Paused;
+            return Ok(ReadResult::Nothing);
+        }
+        let expected_bytes = incoming.expected_bytes();
+        body::grow(&mut incoming.body, bytes, expected_bytes);
+        let before = incoming.body.len();
+        let read = self.stream.try_read_buf(&mut (&mut incoming.body).limit(bytes));
+        incoming.decoder.advance(incoming.body.len() - before);
+        incoming.record_progress();
+        self.record_read(read, incoming.body.len())
+    }
+
+    fn read_input(&mut self) -> io::Result<ReadResult> {
+        if self.input.is_empty() {
+            // An idle connection, of which there may be thousands, holds no buffer.
+            self.input = BytesMut::new();
+            self.input_memory = None;
+        } else {
+            let bytes = self.input.len() + READ_BYTES;
+            let mut held = self.input_memory.take();
+            let has_memory = self.extend(&mut held, bytes, SMALL_REQUEST_EIGHTHS);
+            self.input_memory = held;
+            if !has_memory {
+                self.memory_wait = MemoryWait::Paused;
+                return Ok(ReadResult::Nothing);
+            }
+        }
+        self.input.reserve(READ_BYTES);
+        let read = self.stream.try_read_buf(&mut (&mut self.input).limit(READ_BYTES));
+        let held_bytes = self.input.len() + self.incoming.as_ref().map_or(0, |it| it.body.len());
+        self.record_read(read, held_bytes)
+    }
+
+    fn record_read(&mut self, read: io::Result<usize>, held: usize) -> io::Result<ReadResult> {
+        let result = to_read_result(read)?;
+        if result == ReadResult::Read {
+            self.memory_wait = MemoryWait::None;
+            self.last_activity = Instant::now();
+            self.ticket.record_progress(held);
+        }
+        Ok(result)
+    }
+
+    /// Reserves the memory of a body that grows by `bytes`.
+    fn reserve_body(&self, incoming: &mut IncomingRequest, bytes: usize) -> bool {
+        let expected_bytes = incoming.expected_bytes();
+        let held_bytes = body::held_bytes(&incoming.body, bytes, expected_bytes);
+        let eighths = match held_bytes <= MAX_SMALL_BODY_BYTES {
+            true => SMALL_REQUEST_EIGHTHS,
+            false => LARGE_REQUEST_EIGHTHS,
+        };
+        self.extend(&mut incoming.body_memory, held_bytes, eighths)
+    }
+
+    /// Moves completely received requests from the input to `waiting`, as many as may wait.
     async fn parse(&mut self) -> io::Result<()> {
         while !self.has_read_last_request
-            && (!self.input.is_empty() || self.partial_request.is_some())
+            && self.waiting.len() < MAX_WAITING_REQUESTS
+            && (!self.input.is_empty()
+                || self.incoming.as_ref().is_some_and(|it| it.needs_parsing()))
         {
             let now = (clock::now(), Instant::now());
             let (arrived, _) = *self.first_byte_at.get_or_insert(now);
-            let limits = self.handler.limits();
-            let (head, mut body) = match self.partial_request.take() {
-                Some(partial_request) => partial_request,
-                None => match head::parse(&mut self.input, limits.max_header_bytes) {
-                    Ok(Some(head)) => {
-                        if head.expects_continue && self.running.is_empty() {
-                            self.stream.write_all(CONTINUE).await?;
+            let mut incoming = match self.incoming.take() {
+                Some(incoming) => incoming,
+                None => match self.parse_head() {
+                    Ok(Some(incoming)) => incoming,
+                    Ok(None) => {
+                        if self.input.is_empty() {
+                            // Only empty lines have arrived.
+                            self.first_byte_at = None;
                         }
-                        (head, BytesMut::new())
+                        return Ok(());
                     }
-                    Ok(None) => return Ok(()),
                     Err(error) => {
-                        self.reject(error.status());
+                        self.reject_unreadable(error);
                         return Ok(());
                     }
                 },
             };
-            let is_complete = match head::take_body(
-                &mut self.input,
-                &head.framing,
-                &mut body,
-                limits.max_body_bytes,
-            ) {
-                Ok(is_complete) => is_complete,
-                Err(error) => {
-                    self.reject(error.status());
-                    return Ok(());
-                }
-            };
-            if !is_complete {
-                self.partial_request = Some((head, body));
+            let body_bytes = incoming.decoder.max_body_bytes_in(self.input.len());
+            if !self.reserve_head(&mut incoming) || !self.reserve_body(&mut incoming, body_bytes) {
+                self.memory_wait = MemoryWait::Paused;
+                self.incoming = Some(incoming);
                 return Ok(());
             }
-            self.first_byte_at = None;
-            self.has_read_last_request = head.must_close;
-            let may_overlap = self.handler.may_overlap(&head.parts);
-            self.waiting.push_back(PendingRequest {
-                request: Request::from_parts(head.parts, body.freeze()),
-                arrived,
-                must_close: head.must_close,
-                may_overlap,
-            });
+            self.memory_wait = MemoryWait::None;
+            let expected_bytes = incoming.expected_bytes();
+            body::grow(&mut incoming.body, body_bytes, expected_bytes);
+            if std::mem::take(&mut incoming.head.expects_continue) && self.running.is_empty() {
+                self.stream.write_all(CONTINUE).await?;
+            }
+            if let Err(error) = incoming.decoder.decode(&mut self.input, &mut incoming.body) {
+                self.reject_unreadable(error);
+                return Ok(());
+            }
+            incoming.record_progress();
+            if !incoming.decoder.is_complete() {
+                self.incoming = Some(incoming);
+                return Ok(());
+            }
+            self.finish(incoming, arrived);
         }
         Ok(())
     }
 
+    fn parse_head(&mut self) -> Result<Option<IncomingRequest>, HeadError> {
+        let limits = self.handler.limits();
+        let Some(head) = self.head_decoder.decode(&mut self.input, limits.max_header_bytes)? else {
+            return Ok(None);
+        };
+        Ok(Some(IncomingRequest {
+            decoder: BodyDecoder::new(head.framing, limits.max_body_bytes)?,
+            head,
+            body: BytesMut::new(),
+            head_memory: None,
+            body_memory: None,
+            interval_start: Instant::now(),
+            interval_start_bytes: 0,
+        }))
+    }
+
+    fn reserve_head(&self, incoming: &mut IncomingRequest) -> bool {
+        if incoming.head_memory.is_none() {
+            incoming.head_memory = self.reserve(incoming.head.held_bytes(), SMALL_REQUEST_EIGHTHS);
+        }
+        incoming.head_memory.is_some()
+    }
+
+    /// Queues a request that was received completely.
+    fn finish(&mut self, incoming: IncomingRequest, arrived: Timestamp) {
+        let IncomingRequest { head, body, head_memory, body_memory, .. } = incoming;
+        self.first_byte_at = None;
+        self.has_read_last_request = head.must_close;
+        let may_overlap = self.handler.may_overlap(&head.parts);
+        let mut body = body.freeze();
+        if let Some(mut memory) = body_memory {
+            // A buffer of doubled size keeps its memory.
+            let unused = memory.bytes().saturating_sub(2 * body.len());
+            memory.shrink_to(memory.bytes() - unused);
+            body = reserved_bytes(body, memory);
+        }
+        let memory = head_memory.unwrap_or_else(|| self.intake.memory.reserve_always(0));
+        self.waiting.push_back(PendingRequest {
+            request: Request::from_parts(head.parts, body),
+            arrived,
+            must_close: head.must_close,
+            may_overlap,
+            memory,
+        });
+    }
+
+    fn reject_unreadable(&mut self, error: HeadError) {
+        self.intake.record(match error {
+            HeadError::Malformed => Misuse::Malformed,
+            HeadError::HeadTooLarge => Misuse::LargeHead,
+            HeadError::BodyTooLarge => Misuse::LargeBody,
+        });
+        self.reject(error.status());
+    }
+
     /// Queues an error answer to an unreadable request; no further request can be read.
     fn reject(&mut self, status: StatusCode) {
         self.has_read_last_request = true;
+        self.has_rejected = true;
         self.first_byte_at = None;
+        self.incoming = None;
+        self.memory_wait = MemoryWait::None;
+        (self.input, self.input_memory) = (BytesMut::new(), None);
         let mut response = Response::new(Bytes::new());
         *response.status_mut() = status;
-        let finished = FinishedAnswer { response, is_head: false, must_close: true };
+        let memory = self.intake.memory.reserve_always(0);
+        let finished =
+            FinishedAnswer { response, is_head: false, must_close: true, _memory: memory };
         self.running.push_back(Box::pin(async move { finished }));
     }
 
     /// Starts the waiting requests that may run now, in their order.
     fn start_waiting(&mut self) {
         while let Some(next) = self.waiting.front() {
-            let may_start = self.running.is_empty()
+            let unwritten = self.running.len() + self.finished.len();
+            let may_start = unwritten == 0
                 || (next.may_overlap
                     && !self.is_exclusive
-                    && self.running.len() < MAX_CONCURRENT_REQUESTS);
+                    && unwritten < self.max_concurrent_requests());
             if !may_start {
                 return;
             }
@@ -345,17 +661,30 @@
             let must_close = pending.must_close;
             self.is_exclusive = !pending.may_overlap;
             let answer = self.handler.answer(pending.request, pending.arrived);
+            let (request_memory, memory) = (pending.memory, self.intake.memory.clone());
             self.running.push_back(Box::pin(async move {
-                FinishedAnswer { response: answer.await, is_head, must_close }
+                let response = answer.await;
+                drop(request_memory);
+                // An answer that is ready is held until it has been written, whatever the budget.
+                let _memory = memory.reserve_always(response.body().len());
+                FinishedAnswer { response, is_head, must_close, _memory }
             }));
         }
     }
 
+    fn max_concurrent_requests(&self) -> usize {
+        let memory = &self.intake.memory;
+        match memory.used_bytes() > memory.limit_bytes() / 8 * SERIAL_EIGHTHS {
+            true => 1,
+            false => MAX_CONCURRENT_REQUESTS,
+        }
+    }
+
     /// Writes an answer; returns true if the connection must be closed now.
     async fn write_answer(&mut self, finished: FinishedAnswer) -> io::Result<bool> {
-        let is_last = self.running.is_empty();
-        let must_close =
-            finished.must_close || (is_last && (self.handler.is_closing() || self.is_crowded()));
+        let is_last = self.running.is_empty() && self.finished.is_empty();
+        let must_close = finished.must_close
+            || (is_last && (self.is_closing || self.handler.is_closing() || self.is_crowded()));
         if is_last {
             self.is_exclusive = false;
         }
@@ -389,13 +718,31 @@
     }
 
     async fn write_bytes(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        let (mut interval_start, mut in_interval) = (Instant::now(), 0);
         while !bytes.is_empty() {
-            match timeout(WRITE_STALL_TIMEOUT, self.stream.write(bytes)).await {
+            let left = WRITE_STALL_TIMEOUT.saturating_sub(interval_start.elapsed());
+            // The other requests go on meanwhile: those that run hold slots of the upstream.
+            let written = tokio::select! {
+                biased;
+                written = timeout(left, self.stream.write(bytes)) => written,
+                Some(finished) = self.running.next() => {
+                    self.finished.push_back(finished);
+                    continue;
+                }
+            };
+            match written {
                 Ok(Ok(0)) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(Ok(written)) => bytes = &bytes[written..],
+                Ok(Ok(written)) => {
+                    bytes = &bytes[written..];
+                    in_interval += written;
+                    if in_interval >= MIN_WRITE_PROGRESS_BYTES {
+                        (interval_start, in_interval) = (Instant::now(), 0);
+                    }
+                }
                 Ok(Err(error)) => return Err(error),
                 Err(_) => {
-                    let text = "the caller accepted no bytes within the time limit";
+                    self.intake.record(Misuse::UnreadAnswers);
+                    let text = "the caller accepted too few bytes within the time limit";
                     return Err(io::Error::new(io::ErrorKind::TimedOut, text));
                 }
             }
@@ -404,6 +751,41 @@
     }
 
     async fn close(mut self) -> io::Result<()> {
-        self.stream.shutdown().await
+        self.stream.shutdown().await?;
+        if self.has_rejected {
+            self.report_idle();
+            // The time is up if the caller goes on sending.
+            let _ = timeout(LINGER_TIME, self.discard_input()).await;
+        }
+        Ok(())
+    }
+
+    /// Reports that the connection may be closed for the sake of another one.
+    fn report_idle(&mut self) {
+        self.activity = Activity::Idle;
+        self.ticket.set_activity(Activity::Idle);
+    }
+
+    async fn discard_input(&mut self) -> io::Result<()> {
+        let (mut discarded, mut rest) = ([0; READ_BYTES], MAX_LINGER_BYTES);
+        while rest > 0 && !self.ticket.is_evicted() {
+            self.stream.readable().await?;
+            match self.stream.try_read(&mut discarded) {
+                Ok(0) => return Ok(()),
+                Ok(read) => rest = rest.saturating_sub(read),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn to_read_result(read: io::Result<usize>) -> io::Result<ReadResult> {
+    match read {
+        Ok(0) => Ok(ReadResult::Closed),
+        Ok(_) => Ok(ReadResult::Read),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(ReadResult::Nothing),
+        Err(error) => Err(error),
     }
 }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -4,11 +4,17 @@
 //! Each buffer alone is within its limit, but their sum exceeds the memory of the machine. Bytes are
 //! therefore reserved before they are read, and the reservation is returned when they are dropped.
 
+mod machine;
+
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
 
+use bytes::Bytes;
+
+pub use machine::{budget_bytes, machine_memory_bytes, max_descriptors, parse_memory_total};
+
 /// Memory that may be reserved in total.
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -47,6 +53,13 @@
         reserved.ok().map(|_| Reservation { budget: self.clone(), bytes })
     }
 
+    /// Reserves memory that is in use already or must be used, beyond the limit if need be: such a use is
+    /// not refused, but leaves less to the uses that may be.
+    pub fn reserve_always(self: &Arc<Self>, bytes: usize) -> Reservation {
+        self.used_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Reservation { budget: self.clone(), bytes }
+    }
+
     /// Reserves memory if the budget permits it.
     pub fn reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
         self.reserve_up_to(bytes, self.limit_bytes)
@@ -80,6 +93,26 @@
     }
 }
 
+/// Bytes with the reservation of their memory.
+struct ReservedBytes {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Ties a reservation to bytes: it is returned once all copies and parts of them are dropped.
+pub fn reserved_bytes(bytes: Bytes, reservation: Reservation) -> Bytes {
+    match bytes.is_empty() {
+        true => bytes,
+        false => Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation }),
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.budget.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -46,35 +46,40 @@
 
 /// Handles requests of callers on this machine and calls that the local upstream makes.
 #[derive(Debug)]
-pub struct CallerHandler<D: Dialect>(pub Arc<Node<D>>);
+pub struct CallerHandler<D: Dialect> {
+    /// The entry node.
+    pub node: Arc<Node<D>>,
+    /// Bound on the connections of callers.
+    pub max_connections: usize,
+}
 
 impl<D: Dialect> Clone for CallerHandler<D> {
     fn clone(&self) -> Self {
-        Self(self.0.clone())
+        Self { node: self.node.clone(), max_connections: self.max_connections }
     }
 }
 
 impl<D: Dialect> Handler for CallerHandler<D> {
     fn limits(&self) -> Limits {
-        let limits = self.0.catalog.load().as_ref().map(|it| it.limits).unwrap_or_default();
+        let limits = self.node.catalog.load().as_ref().map(|it| it.limits).unwrap_or_default();
         Limits {
             max_header_bytes: limits.max_header_bytes,
             max_body_bytes: limits.max_body_bytes,
             request_timeout: limits.header_timeout,
             idle_timeout: limits.idle_timeout,
-            close_above_connections: CLOSE_ABOVE_CONNECTIONS,
+            close_above_connections: CLOSE_ABOVE_CONNECTIONS.min(self.max_connections / 4 * 3),
         }
     }
 
     fn may_overlap(&self, head: &Parts) -> bool {
-        let catalog = self.0.catalog.load();
+        let catalog = self.node.catalog.load();
         let route = catalog.as_ref().and_then(|it| it.route(host(head), head.uri.path()));
         // A request without a route is refused and does not run, so it is safe to repeat.
         route.is_none_or(|route| route.idempotent)
     }
 
     fn is_closing(&self) -> bool {
-        self.0.is_leaving()
+        self.node.is_leaving()
     }
 
     fn answer(
@@ -82,7 +87,7 @@
         request: Request<Bytes>,
         arrived: Timestamp,
     ) -> impl Future<Output = Response<Bytes>> + Send + 'static {
-        answer_request(self.0.clone(), request, arrived)
+        answer_request(self.node.clone(), request, arrived)
     }
 }
 
--- a/src/mesh/link/server.rs
+++ b/src/mesh/link/server.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     call::{Outcome, Reason, Unknown},
+    http_server::intake::{Activity, Ticket},
     mesh::{
         Dialect, GuardResult, Node,
         link::{PREAMBLE, frame, frames::FrameReader, outbox::Outbox, signal},
@@ -30,6 +31,7 @@
 pub async fn serve<D: Dialect>(
     node: Arc<Node<D>>,
     mut stream: TcpStream,
+    ticket: &Ticket,
     shutdown: CancellationToken,
 ) -> io::Result<()> {
     let mut preamble = [0; PREAMBLE.len()];
@@ -55,6 +57,11 @@
         let write = outbox.write_to(&mut writer);
         tokio::pin!(write);
         while !calls.is_closing || !calls.tasks.is_empty() {
+            // A link with requests is not closed for the sake of another one.
+            ticket.set_activity(match calls.tasks.is_empty() {
+                true => Activity::Idle,
+                false => Activity::Busy,
+            });
             tokio::select! {
                 biased;
                 frame = reader.next() => match frame? {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -20,11 +20,13 @@
 mod forward;
 mod guard;
 pub mod link;
+mod listener_bounds;
 mod node;
 mod operators;
 mod pacing;
 mod pause;
 mod peer_service;
+mod peer_stream;
 mod placement;
 mod position;
 mod probe;
@@ -60,6 +62,7 @@
     UpstreamRecord,
 };
 pub use guard::{Guard, GuardResult};
+pub use listener_bounds::ListenerBounds;
 pub use node::{FreshnessProof, Node};
 pub use operators::{MeshMetrics, Origin};
 pub use pacing::Pacer;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -12,11 +12,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::{
     call::Undispatched,
     clock::{self, Timestamp},
+    http_server::intake::MisuseCounters,
+    memory::{self, MemoryBudget},
     mesh::{
         Bounds, Call, Catalog, CatalogSource, Dialect, Directory, Guard, GuardResult,
         InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
@@ -48,6 +50,12 @@
     pub settings: MeshSettings,
     /// Settings that may change while the node runs.
     pub live_settings: ArcSwap<LiveSettings>,
+    /// Memory for all bytes that the node holds for others.
+    pub memory: Arc<MemoryBudget>,
+    /// Permits one copy of a body beyond `memory` at a time.
+    pub copy_beyond_budget: Semaphore,
+    /// Counts what callers do beyond the bounds of the listeners.
+    pub misuse: Arc<MisuseCounters>,
     /// The platform's object store.
     pub store: D::Store,
     /// Random number of this process, by which other nodes recognise a restart.
@@ -125,7 +133,11 @@
         };
         let mut directory = Directory::default();
         directory.merge(own.clone());
+        let memory_bytes = memory::machine_memory_bytes(settings.limits.memory_bytes);
         Self {
+            memory: Arc::new(MemoryBudget::new(memory::budget_bytes(memory_bytes))),
+            copy_beyond_budget: Semaphore::new(1),
+            misuse: Arc::default(),
             store: D::store(settings.store, settings.store_timeout),
             incarnation,
             catalog: ArcSwapOption::empty(),
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -162,6 +162,9 @@
     /// Number of quarantined requests, which have crashed upstreams and are refused.
     quarantined: usize,
     dropped_log_lines: u64,
+    /// Bytes held for others, and their limit.
+    memory_used_bytes: usize,
+    memory_limit_bytes: usize,
 }
 
 impl StateDump {
@@ -202,6 +205,8 @@
                 .collect(),
             quarantined: node.guard.crashes.lock().quarantined_count(now),
             dropped_log_lines: telemetry::dropped_lines(),
+            memory_used_bytes: node.memory.used_bytes(),
+            memory_limit_bytes: node.memory.limit_bytes(),
         }
     }
 
@@ -234,6 +239,12 @@
             "Requests that have crashed upstreams and are refused",
             self.quarantined as f64,
         );
+        gauge(
+            "memory_used_bytes",
+            "Memory reserved for requests, answers and connections of others",
+            self.memory_used_bytes as f64,
+        );
+        gauge("memory_limit_bytes", "Limit of that memory", self.memory_limit_bytes as f64);
         if let Some(gate) = &self.gate {
             gauge(
                 "upstream_running",
@@ -311,6 +322,11 @@
 fn metrics_text<D: Dialect>(node: &Node<D>) -> Result<String, std::fmt::Error> {
     let mut registry = Registry::with_prefix("hibiscusdoor");
     node.metrics.register(&mut registry);
+    registry.register(
+        "misuse",
+        "Cases of callers or other nodes beyond the bounds of a listener, by listener and kind",
+        node.misuse.counters(),
+    );
     StateDump::capture(node).register(&mut registry);
     let mut text = String::new();
     encode_registry(&mut text, &registry)?;
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -17,9 +17,13 @@
 use crate::{
     call::{Outcome, Reason, Undispatched},
     clock,
-    http_server::accept_until,
+    http_server::{
+        accept_within,
+        intake::{Intake, Ticket},
+    },
     mesh::{
         Call, Dialect, GuardResult, Node, Rank, Usage, link,
+        peer_stream::PeerStream,
         proto::{
             self,
             mesh_server::{Mesh, MeshServer},
@@ -44,13 +48,15 @@
     node: Arc<Node<D>>,
     shutdown: CancellationToken,
     abort: CancellationToken,
+    intake: Arc<Intake>,
 ) {
     let mut connections = JoinSet::new();
     let (grpc, incoming) = mpsc::channel(GRPC_BACKLOG);
     connections.spawn(serve_grpc(node.clone(), incoming, shutdown.clone()));
-    accept_until(listener, &shutdown, |stream| {
+    accept_within(listener, &shutdown, &intake, |stream, ticket| {
         while connections.try_join_next().is_some() {}
-        connections.spawn(serve_stream(stream, node.clone(), grpc.clone(), shutdown.clone()));
+        let (node, grpc, shutdown) = (node.clone(), grpc.clone(), shutdown.clone());
+        connections.spawn(serve_stream(stream, ticket, node, grpc, shutdown));
     })
     .await;
     drop(grpc);
@@ -63,22 +69,31 @@
 /// Serves one connection as a link or passes it to the gRPC server, according to its first byte.
 async fn serve_stream<D: Dialect>(
     stream: TcpStream,
+    ticket: Ticket,
     node: Arc<Node<D>>,
-    grpc: mpsc::Sender<io::Result<TcpStream>>,
+    grpc: mpsc::Sender<io::Result<PeerStream>>,
     shutdown: CancellationToken,
 ) {
     let mut first = [0];
-    let peeked = timeout(FIRST_BYTE_TIMEOUT, stream.peek(&mut first)).await;
+    let peeked = tokio::select! {
+        peeked = timeout(FIRST_BYTE_TIMEOUT, stream.peek(&mut first)) => peeked,
+        () = ticket.evicted() => return,
+    };
     // Nagle's algorithm would only delay replies; if the option cannot be set, they are still sent.
     let _ = stream.set_nodelay(true);
     match peeked {
         Ok(Ok(1)) if first[0] == link::PREAMBLE[0] => {
-            if let Err(error) = link::serve(node, stream, shutdown).await {
-                log::debug!(cause:% = error; "the link of another node failed");
+            tokio::select! {
+                ended = link::serve(node, stream, &ticket, shutdown) => {
+                    if let Err(error) = ended {
+                        log::debug!(cause:% = error; "the link of another node failed");
+                    }
+                }
+                () = ticket.evicted() => {}
             }
         }
         // The gRPC server has ended if the channel is closed; the connection then closes, too.
-        Ok(Ok(1)) => drop(grpc.send(Ok(stream)).await),
+        Ok(Ok(1)) => drop(grpc.send(Ok(PeerStream::new(stream, ticket))).await),
         Ok(Ok(_)) | Err(_) => {}
         Ok(Err(error)) => log::debug!(cause:% = error; "the connection of another node failed"),
     }
@@ -86,7 +101,7 @@
 
 async fn serve_grpc<D: Dialect>(
     node: Arc<Node<D>>,
-    incoming: mpsc::Receiver<io::Result<TcpStream>>,
+    incoming: mpsc::Receiver<io::Result<PeerStream>>,
     shutdown: CancellationToken,
 ) {
     let service = MeshServer::new(PeerService { node })
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -18,16 +18,19 @@
 use crate::{
     clock,
     findings::{Collector, Findings},
-    http_server::{self, pipelined},
+    http_server::{self, intake::Intake, pipelined},
+    memory,
     mesh::{
-        Dialect, MeshSettings, MessageEffect, Node, PlannedStop, ProcessorLimit, Upstream,
-        UpstreamMessage, configuration, control, entry::CallerHandler, operators, peer_service,
-        probe, processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
+        Dialect, ListenerBounds, MeshSettings, MessageEffect, Node, PlannedStop, ProcessorLimit,
+        Upstream, UpstreamMessage, configuration, control, entry::CallerHandler, operators,
+        peer_service, probe, processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
     },
     store::ObjectApi as _,
 };
 
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
+/// Time for the body of a message of the upstream, which has some hundred bytes.
+const HEARTBEAT_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Part of the grace period that is reserved for joining tasks; with 500 ms, nodes on slowed machines
 /// were killed. The platform does not count requests that are cut off in the last second.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
@@ -111,25 +114,37 @@
         let node = node.clone();
         control_tasks.spawn(supervise("exchange", move || sync::run(node.clone(), number)));
     }
-    callers.spawn(pipelined::serve(
+    let bounds = ListenerBounds::from_descriptors(memory::max_descriptors(
+        node.settings.limits.max_descriptors,
+    ));
+    let intake = |listener, max_connections| {
+        Intake::new(listener, max_connections, node.memory.clone(), node.misuse.clone())
+    };
+    callers.spawn(pipelined::serve_within(
         listeners.callers,
         stop_callers.clone(),
         abort_connections.clone(),
-        CallerHandler(node.clone()),
+        CallerHandler { node: node.clone(), max_connections: bounds.callers },
+        intake("callers", bounds.callers),
     ));
     peers.spawn(peer_service::serve(
         listeners.peers,
         node.clone(),
         stop_peers.clone(),
         abort_connections.clone(),
+        intake("peers", bounds.peers),
     ));
     let stops = (&stop_auxiliary, &abort_connections);
-    auxiliary.spawn(serve_with(&node, listeners.heartbeats, stops, handle_upstream_message));
-    auxiliary.spawn(serve_with(&node, listeners.readiness, stops, answer_readiness));
-    auxiliary.spawn(serve_with(&node, listeners.operators, stops, operators::answer_request));
+    let heartbeats = (listeners.heartbeats, intake("heartbeats", bounds.auxiliary));
+    let readiness = (listeners.readiness, intake("readiness", bounds.auxiliary));
+    let operators = (listeners.operators, intake("operators", bounds.auxiliary));
+    auxiliary.spawn(serve_with(&node, heartbeats, stops, handle_upstream_message));
+    auxiliary.spawn(serve_with(&node, readiness, stops, answer_readiness));
+    auxiliary.spawn(serve_with(&node, operators, stops, operators::answer_request));
     log::info!(
         instance:% = node.settings.instance, incarnation = node.incarnation,
-        service:% = node.own_service();
+        service:% = node.own_service(), memory_budget_bytes = node.memory.limit_bytes(),
+        max_caller_connections = bounds.callers, max_peer_connections = bounds.peers;
         "node has started"
     );
 
@@ -224,7 +239,7 @@
 /// connections at `abort`.
 fn serve_with<D, F>(
     node: &Arc<Node<D>>,
-    listener: TcpListener,
+    (listener, intake): (TcpListener, Arc<Intake>),
     (stop, abort): (&CancellationToken, &CancellationToken),
     answer: fn(Arc<Node<D>>, Request<Incoming>) -> F,
 ) -> impl Future<Output = ()> + Send + use<D, F>
@@ -234,7 +249,7 @@
 {
     let node = node.clone();
     let answer = move |request| answer(node.clone(), request);
-    http_server::serve_until(listener, stop.clone(), abort.clone(), answer)
+    http_server::serve_within(listener, stop.clone(), abort.clone(), answer, intake)
 }
 
 async fn answer_readiness<D: Dialect>(
@@ -256,9 +271,11 @@
 ) -> Response<Full<Bytes>> {
     let method: Method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let body = match Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return http_server::text(StatusCode::BAD_REQUEST, &error.to_string()),
+    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES).collect();
+    let body = match timeout(HEARTBEAT_BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return http_server::text(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(_) => return http_server::text(StatusCode::REQUEST_TIMEOUT, "the body is incomplete"),
     };
     let message = match D::upstream_message(&method, &path, &body) {
         Ok(message) => message,
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -31,11 +31,15 @@
 
 /// Capacity of the queue of log lines; lines beyond it are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4096;
+/// Limit of the bytes of the queued lines; a line about a request contains parts that its caller chose.
+const MAX_QUEUED_BYTES: u64 = 4 << 20;
 /// Pause of the writer thread after each write. Lines that arrive in the meantime are written
 /// together; otherwise each line costs a wake-up of the thread and a system call.
 const BATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Limit of the lines that are written together.
 const MAX_BATCH_LINES: usize = 512;
+/// Bytes after which the lines are written without further ones.
+const MAX_KEPT_BATCH_BYTES: usize = 256 << 10;
 /// Initial capacity of a line; most lines about requests are shorter.
 const LINE_CAPACITY_BYTES: usize = 512;
 /// Longest wait for queued lines to be written at process exit.
@@ -100,6 +104,7 @@
 
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 static QUEUED_LINES: AtomicU64 = AtomicU64::new(0);
+static QUEUED_BYTES: AtomicU64 = AtomicU64::new(0);
 /// Set when the process exits: queued lines are written without pauses.
 static IS_FLUSHING: AtomicBool = AtomicBool::new(false);
 
@@ -111,12 +116,18 @@
         let mut reported = 0;
         let mut batch = String::new();
         while let Ok(line) = lines.recv() {
+            // A batch of unusually long lines is not kept.
             batch.clear();
-            let mut count = 0;
+            batch.shrink_to(MAX_KEPT_BATCH_BYTES);
+            let (mut count, mut bytes) = (0, 0);
             for line in iter::once(line).chain(lines.try_iter().take(MAX_BATCH_LINES)) {
                 batch.push_str(&line);
                 batch.push('\n');
                 count += 1;
+                bytes += line.len() as u64;
+                if batch.len() > MAX_KEPT_BATCH_BYTES {
+                    break;
+                }
             }
             let dropped = dropped_lines();
             if dropped > reported {
@@ -128,6 +139,7 @@
             // A closed output cannot be reported anywhere; the node continues without it.
             let _ = output.write_all(batch.as_bytes()).and_then(|()| output.flush());
             QUEUED_LINES.fetch_sub(count, Ordering::AcqRel);
+            QUEUED_BYTES.fetch_sub(bytes, Ordering::AcqRel);
             if !IS_FLUSHING.load(Ordering::Acquire) {
                 std::thread::sleep(BATCH_INTERVAL);
             }
@@ -136,8 +148,12 @@
     Ok(fern::Output::call(move |record| {
         // Incremented before sending, so that the writer thread never decrements it below zero.
         QUEUED_LINES.fetch_add(1, Ordering::AcqRel);
-        if sender.try_send(record.args().to_string()).is_err() {
+        let line = record.args().to_string();
+        let bytes = line.len() as u64;
+        let queued_bytes = QUEUED_BYTES.fetch_add(bytes, Ordering::AcqRel) + bytes;
+        if queued_bytes > MAX_QUEUED_BYTES || sender.try_send(line).is_err() {
             QUEUED_LINES.fetch_sub(1, Ordering::AcqRel);
+            QUEUED_BYTES.fetch_sub(bytes, Ordering::AcqRel);
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
     }))
