Serve ordinary callers while others pipeline requests

Callers that do not wait for answers took each refusal at once for their next request, so that a single request of another caller was refused for a minute, and a task that parsed heads of 16 KiB with short fields kept the others from running.

--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -288,6 +288,7 @@
             "node": self.name, "zone": self.zone, "ip": self.ip, "service": self.service,
             "appAddr": f"{self.ip}:{ports['app']}", "bounds": BOUNDS, "internalPortRange": [ports["internal"]],
             "platform": {"address": fleet.store.address}, "seeds": fleet.seeds(self),
+            "limits": {"memoryMb": fleet.memory_mb, "maxFds": fleet.max_fds},
             "listen": {name: f"{self.ip}:{ports[name]}" for name in ("inbound", "outbound", "ready", "control")},
         }
         settings = fleet.folder / f"{self.name}.json"
@@ -398,6 +399,10 @@
 class Fleet:
     """The platform: machines, store and operator of one small deployment."""
 
+    # Limits of each machine, which the platform fills into the settings.
+    memory_mb = 160
+    max_fds = 4100
+
     def __init__(self, folder):
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="hibiscus-review-"))
--- a/review/more/uploads.py
+++ b/review/more/uploads.py
@@ -45,6 +45,7 @@
 
 
 async def play(fleet):
+    fleet.memory_mb = MEMORY_MB
     front, back = fleet.machine("front-svc"), fleet.machine("back-svc")
     routes = {
         "grant": route("back-svc", "/grant/", timeout="4000ms", aim="2000ms"),
--- a/src/http_server/intake/misuse.rs
+++ b/src/http_server/intake/misuse.rs
@@ -35,6 +35,18 @@
 }
 
 impl Misuse {
+    /// All kinds.
+    pub const ALL: [Self; 8] = [
+        Self::Connections,
+        Self::SlowHead,
+        Self::SlowBody,
+        Self::Memory,
+        Self::LargeHead,
+        Self::LargeBody,
+        Self::Malformed,
+        Self::UnreadAnswers,
+    ];
+
     /// Name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -77,6 +89,13 @@
         self.counters.clone()
     }
 
+    /// Adds the counters of a listener, so that they are exported before the first case.
+    pub fn add_listener(&self, listener: &'static str) {
+        for misuse in Misuse::ALL {
+            drop(self.counters.get_or_create(&MisuseLabels { listener, kind: misuse.as_str() }));
+        }
+    }
+
     /// Counts one case; returns the number of cases that a log line reports if one was written.
     pub fn record(&self, now: Timestamp, listener: &'static str, misuse: Misuse) -> Option<u64> {
         let labels = MisuseLabels { listener, kind: misuse.as_str() };
--- a/src/http_server/intake/mod.rs
+++ b/src/http_server/intake/mod.rs
@@ -54,6 +54,7 @@
         memory: Arc<MemoryBudget>,
         misuse: Arc<MisuseCounters>,
     ) -> Arc<Self> {
+        misuse.add_listener(listener);
         Arc::new(Self {
             memory,
             misuse,
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -78,6 +78,9 @@
 const READ_BYTES: usize = 4 << 10;
 /// Largest body that is copied behind the head of its answer, to be written with it.
 const MAX_JOINED_BODY_BYTES: usize = 16 << 10;
+/// Bytes of heads that are parsed before other tasks have their turn: the runtime counts only operations on
+/// sockets, and a head of 16 KiB with short fields takes as long as a hundred usual ones.
+const MAX_BYTES_WITHOUT_YIELD: usize = 16 << 10;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Limits on what a caller sends.
@@ -193,6 +196,8 @@
         waiting: VecDeque::new(),
         running: FuturesOrdered::new(),
         finished: VecDeque::new(),
+        window: MAX_CONCURRENT_REQUESTS,
+        bytes_without_yield: 0,
         is_exclusive: false,
         has_read_last_request: false,
         has_rejected: false,
@@ -299,6 +304,12 @@
     running: FuturesOrdered<AnswerFuture>,
     /// Answers that became ready while an earlier one was being written.
     finished: VecDeque<FinishedAnswer>,
+    /// Requests that may run concurrently. Refusals halve it, other answers raise it: callers that send
+    /// without waiting for answers take a refusal at once for the next request, and thousands of their
+    /// requests compete with the single ones of others.
+    window: usize,
+    /// Bytes taken from the input since other tasks have had their turn.
+    bytes_without_yield: usize,
     /// The running request must not overlap with others.
     is_exclusive: bool,
     /// No further request is read from the connection.
@@ -317,6 +328,10 @@
     async fn run(mut self, shutdown: CancellationToken) -> io::Result<()> {
         let mut is_evicted = false;
         loop {
+            if self.bytes_without_yield >= MAX_BYTES_WITHOUT_YIELD {
+                self.bytes_without_yield = 0;
+                tokio::task::yield_now().await;
+            }
             if self.memory_wait != MemoryWait::Paused {
                 self.parse().await?;
             }
@@ -576,7 +591,10 @@
 
     fn parse_head(&mut self) -> Result<Option<IncomingRequest>, HeadError> {
         let limits = self.handler.limits();
-        let Some(head) = self.head_decoder.decode(&mut self.input, limits.max_header_bytes)? else {
+        let before = self.input.len();
+        let decoded = self.head_decoder.decode(&mut self.input, limits.max_header_bytes);
+        self.bytes_without_yield += before - self.input.len();
+        let Some(head) = decoded? else {
             return Ok(None);
         };
         Ok(Some(IncomingRequest {
@@ -676,7 +694,7 @@
         let memory = &self.intake.memory;
         match memory.used_bytes() > memory.limit_bytes() / 8 * SERIAL_EIGHTHS {
             true => 1,
-            false => MAX_CONCURRENT_REQUESTS,
+            false => self.window,
         }
     }
 
@@ -688,6 +706,12 @@
         if is_last {
             self.is_exclusive = false;
         }
+        self.window = match finished.response.status() {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                (self.window / 2).max(1)
+            }
+            _ => (self.window + 1).min(MAX_CONCURRENT_REQUESTS),
+        };
         let mut bytes = head::encode(&finished.response, finished.is_head, must_close);
         let body = finished.response.body();
         if finished.is_head || body.len() <= MAX_JOINED_BODY_BYTES {
