--- a/src/http_client/body.rs
+++ b/src/http_client/body.rs
@@ -12,8 +12,8 @@
 /// Size up to which a body may use the whole budget, so that answers of usual size are read while
 /// larger ones wait for memory.
 const TINY_BYTES: usize = 64 << 10;
-/// Size up to which a body may use all but an eighth of the budget; larger ones may use three
-/// quarters.
+/// Size up to which a body may use three quarters of the budget; larger ones may use half of it, as the
+/// budget also holds the requests of callers.
 const USUAL_BYTES: usize = 512 << 10;
 /// Least size of the buffer of a body that arrives in several parts.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
@@ -114,8 +114,8 @@
     let limit_bytes = memory.limit_bytes();
     let max_used_bytes = match held + bytes {
         0..=TINY_BYTES => limit_bytes,
-        0..=USUAL_BYTES => limit_bytes / 8 * 7,
-        _ => limit_bytes / 4 * 3,
+        0..=USUAL_BYTES => limit_bytes / 4 * 3,
+        _ => limit_bytes / 2,
     };
     let give_up_at = Instant::now() + MEMORY_WAIT;
     loop {
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -50,9 +50,6 @@
 /// Limits of the connections to the upstream and its answers.
 const POOL_LIMITS: PoolLimits =
     PoolLimits { max_idle: 512, max_idle_time: MAX_IDLE_TIME, max_body_bytes: 32 << 20 };
-/// Memory for the bodies of answers, which an upstream in trouble may send without end; a machine has
-/// 160 MB or more.
-const ANSWER_MEMORY_BYTES: usize = 64 << 20;
 /// Connections of the upstream that the node leaves free.
 const SPARE_CONNECTIONS: usize = 2;
 /// Time after the upstream's announcement that it is leaving in which requests already in transit are
@@ -145,17 +142,15 @@
     dialect: PhantomData<D>,
 }
 
-impl<D: Dialect> Default for Guard<D> {
-    fn default() -> Self {
+impl<D: Dialect> Guard<D> {
+    /// Creates a guard without an upstream; the bodies of answers are reserved in `memory`.
+    pub fn new(memory: Arc<MemoryBudget>) -> Self {
         Self {
             running: RunningCalls::default(),
             tasks: TaskTracker::new(),
             upstream: ArcSwapOption::empty(),
             gate: Gate::default(),
-            connections: ConnectionPool::new(
-                POOL_LIMITS,
-                Arc::new(MemoryBudget::new(ANSWER_MEMORY_BYTES)),
-            ),
+            connections: ConnectionPool::new(POOL_LIMITS, memory),
             crashes: Mutex::default(),
             crash_check: CrashDetector::default(),
             sent: Counter::default(),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -22,12 +22,14 @@
 mod forward;
 mod guard;
 pub mod link;
+mod listener_bounds;
 mod node;
 mod operators;
 pub mod pace;
 mod pacing;
 mod pause;
 mod peer_service;
+mod peer_stream;
 mod placement;
 mod position;
 mod probe;
@@ -67,6 +69,7 @@
     UpstreamRecord,
 };
 pub use guard::{Guard, GuardResult};
+pub use listener_bounds::ListenerBounds;
 pub use node::{FreshnessProof, Node};
 pub use operators::{MeshMetrics, Origin};
 pub use pacing::Pacer;
@@ -85,7 +88,8 @@
 pub use run::{MeshListeners, run};
 pub use running::{RunningCall, RunningCalls};
 pub use settings::{
-    LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
+    LiveSettings, MachineLimits, MeshListen, MeshSettings, RawMachineLimits, RawMeshListen,
+    RawMeshSettings, RawStore,
 };
 pub use stop::PlannedStop;
 pub use sync::{home_hub, hub_count, min_sync_interval, to_token_count};
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -185,6 +185,9 @@
     /// Number of quarantined requests, which have crashed upstreams and are refused.
     quarantined: usize,
     dropped_log_lines: u64,
+    /// Bytes held for others, and their limit.
+    memory_used_bytes: usize,
+    memory_limit_bytes: usize,
 }
 
 fn paced_roots<D: Dialect>(node: &Node<D>, now: Timestamp) -> Vec<PacedService> {
@@ -241,6 +244,8 @@
                 .collect(),
             quarantined: node.guard.crashes.lock().quarantined_count(now),
             dropped_log_lines: telemetry::dropped_lines(),
+            memory_used_bytes: node.memory.used_bytes(),
+            memory_limit_bytes: node.memory.limit_bytes(),
         }
     }
 
@@ -273,6 +278,12 @@
             "Requests that have crashed upstreams and are refused",
             self.quarantined as f64,
         );
+        gauge(
+            "memory_used_bytes",
+            "Memory reserved for requests, answers and connections of others",
+            self.memory_used_bytes as f64,
+        );
+        gauge("memory_limit_bytes", "Limit of that memory", self.memory_limit_bytes as f64);
         if let Some(gate) = &self.gate {
             gauge(
                 "upstream_running",
@@ -380,6 +391,11 @@
         "Connections to the local upstream that were opened, by reason",
         node.guard.opened_connections().clone(),
     );
+    registry.register(
+        "misuse",
+        "Cases of callers or other nodes beyond the bounds of a listener, by listener and kind",
+        node.misuse.counters(),
+    );
     StateDump::capture(node).register(&mut registry);
     let mut text = String::new();
     encode_registry(&mut text, &registry)?;
