Learn the pace of an upstream from its answers, and hold it after a pause

A node that was paused sent its upstream what a warm one takes, by heartbeats from before the pause. An upstream that is back from a crash or a drain got all waiting work at once.

After a second without running, the process takes its upstream as cold until an answer says otherwise.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     admission::{
-        Action, Admission, Arrival, ColdRate, Completion, ConcurrencyLimit, Limit, NamedRate,
-        PaceReport, Refusal, Ticket,
+        Action, Admission, Arrival, ColdRate, Completion, ConcurrencyLimit, LearnedPace, Limit,
+        NamedRate, PaceReport, Refusal, Ticket,
     },
     clock::{self, Timestamp},
     config::Importance,
@@ -92,6 +92,10 @@
     /// Requests per second that the upstream accepts while it is cold; `None` while it is warm.
     #[serde(default)]
     pub pace_per_s: Option<f64>,
+    /// Requests per second that the upstream takes as far as its answers show; `None` while its slots alone
+    /// limit, and where the pace is not learned.
+    #[serde(default)]
+    pub learned_per_s: Option<f64>,
     /// Time for which the upstream is still cold, in seconds.
     #[serde(default)]
     pub pace_remaining_s: f64,
@@ -193,6 +197,15 @@
         self.notify_if_token_is_wanted(&mut state);
     }
 
+    /// Applies a change to the pace that is learned from answers.
+    pub fn update_learned(&self, apply: impl FnOnce(&mut LearnedPace, Timestamp)) {
+        let mut state = self.state.lock();
+        if let Some(admission) = &mut state.admission {
+            apply(admission.pace_mut().learned_mut(), clock::now());
+        }
+        self.notify_if_token_is_wanted(&mut state);
+    }
+
     /// Sets what a cold upstream tolerates; `None` if its service has no cold rate.
     pub fn set_cold_rate(&self, rate: Option<ColdRate>) {
         let mut state = self.state.lock();
@@ -231,6 +244,14 @@
         }
     }
 
+    /// Must be called several times a second; returns whether the process was paused before. See
+    /// [`ColdPace::tick`](crate::admission::ColdPace::tick).
+    pub fn tick_cold(&self) -> bool {
+        let mut state = self.state.lock();
+        let admission = state.admission.as_mut();
+        admission.is_some_and(|it| it.pace_mut().cold_mut().tick(clock::now()))
+    }
+
     /// Requests per second that the upstream accepts while it is cold, and the time for which it is;
     /// `None` while it is warm.
     pub fn cold_pace(&self) -> Option<PaceReport> {
@@ -318,6 +339,7 @@
             rate_per_s: admission.pace().per_s(now),
             named_per_s: admission.pace().named().named_per_s(),
             pace_per_s: admission.pace().cold().per_s(now),
+            learned_per_s: admission.pace().learned().per_s(now),
             pace_remaining_s: admission.pace().cold().remaining(now).as_secs_f64(),
         })
     }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,6 +5,7 @@
 //! returned [`Action`]s, which identify each request by its [`Ticket`].
 
 mod gate;
+mod learned_pace;
 mod limit;
 mod mean_time;
 mod own_time;
@@ -18,6 +19,7 @@
 use smallvec::SmallVec;
 
 pub use gate::{AdmissionRequest, Gate, GateStatus, Slot};
+pub use learned_pace::LearnedPace;
 pub use limit::ConcurrencyLimit;
 pub use mean_time::MeanTime;
 pub use own_time::OwnTime;
@@ -167,6 +169,7 @@
     /// Resets the limit after the upstream has announced itself again, since it has restarted and
     /// is cold. Waiting requests stay in the queue.
     pub fn on_announcement(&mut self, now: Timestamp, slots: u32) {
+        self.pace.learned_mut().set_slots(slots);
         self.limit = L::new(now, slots);
     }
 
--- a/src/admission/pace.rs
+++ b/src/admission/pace.rs
@@ -1,5 +1,5 @@
-//! Rate at which requests are started at an upstream: the limit that the upstream names, and its pace
-//! while it is cold, combined into one rate.
+//! Rate at which requests are started at an upstream: the limit that the upstream names, its pace
+//! while it is cold, and the pace learned from its answers, combined into one rate.
 //!
 //! Load pattern: an upstream that has just started, or has lost its caches, tolerates a few requests a
 //! second and crashes under more; it is cold again when it is back. All entry nodes send it their share
@@ -12,7 +12,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::{admission::RateLimit, clock::Timestamp};
+use crate::{
+    admission::{LearnedPace, RateLimit},
+    clock::Timestamp,
+};
 
 /// Tokens that may be saved up while the upstream is cold, as time at its pace.
 const COLD_BURST: Duration = Duration::from_millis(250);
@@ -26,6 +29,8 @@
 const DOUBT_TIME: Duration = Duration::from_millis(300);
 /// Time after the statement that an upstream is warm in which broken connections are no sign.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a call of [`ColdPace::tick`] after which the process must have been paused.
+const MAX_TICK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of starts that are remembered. A larger bound is kept by the token bucket alone.
 const MAX_REMEMBERED: usize = 2_048;
 /// Part of a token that may be missing, so that rounding does not delay a request.
@@ -56,6 +61,7 @@
 pub struct Pace {
     named: RateLimit,
     cold: ColdPace,
+    learned: LearnedPace,
 }
 
 impl Pace {
@@ -79,23 +85,33 @@
         &mut self.cold
     }
 
+    /// Pace learned from the upstream's answers.
+    pub fn learned(&self) -> &LearnedPace {
+        &self.learned
+    }
+
+    /// The same, to record answers.
+    pub fn learned_mut(&mut self) -> &mut LearnedPace {
+        &mut self.learned
+    }
+
     /// Requests per second that may be started; `None` without a limit.
     pub fn per_s(&self, now: Timestamp) -> Option<f64> {
-        match (self.named.per_s(now), self.cold.per_s(now)) {
-            (Some(named), Some(cold)) => Some(named.min(cold)),
-            (named, cold) => named.or(cold),
-        }
+        let rates = [self.named.per_s(now), self.cold.per_s(now), self.learned.per_s(now)];
+        rates.into_iter().flatten().reduce(f64::min)
     }
 
     /// Time until a request may be started; zero if it may be started now.
     pub fn time_to_token(&mut self, now: Timestamp) -> Duration {
-        self.named.time_to_token(now).max(self.cold.time_to_token(now))
+        let stated = self.named.time_to_token(now).max(self.cold.time_to_token(now));
+        stated.max(self.learned.time_to_token(now))
     }
 
     /// Records the start of a request, which [`Self::time_to_token`] must have permitted.
     pub fn take(&mut self, now: Timestamp) {
         self.named.take(now);
         self.cold.take(now);
+        self.learned.take(now);
     }
 }
 
@@ -112,6 +128,8 @@
     /// sign of a crash, of a cold state that is assumed. Heartbeats do not end it: a heartbeat may have been
     /// sent before.
     held_until: Timestamp,
+    /// Time of the last call of [`Self::tick`].
+    ticked_at: Option<Timestamp>,
     tokens: f64,
     filled_at: Timestamp,
     /// Last starts, as many as may be started in a second.
@@ -156,6 +174,23 @@
         self.held_until = self.held_until.max(now + at_least);
     }
 
+    /// Must be called several times a second. A process that does not run for longer was paused, and does
+    /// not know what has become of its upstream: it counts as cold until an answer says otherwise. Returns
+    /// whether that is so.
+    pub fn tick(&mut self, now: Timestamp) -> bool {
+        let was_paused = self.assume_cold_after_pause(now);
+        self.ticked_at = Some(now);
+        was_paused
+    }
+
+    fn assume_cold_after_pause(&mut self, now: Timestamp) -> bool {
+        let was_paused = self.ticked_at.is_some_and(|at| now > at + MAX_TICK_INTERVAL);
+        if let Some(rate) = self.rate.filter(|_| was_paused) {
+            self.assume_cold(now, rate.duration);
+        }
+        was_paused
+    }
+
     /// Rate that the service has for cold upstreams, whether the upstream is cold or not.
     pub fn configured(&self) -> Option<ColdRate> {
         self.rate
@@ -176,6 +211,7 @@
 
     /// Time until a request may be started; zero if it may be started now.
     pub fn time_to_token(&mut self, now: Timestamp) -> Duration {
+        self.assume_cold_after_pause(now);
         self.refill(now);
         let (Some(rate), Some(per_s)) = (self.rate, self.per_s(now)) else { return Duration::ZERO };
         let missing = 1.0 - self.tokens;
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     admission::{
-        AdmissionRequest, ColdRate, Completion, Gate, GateStatus, MeanTime, NamedRate, PaceReport,
-        Refusal, Slot, SlotLimit,
+        AdmissionRequest, ColdRate, Completion, Gate, GateStatus, LearnedPace, MeanTime, NamedRate,
+        PaceReport, Refusal, Slot, SlotLimit,
     },
     call::{Answer, Dispatch, NotRun, Outcome, Reason, Undispatched, Unknown},
     clock,
@@ -123,6 +123,8 @@
     slow_answers: AtomicU32,
     /// Whether requests are refused since the zone of the upstream is evacuated, or not known not to be.
     is_evacuated: AtomicBool,
+    /// Whether the pace of the upstream is learned from its answers.
+    learns_pace: AtomicBool,
     /// Set when the node is stopping.
     refuses_requests: AtomicBool,
     dialect: PhantomData<D>,
@@ -145,6 +147,7 @@
             cold_sign: Notify::new(),
             slow_answers: AtomicU32::new(0),
             is_evacuated: AtomicBool::new(false),
+            learns_pace: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
             dialect: PhantomData,
         }
@@ -183,6 +186,16 @@
             self.gate.on_announcement(slots);
         }
         self.gate.set_cold_rate(*self.cold_rate.lock());
+        self.set_learns_pace(self.learns_pace.load(Ordering::Acquire));
+        let is_back = before.as_ref().is_some_and(|before| {
+            !is_same_start(&before.heartbeat) || (upstream.is_ready() && !before.is_ready())
+        });
+        if is_back || before.is_none() {
+            self.gate.update_learned(|learned, now| {
+                learned.set_slots(slots);
+                learned.begin(now);
+            });
+        }
         if before.as_ref().is_none_or(|before| !is_same_start(&before.heartbeat)) {
             let is_current = before.is_some_and(|it| it.heartbeat.started_unix_ms != 0);
             let remaining = upstream.cold_until.saturating_sub(clock::now());
@@ -219,9 +232,23 @@
         self.gate.cold_pace()
     }
 
+    /// Must be called several times a second; returns whether the process was paused before.
+    pub fn tick_cold(&self) -> bool {
+        self.gate.tick_cold()
+    }
+
+    /// Sets whether the pace of the upstream is learned from its answers.
+    pub fn set_learns_pace(&self, is_enabled: bool) {
+        self.learns_pace.store(is_enabled, Ordering::Release);
+        self.gate.update_learned(|learned, _| learned.set_enabled(is_enabled));
+    }
+
     /// Sets whether requests are refused since the zone of the upstream is evacuated.
     pub fn set_evacuated(&self, is_evacuated: bool) {
-        self.is_evacuated.store(is_evacuated, Ordering::Release);
+        let was_evacuated = self.is_evacuated.swap(is_evacuated, Ordering::AcqRel);
+        if was_evacuated && !is_evacuated {
+            self.gate.update_learned(|learned, now| learned.begin(now));
+        }
     }
 
     /// Whether requests are refused since the zone of the upstream is evacuated.
@@ -448,6 +475,10 @@
                 let head = D::answer_head(answer.status, &answer.headers);
                 self.record_named_rate(&upstream, head.rate);
                 leaving_upstream = head.is_leaving.then(|| upstream.heartbeat.upstream.clone());
+                self.gate.update_learned(|learned, now| match head.not_run && !head.misdirected {
+                    true => learned.record_failure(now),
+                    false => learned.record_answer(now, held),
+                });
                 to_outcome(dispatch, answer, &head)
             }
             Ok(Err(SendFailure::Unsent(unsent, detail))) => {
@@ -465,11 +496,15 @@
                 if let Some(crash) = self.crash_check.detect_crash(upstream.heartbeat.address).await
                 {
                     self.gate.assume_cold();
+                    self.gate.update_learned(LearnedPace::record_crash);
                     self.crashes.lock().record_crash(clock::now(), &fingerprint, crash);
                 }
                 dispatch.unknown(Reason::UpstreamFailed, detail)
             }
-            Err(_) => dispatch.unknown(Reason::DeadlinePassed, "no answer in time"),
+            Err(_) => {
+                self.gate.update_learned(|learned, now| learned.record_failure(now));
+                dispatch.unknown(Reason::DeadlinePassed, "no answer in time")
+            }
         };
         GuardResult {
             outcome,
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -354,6 +354,7 @@
             Some(ColdRate { per_s, max_in_second, duration: service.cold_start })
         });
         self.guard.set_cold_rate(rate);
+        self.guard.set_learns_pace(self.live_settings.load().learns_pace);
     }
 
     /// Raises the generation of the node's record above that of another process under its name, so
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -296,6 +296,11 @@
             "Requests per second that the upstream accepts while it is cold; -1 while it is warm",
             self.pace_per_s.unwrap_or(-1.0),
         );
+        gauge(
+            "upstream_learned_pace_per_second",
+            "Requests per second that the upstream takes as far as its answers show; -1 without a limit",
+            self.gate.and_then(|gate| gate.learned_per_s).unwrap_or(-1.0),
+        );
         gauge(
             "zones_evacuated",
             "Availability zones that the node knows to be evacuated",
--- a/src/mesh/probe.rs
+++ b/src/mesh/probe.rs
@@ -31,7 +31,7 @@
 /// Time between two checks whether the upstream is cold.
 const COLD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two such checks where the service has no cold rate.
-const COLD_IDLE_INTERVAL: Duration = Duration::from_secs(1);
+const COLD_IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest time between two health requests to an upstream that may be cold; each one costs it 6 ms of a
 /// slot.
 const COLD_PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -110,7 +110,14 @@
             Some(_) => COLD_CHECK_INTERVAL,
             None => COLD_IDLE_INTERVAL,
         };
-        let has_sign = timeout(interval, node.guard.cold_sign.notified()).await.is_ok();
+        let is_notified = timeout(interval, node.guard.cold_sign.notified()).await.is_ok();
+        let was_paused = node.guard.tick_cold() && node.guard.cold_rate().is_some();
+        if was_paused {
+            log::warn!(
+                "the process was paused; its upstream counts as cold until it states its state"
+            );
+        }
+        let has_sign = is_notified || was_paused;
         let pace = node.guard.cold_pace();
         let now = Instant::now();
         if pace.is_some() != was_cold {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -46,6 +46,10 @@
     /// Bounds that the platform sets, under the platform's own names.
     #[serde(default)]
     pub bounds: Map<String, Value>,
+    /// Whether the node learns from the answers of its upstream how many requests a second it takes, after a
+    /// start, a crash and other interruptions.
+    #[serde(default)]
+    pub pace: bool,
     /// Logging.
     #[serde(default)]
     pub log: RawLog,
@@ -114,6 +118,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
+    /// Whether the pace of the upstream is learned from its answers.
+    pub learns_pace: bool,
     /// Logging.
     pub log: RawLog,
 }
@@ -127,6 +133,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
+    /// Whether the pace of the upstream is learned from its answers.
+    pub learns_pace: bool,
 }
 
 impl LiveSettings {
@@ -136,6 +144,7 @@
             service: settings.service.clone(),
             seeds: settings.seeds.clone(),
             bounds: settings.bounds,
+            learns_pace: settings.learns_pace,
         }
     }
 }
@@ -224,6 +233,7 @@
             store_timeout: Duration::from_millis(raw.store.timeout_ms),
             seeds,
             bounds,
+            learns_pace: raw.pace,
             log: raw.log,
         })
     }
--- a/tests/mesh_pace.rs
+++ b/tests/mesh_pace.rs
@@ -257,6 +257,26 @@
     assert_eq!(cold.per_s(millis(2400)), None);
 }
 
+/// Guards against a burst to an upstream that has become cold while its node was paused: the first
+/// heartbeats that the node reads are from before.
+#[test]
+fn an_upstream_counts_as_cold_after_a_pause_of_its_node() {
+    let mut cold = ColdPace::default();
+    cold.set_rate(Some(RATE));
+    for now in steps(1000, 2000) {
+        cold.tick(now);
+        assert!(cold.time_to_token(now).is_zero());
+    }
+    // The first request after the pause comes before the first tick.
+    assert!(!cold.time_to_token(millis(6000)).is_zero());
+    assert!(cold.tick(millis(6001)));
+    cold.record_statement(millis(6002), Duration::ZERO, false);
+    assert!(permitted(&mut cold, millis(6002), Duration::from_millis(500)) <= 8);
+    assert!(!cold.tick(millis(6600)));
+    cold.record_statement(millis(6600), Duration::ZERO, true);
+    assert!(cold.time_to_token(millis(6600)).is_zero());
+}
+
 /// Guards against an upstream that is slowed down all the time because it closes connections for reasons
 /// of its own: once it has stated that it is warm, a broken connection is no sign for a second.
 #[test]
