--- a/tests/mesh_evacuation.rs
+++ b/tests/mesh_evacuation.rs
@@ -10,14 +10,16 @@
 };
 
 use fleet::{
-    plan::{Fault, services},
+    plan::{Fault, HOST, ORGANISATIONS, services},
     store::StoreFault,
     world::World,
 };
 use hibiscusdoor::{
     clock::Timestamp,
     mesh::evacuation::{Evacuations, ZoneState},
+    standin::{http_call, new_client},
 };
+use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -175,7 +177,7 @@
 }
 
 /// Guards against requests to an evacuated zone from nodes that have restarted, and while the store is
-/// unavailable, and against a zone that is not used again after its evacuation.
+/// unavailable, against a refusal that names no time where all zones are evacuated, and against a zone that is not used again after its evacuation.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_evacuated_zone_receives_no_requests() -> anyhow::Result<()> {
     let folder = tempfile::tempdir()?;
@@ -213,6 +215,20 @@
     world.store.set_fault(StoreFault::None);
     assert_eq!(arrivals(&world, true), before, "requests have reached the evacuated zone");
 
+    world.store.write("evacuations", "zone-1", json!({}));
+    wait_for_states(&world, "both zones are evacuated", |_, state| {
+        state["evacuated_zones"] == json!(["zone-0", "zone-1"])
+    })
+    .await?;
+    let url = format!("http://{}{}", world.callers(1), services()[0].prefix);
+    let headers = [("host", HOST), ("x-attempt-id", "test-1"), ("x-deadline-ms", "2000")];
+    let key = world.key(ORGANISATIONS[1]);
+    let headers: Vec<_> = headers.into_iter().chain([("x-key", key.as_str())]).collect();
+    let reply = http_call(&new_client(), Method::GET, &url, &headers, "").await?;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(reply.headers["retry-after"], "5.000");
+    world.store.remove("evacuations", "zone-1");
+
     world.store.remove("evacuations", "zone-0");
     wait_for_states(&world, "the evacuation has ended", |_, state| {
         state["evacuated_zones"] == json!([])
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -73,6 +73,8 @@
     running: AtomicU64,
     received: AtomicU64,
     fault: Mutex<UpstreamFault>,
+    /// End of the time in which it is cold.
+    cold_until: Mutex<Option<Instant>>,
     /// Limit on the rate of requests that its answers name.
     limit: Mutex<Option<NamedLimit>>,
     is_draining: AtomicBool,
@@ -103,6 +105,7 @@
             running: AtomicU64::new(0),
             received: AtomicU64::new(0),
             fault: Mutex::new(UpstreamFault::None),
+            cold_until: Mutex::new(None),
             limit: Mutex::new(None),
             is_draining: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
@@ -138,6 +141,17 @@
         }
     }
 
+    /// Is cold for a time, which its heartbeats and health answers state.
+    pub fn become_cold(&self, span: Duration) {
+        *self.cold_until.lock() = Some(Instant::now() + span);
+    }
+
+    /// Time for which it is still cold.
+    pub fn cold_remaining(&self) -> Duration {
+        let until = *self.cold_until.lock();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
     /// Stops at once and closes the connections of requests that run.
     pub fn crash(&self) {
         self.abort.cancel();
@@ -191,7 +205,7 @@
             "status": {
                 "state": if is_draining { "draining" } else { "ready" },
                 "sequence": sequence,
-                "coldRemaining": "0ms",
+                "coldRemaining": format!("{}ms", upstream.cold_remaining().as_millis()),
             },
         });
         let url = format!("http://{}/instances/{}", config.node_heartbeats, upstream.id);
@@ -306,7 +320,10 @@
     };
     let mut response = http_server::text(status, "");
     let load = format!("{},0,{SLOTS}", upstream.running.load(Ordering::Relaxed));
-    for (name, value) in [("x-instance-id", &upstream.id), ("x-instance-load", &load)] {
+    let cold_ms = upstream.cold_remaining().as_millis().to_string();
+    for (name, value) in
+        [("x-instance-id", &upstream.id), ("x-instance-load", &load), ("x-cold-ms", &cold_ms)]
+    {
         if let Ok(value) = value.parse() {
             response.headers_mut().insert(name, value);
         }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -96,6 +96,8 @@
     nodes: Vec<Node>,
     keys: Keys,
     withdrawn: Mutex<Vec<String>>,
+    /// Requests per second that cold upstreams accept by the configuration.
+    cold_per_s: Mutex<Option<f64>>,
     version: AtomicU64,
     next_upstream: AtomicU64,
     stop: CancellationToken,
@@ -214,6 +216,7 @@
             nodes,
             keys,
             withdrawn: Mutex::default(),
+            cold_per_s: Mutex::default(),
             version: AtomicU64::new(0),
             next_upstream: AtomicU64::new(1),
             stop,
@@ -278,7 +281,15 @@
         for keys in keys_in_force.values_mut() {
             keys.retain(|key| !withdrawn.contains(key));
         }
-        self.store.write("config", "main", plan::configuration(version, &keys_in_force));
+        let mut configuration = plan::configuration(version, &keys_in_force);
+        if let Some(per_s) = *self.cold_per_s.lock() {
+            let resources = configuration["resources"].as_array_mut().into_iter().flatten();
+            for service in resources.filter(|it| it["resourceType"] == "services") {
+                service["spec"]["coldStart"] = json!("3s");
+                service["spec"]["coldPerS"] = json!(per_s);
+            }
+        }
+        self.store.write("config", "main", configuration);
         let now = Instant::now();
         for key in &withdrawn {
             if let Some(state) = self.record.keys.lock().get_mut(key) {
@@ -287,6 +298,22 @@
         }
     }
 
+    /// Writes a configuration in which cold upstreams accept this many requests per second.
+    pub fn configure_cold_rate(&self, per_s: f64) {
+        *self.cold_per_s.lock() = Some(per_s);
+        self.write_configuration();
+    }
+
+    /// Returns a key of an organisation.
+    pub fn key(&self, organisation: &str) -> String {
+        self.keys.pick(organisation, 0)
+    }
+
+    /// Returns the present upstream of a node.
+    pub fn upstream(&self, index: usize) -> Arc<Upstream> {
+        self.nodes[index].upstream.lock().clone()
+    }
+
     /// Returns the state dump of a node.
     pub async fn state(&self, index: usize) -> anyhow::Result<serde_json::Value> {
         let url = format!("http://{}/state", self.operators(index));
