Admit a refused root request that comes back exactly when it was told

A caller was told the time at which the tokens are there, and refused at it, since more than that was required. Twenty callers that were refused at once now all find room at their times.

--- a/src/mesh/pace/roots.rs
+++ b/src/mesh/pace/roots.rs
@@ -24,6 +24,8 @@
 const MAX_SAVED: Duration = Duration::from_millis(300);
 /// Tokens that the least urgent request leaves to others, as time at the share.
 const RESERVED_FOR_URGENT: Duration = Duration::from_millis(200);
+/// Part of a token that may be missing, so that rounding refuses no caller that comes back in time.
+const TOLERANCE: f64 = 1e-3;
 /// Time without a request after which a share begins anew.
 const LIFETIME: Duration = Duration::from_secs(2);
 /// Time after the end of the cold state over which refused callers are asked to come back.
@@ -89,7 +91,7 @@
             let share = self.share(now, service, *requests, pace, entries);
             let reserved_s = RESERVED_FOR_URGENT.as_secs_f64() * (1.0 - urgency);
             let missing = reserved_s * share.per_s - share.tokens;
-            if missing < 0.0 {
+            if missing <= TOLERANCE {
                 continue;
             }
             share.was_short = true;
--- a/tests/mesh_pace.rs
+++ b/tests/mesh_pace.rs
@@ -471,6 +471,36 @@
     with_callers_at_5_of_78_entries((78, 5, 0.3)),
 }
 
+/// Guards against callers that are told a time at which there is no room: 20 that were refused at the same
+/// moment, by requests with one or several calls, come back when they were told to.
+fn a_caller_finds_room_when_it_was_told((requests, urgency): (f64, f64)) {
+    let service: ServiceName = "orders".into();
+    let pace = ServicePace { per_s: 56.0, remaining: Some(Duration::from_secs(60)) };
+    let uses = [(service, requests, pace)];
+    let mut roots = PacedRoots::new(5);
+    let begin = millis(1000);
+    let mut returns: BinaryHeap<std::cmp::Reverse<Timestamp>> = BinaryHeap::new();
+    while returns.len() < 20 {
+        if let Err(refusal) = roots.try_admit(begin, &uses, urgency, 4) {
+            returns.push(std::cmp::Reverse(begin + refusal.retry_after));
+        }
+    }
+    let mut last = begin;
+    while let Some(std::cmp::Reverse(at)) = returns.pop() {
+        assert_eq!(roots.try_admit(at, &uses, urgency, 4), Ok(()), "{at:?}");
+        last = at;
+    }
+    // A quarter of the pace is this entry's share.
+    let expected_s = 20.0 * requests / 14.0;
+    assert!((last - begin).as_secs_f64() < expected_s + 1.0, "the last is told {last:?}");
+}
+
+crate::cases! { a_caller_finds_room_when_it_was_told:
+    with_one_call((1.0, 0.0)),
+    with_one_call_of_an_urgent_chain((1.0, 1.0)),
+    with_eight_calls((8.0, 0.5)),
+}
+
 /// The replay itself: without a pace the upstreams crash.
 #[test]
 fn the_replay_crashes_upstreams_without_a_pace() {
