--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -49,6 +49,10 @@
     /// Limits of the node's machine, or of the process where the platform limits it.
     #[serde(default)]
     pub limits: RawMachineLimits,
+    /// Whether the node learns from the answers of its upstream how many requests a second it takes, after a
+    /// start, a crash and other interruptions.
+    #[serde(default)]
+    pub pace: bool,
     /// Logging.
     #[serde(default)]
     pub log: RawLog,
@@ -133,6 +137,8 @@
     pub bounds: Bounds,
     /// Limits of the machine.
     pub limits: MachineLimits,
+    /// Whether the pace of the upstream is learned from its answers.
+    pub learns_pace: bool,
     /// Logging.
     pub log: RawLog,
 }
@@ -155,6 +161,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
+    /// Whether the pace of the upstream is learned from its answers.
+    pub learns_pace: bool,
 }
 
 impl LiveSettings {
@@ -164,6 +172,7 @@
             service: settings.service.clone(),
             seeds: settings.seeds.clone(),
             bounds: settings.bounds,
+            learns_pace: settings.learns_pace,
         }
     }
 }
@@ -259,6 +268,7 @@
             seeds,
             bounds,
             limits,
+            learns_pace: raw.pace,
             log: raw.log,
         })
     }
