Promise refused callers a time at which they find room

A refused caller was told a random time, at which it competed with all new requests. An entry node now promises half of what it admits of a route and organisation to returning callers, tells each the first time that is not yet promised, and admits a request that arrives then and has no more time left than the return would have. Where there is no room within a third of the caller's remaining time, the refusal carries no Retry-After; where nothing is known, the random time stays.

--- a/src/mesh/chains/mod.rs
+++ b/src/mesh/chains/mod.rs
@@ -8,16 +8,19 @@
 //! retries the bound permits ([`ChainAdmission`]); their retries are reserved
 //! ([`RetryReservation`]).
 //!
-//! Where a service is full, [`OrganisationShares`] divides it between organisations of one rank.
+//! Where a service is full, [`OrganisationShares`] divides it between organisations of one rank,
+//! and [`ReturnPromises`] keeps room for refused callers that return.
 
 mod admission;
 mod organisation_shares;
 mod refusal_meter;
 mod retry_rank;
+mod returns;
 mod service_refusals;
 
 pub use admission::{ChainAdmission, ChainVerdict, RetryReservation};
 pub use organisation_shares::OrganisationShares;
 pub use refusal_meter::RefusalMeter;
 pub use retry_rank::retry_rank;
+pub use returns::{ReturnAdvice, ReturnPromises};
 pub use service_refusals::ServiceRefusals;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -13,7 +13,7 @@
     http_server::pipelined::{Handler, Limits},
     mesh::{
         Call, CallHead, Catalog, ChainVerdict, Dialect, Node, Organisation, Origin, Rank,
-        RootVerdict, Route, RunningCall,
+        ReturnAdvice, RootVerdict, Route, RunningCall,
         attempts::{self, CallResult},
         charge::{self, Charge, ChargeRefusal},
         fingerprint,
@@ -219,6 +219,7 @@
         None => Ok(admitted),
         Some(retry_after) => {
             let detail = "the request has crashed upstreams".to_owned();
+            let retry_after = Some(retry_after);
             Err(EntryRefusal { reason: Reason::Quarantined, detail, retry_after })
         }
     }
@@ -238,16 +239,18 @@
 struct EntryRefusal {
     reason: Reason,
     detail: String,
-    retry_after: Duration,
+    /// `None` if the caller should not return.
+    retry_after: Option<Duration>,
 }
 
 impl EntryRefusal {
     fn new(reason: Reason, detail: impl Into<String>) -> Self {
-        Self { reason, detail: detail.into(), retry_after: DEFAULT_RETRY_AFTER }
+        Self { reason, detail: detail.into(), retry_after: Some(DEFAULT_RETRY_AFTER) }
     }
 
     fn into_not_run(self, undispatched: Undispatched) -> NotRun {
-        undispatched.refuse(self.reason, self.detail).retry_after(self.retry_after)
+        let not_run = undispatched.refuse(self.reason, self.detail);
+        NotRun { retry_after: self.retry_after, ..not_run }
     }
 }
 
@@ -307,7 +310,7 @@
         return Err(EntryRefusal {
             reason: Reason::Leaving,
             detail: "the node stops before the request may have ended".to_owned(),
-            retry_after: stop.ends_at().saturating_sub(arrived).max(DEFAULT_RETRY_AFTER),
+            retry_after: Some(stop.ends_at().saturating_sub(arrived).max(DEFAULT_RETRY_AFTER)),
         });
     }
     Ok(Admitted { route: route.clone(), call, parent, organisation })
@@ -327,11 +330,12 @@
             .map_err(|refusal| match refusal {
                 ChargeRefusal::OverRate { retry_after } => {
                     let detail = format!("{} is over its rate and burst", organisation.name);
+                    let retry_after = Some(retry_after);
                     EntryRefusal { reason: Reason::OverRate, detail, retry_after }
                 }
                 ChargeRefusal::HomeTimeout => {
                     let detail = format!("no token of {} came in time", organisation.name);
-                    let retry_after = retry_after(&route);
+                    let retry_after = Some(retry_after(&route));
                     EntryRefusal { reason: Reason::Overload, detail, retry_after }
                 }
             })?,
@@ -352,7 +356,7 @@
                      on retries leaves none for the chain",
                     refused_share * 100.0
                 ),
-                retry_after: retry_after(&route),
+                retry_after: Some(retry_after(&route)),
             });
         }
     }
@@ -368,12 +372,27 @@
             Err(EntryRefusal {
                 reason: Reason::Overload,
                 detail: format!("the service {service} of the chain is full, load {load:.2}"),
-                retry_after: retry_after(&route),
+                retry_after: promise_return(node, admitted),
             })
         }
     }
 }
 
+/// Retry-After of a root request that was refused since a service is full; `None` if there is no room
+/// within the time that is of use to the caller.
+fn promise_return<D: Dialect>(node: &Node<D>, admitted: &Admitted) -> Option<Duration> {
+    let (now, call) = (clock::now(), &admitted.call);
+    let organisation = call.organisation.as_ref();
+    let advice =
+        node.returns.lock().promise(now, &call.route, organisation, MIN_RETRY_AFTER, call.deadline);
+    node.metrics.record_return(advice);
+    match advice {
+        ReturnAdvice::Unknown => Some(retry_after(&admitted.route)),
+        ReturnAdvice::After(delay) => Some(delay),
+        ReturnAdvice::NoRoom => None,
+    }
+}
+
 /// Decides whether a call chain begins while services that it uses refuse a part of their requests.
 fn begin_chain<D: Dialect>(node: &Node<D>, call: &Call) -> ChainVerdict {
     let now = clock::now();
@@ -404,6 +423,11 @@
     let catalog = node.catalog.load_full();
     let urgency = catalog.as_ref().map_or(1.0, |it| it.urgency(admitted.call.rank));
     let organisation = admitted.call.organisation.as_ref();
+    let deadline = admitted.call.deadline;
+    let is_promised = node.returns.lock().claim(clock::now(), &route.name, organisation, deadline);
+    if is_promised {
+        node.metrics.record_return_admitted();
+    }
     let give_up_at = clock::now() + MAX_ROOT_WAIT.min(route.answer_within / MAX_ROOT_WAIT_DIVISOR);
     loop {
         let now = clock::now();
@@ -413,7 +437,8 @@
             let mut root_admission = node.root_admission.lock();
             match root_admission.try_admit_for(now, usage, urgency, organisation) {
                 RootVerdict::Refuse { .. }
-                    if node.root_floor.lock().is_below(&route.name, organisation) =>
+                    if is_promised
+                        || node.root_floor.lock().is_below(&route.name, organisation) =>
                 {
                     root_admission.charge(now, usage);
                     RootVerdict::Admit
@@ -424,6 +449,7 @@
         let is_admitted = verdict == RootVerdict::Admit;
         if is_admitted || now >= give_up_at {
             node.root_floor.lock().record(now, &route.name, organisation, is_admitted);
+            node.returns.lock().record(now, &route.name, organisation, is_admitted);
             if let Some(usage) = node.route_usage.lock().mean(&route.name) {
                 let mut root_admission = node.root_admission.lock();
                 root_admission.record_decision(now, usage, urgency, organisation, is_admitted);
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -51,8 +51,8 @@
 pub use call::{Call, RouteUsage, ServiceUse, Usage};
 pub use catalog::{CallerLimits, Catalog, CatalogParts, Destination, Organisation, Route, Service};
 pub use chains::{
-    ChainAdmission, ChainVerdict, OrganisationShares, RefusalMeter, RetryReservation,
-    ServiceRefusals, retry_rank,
+    ChainAdmission, ChainVerdict, OrganisationShares, RefusalMeter, RetryReservation, ReturnAdvice,
+    ReturnPromises, ServiceRefusals, retry_rank,
 };
 pub use configuration::CatalogSource;
 pub use crashes::{Crashes, fingerprint};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -21,8 +21,8 @@
         Bounds, Call, Catalog, CatalogSource, ChainAdmission, Dialect, Directory, Guard,
         GuardResult, InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics,
         MeshSettings, MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound,
-        RetryBudget, RootAdmission, RootFloor, RouteUsage, ServiceRefusals, TokenStock,
-        UpstreamRecord, UpstreamTracker, link::Links, proto::mesh_client::MeshClient,
+        RetryBudget, ReturnPromises, RootAdmission, RootFloor, RouteUsage, ServiceRefusals,
+        TokenStock, UpstreamRecord, UpstreamTracker, link::Links, proto::mesh_client::MeshClient,
         request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
@@ -73,6 +73,8 @@
     pub root_admission: Mutex<RootAdmission>,
     /// Admission of call chains by the retries that they need.
     pub chain_admission: Mutex<ChainAdmission>,
+    /// Promises to refused callers that they find room when they return.
+    pub returns: Mutex<ReturnPromises>,
     /// Share of requests that each service refuses without running them.
     pub refusals: Mutex<ServiceRefusals>,
     /// Floors under the admission of root requests.
@@ -143,6 +145,7 @@
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
             chain_admission: Mutex::new(ChainAdmission::new(retry_bound(&settings.bounds))),
+            returns: Mutex::default(),
             refusals: Mutex::default(),
             root_floor: Mutex::default(),
             route_usage: Mutex::default(),
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -23,7 +23,7 @@
     admission::{GateStatus, NamedRate},
     call::Outcome,
     clock, http_server,
-    mesh::{Dialect, Node},
+    mesh::{Dialect, Node, ReturnAdvice},
     names::{InstanceName, Revision, ServiceName},
     store::{ObjectApi as _, ObjectVersion, StoreEra},
     telemetry,
@@ -54,6 +54,12 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReturnLabels {
+    reason: &'static str,
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: ServiceName,
@@ -63,14 +69,21 @@
 #[derive(Debug)]
 pub struct MeshMetrics {
     requests: Family<RequestLabels, Counter>,
+    returns: Family<ReturnLabels, Counter>,
     caller_time: Histogram,
     upstream_time: Histogram,
 }
 
 impl Default for MeshMetrics {
     fn default() -> Self {
+        let returns = Family::<ReturnLabels, Counter>::default();
+        // Series without a count are listed, too, so that their rates are known from the start.
+        for result in ["unknown", "promised", "no-room", "admitted"] {
+            drop(returns.get_or_create(&ReturnLabels { reason: "overload", result }));
+        }
         Self {
             requests: Family::default(),
+            returns,
             caller_time: Histogram::new(TIME_BUCKETS_S),
             upstream_time: Histogram::new(TIME_BUCKETS_S),
         }
@@ -93,12 +106,33 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts the advice to a caller that was refused since a service is full.
+    pub fn record_return(&self, advice: ReturnAdvice) {
+        let result = match advice {
+            ReturnAdvice::Unknown => "unknown",
+            ReturnAdvice::After(_) => "promised",
+            ReturnAdvice::NoRoom => "no-room",
+        };
+        self.returns.get_or_create(&ReturnLabels { reason: "overload", result }).inc();
+    }
+
+    /// Counts a promised return that was admitted.
+    pub fn record_return_admitted(&self) {
+        let labels = ReturnLabels { reason: "overload", result: "admitted" };
+        self.returns.get_or_create(&labels).inc();
+    }
+
     fn register(&self, registry: &mut Registry) {
         registry.register(
             "requests",
             "Requests that ended at this entry node, by origin, outcome and reason",
             self.requests.clone(),
         );
+        registry.register(
+            "returns",
+            "Refused callers that were told when to return, and returns that found room, by reason",
+            self.returns.clone(),
+        );
         let help = "Time from the head of a caller's request to its outcome";
         registry.register_with_unit(
             "caller_request",
