--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -24,8 +24,8 @@
         Bounds, Call, Catalog, CatalogSource, ChainAdmission, Dialect, Directory, Guard,
         GuardResult, InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics,
         MeshSettings, MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound,
-        RetryBudget, RootAdmission, RootFloor, RouteUsage, ServiceRefusals, TokenStock,
-        UpstreamRecord, UpstreamTracker,
+        RetryBudget, ReturnPromises, RootAdmission, RootFloor, RouteUsage, ServiceRefusals,
+        TokenStock, UpstreamRecord, UpstreamTracker,
         evacuation::Evacuations,
         link::Links,
         pace::{self, PacedRoots},
@@ -92,6 +92,8 @@
     pub evacuation_updates: Mutex<()>,
     /// Admission of call chains by the retries that they need.
     pub chain_admission: Mutex<ChainAdmission>,
+    /// Promises to refused callers that they find room when they return.
+    pub returns: Mutex<ReturnPromises>,
     /// Share of requests that each service refuses without running them.
     pub refusals: Mutex<ServiceRefusals>,
     /// Floors under the admission of root requests.
@@ -170,6 +172,7 @@
             evacuations: ArcSwap::default(),
             evacuation_updates: Mutex::default(),
             chain_admission: Mutex::new(ChainAdmission::new(retry_bound(&settings.bounds))),
+            returns: Mutex::default(),
             refusals: Mutex::default(),
             root_floor: Mutex::default(),
             route_usage: Mutex::default(),
