Reserve large frames of links in the memory budget, and bound unread replies

A node that states large frames took a buffer of up to 80 MiB on each link before the bytes arrived, and replies that it did not read piled up without limit. Frames above 64 KiB are reserved before they are read, and reading stops while the budget is exhausted. A link with 2 MiB of unread replies or 4,096 running requests is not read, and is closed after 15 s without progress.

--- a/src/http_client/body.rs
+++ b/src/http_client/body.rs
@@ -112,10 +112,12 @@
     held: usize,
 ) -> Result<Reservation, String> {
     let limit_bytes = memory.limit_bytes();
-    let max_used_bytes = match held + bytes {
-        0..=TINY_BYTES => limit_bytes,
-        0..=USUAL_BYTES => limit_bytes / 8 * 7,
-        _ => limit_bytes / 4 * 3,
+    let max_used_bytes = if held + bytes <= TINY_BYTES {
+        limit_bytes
+    } else if held + bytes <= USUAL_BYTES {
+        limit_bytes / 8 * 7
+    } else {
+        limit_bytes / 4 * 3
     };
     let give_up_at = Instant::now() + MEMORY_WAIT;
     loop {
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Memory of the bodies of responses.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Sets the number of connections that the upstream accepts; `None` where it states none.
     pub fn set_max_open(&self, max_open: Option<usize>) {
         self.max_open.store(max_open.unwrap_or(usize::MAX), Ordering::Relaxed);
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -159,6 +159,11 @@
 }
 
 impl<D: Dialect> Guard<D> {
+    /// Memory of answers and of large messages of other nodes.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        self.connections.memory()
+    }
+
     /// The current upstream, also while it is leaving.
     pub fn upstream(&self) -> Option<Arc<Upstream>> {
         self.upstream.load_full()
--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -19,14 +19,18 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::mesh::{
-    link::{
-        PREAMBLE, frame,
-        frames::FrameReader,
-        outbox::{Outbox, Position},
-        signal,
+use crate::{
+    memory::MemoryBudget,
+    mesh::{
+        link::{
+            PREAMBLE, frame,
+            frames::FrameReader,
+            outbox::{Outbox, Position},
+            signal,
+        },
+        proto::{ForwardReply, ForwardRequest, LinkFrame, link_frame::Content},
     },
-    proto::{ForwardReply, ForwardRequest, LinkFrame, link_frame::Content},
+    peers::MAX_MESSAGE_BYTES,
 };
 
 /// Time for the connection and the first bytes of the other node.
@@ -58,11 +62,19 @@
 }
 
 /// Links of this node to other nodes, opened on first use.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Links {
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
     tasks: TaskTracker,
     stop: CancellationToken,
+    /// Memory of large replies.
+    memory: Arc<MemoryBudget>,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Self::new(Arc::new(MemoryBudget::new(MAX_MESSAGE_BYTES)))
+    }
 }
 
 /// The link to one address.
@@ -83,6 +95,12 @@
 }
 
 impl Links {
+    /// Creates links that reserve large replies in `memory`.
+    pub fn new(memory: Arc<MemoryBudget>) -> Self {
+        let (slots, tasks, stop) = Default::default();
+        Self { slots, tasks, stop, memory }
+    }
+
     /// Returns the link to an address; `None` if the node there does not support links.
     pub async fn get(&self, address: SocketAddr) -> Result<Option<Arc<Link>>, LinkFailure> {
         let slot = self.slots.lock().entry(address).or_default().clone();
@@ -109,7 +127,8 @@
                 let link = Arc::new(Link::new());
                 slot.link.store(Some(link.clone()));
                 let (stop, running) = (self.stop.clone(), link.clone());
-                self.tasks.spawn(async move { running.run(stream, stop).await });
+                let memory = self.memory.clone();
+                self.tasks.spawn(async move { running.run(stream, stop, memory).await });
                 return Ok(Some(link));
             }
             Ok(Err(error)) if error.kind() == io::ErrorKind::UnexpectedEof => {
@@ -276,11 +295,11 @@
     }
 
     /// Runs the link until it fails, is no longer used, or `stop` is cancelled.
-    async fn run(&self, stream: TcpStream, stop: CancellationToken) {
+    async fn run(&self, stream: TcpStream, stop: CancellationToken, memory: Arc<MemoryBudget>) {
         let (reader, mut writer) = stream.into_split();
         let detail = tokio::select! {
             biased;
-            result = self.read_replies(FrameReader::new(reader)) => match result {
+            result = self.read_replies(FrameReader::new(reader, memory)) => match result {
                 Ok(()) => "the other node has closed the link".to_owned(),
                 Err(error) => format!("reading from the link failed: {error}"),
             },
--- a/src/mesh/link/frames.rs
+++ b/src/mesh/link/frames.rs
@@ -1,47 +1,133 @@
 //! Reading of frames from a link.
 
-use std::io;
+use std::{io, sync::Arc, time::Duration};
 
-use bytes::BytesMut;
+use bytes::{Buf as _, Bytes, BytesMut};
 use prost::Message as _;
-use tokio::{io::AsyncReadExt as _, net::tcp::OwnedReadHalf};
-use tokio_util::codec::{Decoder as _, LengthDelimitedCodec};
+use tokio::{io::AsyncReadExt as _, net::tcp::OwnedReadHalf, time::sleep};
 
-use crate::{mesh::proto::LinkFrame, peers::MAX_MESSAGE_BYTES};
+use crate::{
+    memory::{MemoryBudget, Reservation},
+    mesh::proto::LinkFrame,
+    peers::MAX_MESSAGE_BYTES,
+};
 
 /// Size of the buffer of one read.
 const READ_BYTES: usize = 8 << 10;
+/// Size above which a frame is reserved in the memory budget before it is read. Smaller ones never wait
+/// for memory, so that usual requests and replies pass.
+const UNRESERVED_FRAME_BYTES: usize = 64 << 10;
+/// Time between two attempts to reserve memory.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Decodes frames: a length of four bytes, and a [`LinkFrame`] of that length.
+#[derive(Debug)]
+pub struct FrameDecoder {
+    memory: Arc<MemoryBudget>,
+    /// Memory of the frame that is being read, if it is a large one.
+    reserved: Option<Reservation>,
+    waits_for_memory: bool,
+}
+
+/// The bytes of a large frame, whose memory is returned when the last part of it is dropped.
+struct ReservedFrame {
+    bytes: Bytes,
+    _reserved: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedFrame {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl FrameDecoder {
+    /// Creates a decoder that reserves large frames in `memory`.
+    pub fn new(memory: Arc<MemoryBudget>) -> Self {
+        Self { memory, reserved: None, waits_for_memory: false }
+    }
+
+    /// Takes the next frame from the start of `input`; without a complete one, makes room for the rest
+    /// of it unless [`Self::waits_for_memory`].
+    pub fn decode(&mut self, input: &mut BytesMut) -> io::Result<Option<LinkFrame>> {
+        self.waits_for_memory = false;
+        let Some(prefix) = input.first_chunk::<{ size_of::<u32>() }>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        let invalid = |cause: String| io::Error::new(io::ErrorKind::InvalidData, cause);
+        if length > MAX_MESSAGE_BYTES {
+            return Err(invalid(format!("a frame of {length} bytes, above {MAX_MESSAGE_BYTES}")));
+        }
+        if length > UNRESERVED_FRAME_BYTES && self.reserved.is_none() {
+            if length > self.memory.limit_bytes() {
+                return Err(invalid(format!(
+                    "a frame of {length} bytes exceeds the memory budget"
+                )));
+            }
+            self.reserved = self.memory.reserve(length);
+            if self.reserved.is_none() {
+                self.waits_for_memory = true;
+                return Ok(None);
+            }
+        }
+        let total = size_of::<u32>() + length;
+        if input.len() < total {
+            input.reserve(total - input.len());
+            return Ok(None);
+        }
+        input.advance(size_of::<u32>());
+        let bytes = input.split_to(length).freeze();
+        let bytes = match self.reserved.take() {
+            Some(reserved) => Bytes::from_owner(ReservedFrame { bytes, _reserved: reserved }),
+            None => bytes,
+        };
+        LinkFrame::decode(bytes).map(Some).map_err(|error| invalid(error.to_string()))
+    }
+
+    /// Whether the budget has no memory for the next frame. Nothing more may be read until it has.
+    pub fn waits_for_memory(&self) -> bool {
+        self.waits_for_memory
+    }
+
+    /// Whether a large frame is being read, whose buffer is complete.
+    fn is_in_large_frame(&self) -> bool {
+        self.reserved.is_some()
+    }
+}
 
 /// Reads frames from a link.
 #[derive(Debug)]
 pub(super) struct FrameReader {
     stream: OwnedReadHalf,
     input: BytesMut,
-    codec: LengthDelimitedCodec,
+    decoder: FrameDecoder,
 }
 
 impl FrameReader {
-    pub(super) fn new(stream: OwnedReadHalf) -> Self {
-        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec();
-        Self { stream, input: BytesMut::new(), codec }
+    pub(super) fn new(stream: OwnedReadHalf, memory: Arc<MemoryBudget>) -> Self {
+        Self { stream, input: BytesMut::new(), decoder: FrameDecoder::new(memory) }
     }
 
     /// Reads the next frame; `None` at the end of the stream. No bytes are lost if the future is
     /// dropped.
     pub(super) async fn next(&mut self) -> io::Result<Option<LinkFrame>> {
         loop {
-            if let Some(bytes) = self.codec.decode(&mut self.input)? {
-                let frame = LinkFrame::decode(bytes.freeze());
-                return frame
-                    .map(Some)
-                    .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error));
+            if let Some(frame) = self.decoder.decode(&mut self.input)? {
+                return Ok(Some(frame));
+            }
+            if self.decoder.waits_for_memory() {
+                sleep(MEMORY_POLL_INTERVAL).await;
+                continue;
             }
             if self.input.is_empty() {
                 // An idle link holds no buffer.
                 self.input = BytesMut::new();
                 self.stream.readable().await?;
             }
-            self.input.reserve(READ_BYTES);
+            if !self.decoder.is_in_large_frame() {
+                self.input.reserve(READ_BYTES);
+            }
             if self.stream.read_buf(&mut self.input).await? == 0 {
                 return Ok(None);
             }
--- a/src/mesh/link/mod.rs
+++ b/src/mesh/link/mod.rs
@@ -16,6 +16,7 @@
 mod server;
 
 pub use client::{Link, LinkFailure, Links};
+pub use frames::FrameDecoder;
 pub use server::serve;
 
 use crate::mesh::proto::{LinkFrame, LinkSignal, link_frame::Content};
--- a/src/mesh/link/server.rs
+++ b/src/mesh/link/server.rs
@@ -25,6 +25,14 @@
 /// Time for writing the last replies before the link is closed.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes of replies that the other node has not read, above which its frames are not read either.
+const MAX_UNREAD_REPLY_BYTES: u64 = 2 << 20;
+/// Requests that run or wait here, above which no further frames are read.
+const MAX_RUNNING: usize = 4096;
+/// Time after which a link is closed whose replies are not read. It is longer than pauses of a process
+/// that other nodes tolerate.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Serves a link until the other node closes it. After `shutdown`, it takes no further requests and
 /// ends when the running ones have been answered.
 pub async fn serve<D: Dialect>(
@@ -42,7 +50,8 @@
     }
     stream.write_all(&PREAMBLE).await?;
     let (reader, mut writer) = stream.into_split();
-    let (mut reader, outbox) = (FrameReader::new(reader), Arc::new(Outbox::default()));
+    let mut reader = FrameReader::new(reader, node.guard.memory().clone());
+    let outbox = Arc::new(Outbox::default());
     let mut calls = Calls {
         node,
         outbox: outbox.clone(),
@@ -55,14 +64,24 @@
         let write = outbox.write_to(&mut writer);
         tokio::pin!(write);
         while !calls.is_closing || !calls.tasks.is_empty() {
+            let is_unread = outbox.queued_bytes() > MAX_UNREAD_REPLY_BYTES;
             tokio::select! {
                 biased;
-                frame = reader.next() => match frame? {
+                frame = reader.next(), if !is_unread && calls.tasks.len() < MAX_RUNNING => match frame? {
                     Some(frame) => calls.handle(frame),
                     None => return Ok(()),
                 },
                 Some(ended) = calls.tasks.join_next() => calls.remove_ended(ended),
                 error = &mut write => return Err(error),
+                read = timeout(UNREAD_TIMEOUT, outbox.wait_until_empty()), if is_unread => {
+                    if read.is_err() {
+                        log::warn!(
+                            unread_bytes = outbox.queued_bytes(), running = calls.tasks.len();
+                            "another node does not read its replies; closing its link"
+                        );
+                        return Err(io::ErrorKind::TimedOut.into());
+                    }
+                }
                 () = shutdown.cancelled(), if !calls.is_closing => calls.begin_closing(),
             }
         }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -123,6 +123,8 @@
             service: settings.service.clone(),
             upstream: None,
         };
+        let guard = Arc::<Guard<D>>::default();
+        let links = Links::new(guard.memory().clone());
         let mut directory = Directory::default();
         directory.merge(own.clone());
         Self {
@@ -133,7 +135,7 @@
             proof: FreshnessProof::default(),
             members: ArcSwap::from_pointee(directory.members()),
             directory: Mutex::new(directory),
-            guard: Arc::default(),
+            guard,
             upstream_tracker: Mutex::default(),
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
@@ -147,7 +149,7 @@
             metrics: MeshMetrics::default(),
             tokens_granted: Notify::new(),
             refresh_requested: Notify::new(),
-            links: Links::default(),
+            links,
             era: watch::Sender::new(0),
             started_at: clock::now(),
             is_compared: AtomicBool::new(false),
--- a/tests/http_client_connections.rs
+++ b/tests/http_client_connections.rs
@@ -19,9 +19,11 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
+/// Time within which an expected state is reached.
+const TIMEOUT: Duration = Duration::from_secs(20);
 const IDLE_TIME: Duration = Duration::from_secs(8);
 /// Longer than a connection rests after a refusal.
 const REST: Duration = Duration::from_millis(250);
@@ -255,9 +257,12 @@
     send_body(&pool, address, "early-a", Duration::MAX, body).await.expect("an early answer");
     send(&pool, address, "good-a").await.expect("an answer on another connection");
     assert_eq!(upstream.accepted.load(Ordering::Relaxed), 2);
-    while pool.idle_count() < 2 || !upstream.has_read_early.load(Ordering::Relaxed) {
-        sleep(Duration::from_millis(10)).await;
-    }
+    let are_idle = async {
+        while pool.idle_count() < 2 || !upstream.has_read_early.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(TIMEOUT, are_idle).await.expect("both connections are idle");
     sleep(REST).await;
     let both = [send(&pool, address, "delayed-a"), send(&pool, address, "delayed-b")];
     for answer in futures::future::join_all(both).await {
