Keep connections with a recent refusal from requests that must not run twice

A second copy of a refusal that arrives after the pause of 100 ms breaks off the next request on the connection. Requests that must not run twice leave such a connection alone for 1 s.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -47,9 +47,6 @@
 /// Limit of the read buffer of a connection, and so of the head of a response. The default of the
 /// library is 400 KiB, which 100 connections with endless responses fill.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
-/// Time for which a connection is not used after a refusal. A second copy of the refusal that arrives
-/// in it closes the connection.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a connection is not used for a request that was refused on it; a caller's request
 /// has ended by then.
 const REFUSED_ID_LIFETIME: Duration = Duration::from_secs(60);
@@ -116,6 +113,9 @@
     /// Idle time from which a connection is not used for this request; a shorter time that the upstream
     /// states takes precedence.
     pub max_idle_time: Duration,
+    /// Time after a refusal in which a connection is not used for this request. A second copy of the
+    /// refusal that arrives in it closes the connection.
+    pub refusal_pause: Duration,
     /// Id of the request, if it has one; see [`Reuse::KeepForOthers`].
     pub request_id: Option<&'a str>,
 }
@@ -130,8 +130,6 @@
     last_used_at: Instant,
     /// Idle time after which it is closed.
     max_idle_time: Duration,
-    /// Time from which it may be used again after a refusal.
-    usable_at: Instant,
     /// Ids of requests that were refused on it, with the times.
     refused: VecDeque<(Arc<str>, Instant)>,
     /// Why it is closed, if it is dropped now.
@@ -171,7 +169,11 @@
             return Fitness::Unfit(OpenReason::IdleTooLong);
         }
         let is_same_request = |id: &str| self.refused.iter().any(|(refused, _)| &**refused == id);
-        if now < self.usable_at || request.request_id.is_some_and(is_same_request) {
+        let was_refused_recently = self
+            .refused
+            .back()
+            .is_some_and(|(_, at)| now.saturating_duration_since(*at) < request.refusal_pause);
+        if was_refused_recently || request.request_id.is_some_and(is_same_request) {
             return Fitness::Unfit(OpenReason::Refusal);
         }
         match self.sender.is_ready() {
@@ -200,7 +202,6 @@
                     self.refused.pop_front();
                 }
                 self.refused.push_back((id, now));
-                self.usable_at = now + REFUSAL_PAUSE;
                 self.refused.len() <= MAX_REFUSED_IDS
             }
         }
@@ -322,7 +323,6 @@
             address,
             last_used_at: now,
             max_idle_time: self.limits.max_idle_time,
-            usable_at: now,
             refused: VecDeque::new(),
             closed_for: OpenReason::Cancelled,
             open: self.open.clone(),
--- a/src/mesh/guard.rs
+++ b/src/mesh/guard.rs
@@ -47,6 +47,11 @@
 /// The same for requests that must not run twice. If the upstream has closed the connection unnoticed,
 /// such a request cannot be sent again.
 const MAX_NON_IDEMPOTENT_IDLE_TIME: Duration = Duration::from_secs(2);
+/// Time for which a connection is not used after a refusal, which a faulty upstream may send twice.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+/// The same for requests that must not run twice: a copy that arrives after it makes their outcome
+/// unknown.
+const NON_IDEMPOTENT_REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 /// Limits of the connections to the upstream and its answers.
 const POOL_LIMITS: PoolLimits =
     PoolLimits { max_idle: 512, max_idle_time: MAX_IDLE_TIME, max_body_bytes: 32 << 20 };
@@ -247,7 +252,12 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, String> {
-        let connect = ConnectRequest { address, max_idle_time: Duration::MAX, request_id: None };
+        let connect = ConnectRequest {
+            address,
+            max_idle_time: Duration::MAX,
+            refusal_pause: REFUSAL_PAUSE,
+            request_id: None,
+        };
         let connection = self.connections.connect(connect).await;
         let connection = connection.map_err(|failure| failure.to_string())?;
         let sent = self.connections.send(connection, request, |_, _| Ok(Reuse::Keep)).await;
@@ -342,11 +352,14 @@
         let Some(upstream) = self.serving_upstream(call) else {
             return Err(undispatched.refuse(Reason::Leaving, "the upstream has left"));
         };
-        let max_idle_time =
-            if call.idempotent { Duration::MAX } else { MAX_NON_IDEMPOTENT_IDLE_TIME };
+        let (max_idle_time, refusal_pause) = match call.idempotent {
+            true => (Duration::MAX, REFUSAL_PAUSE),
+            false => (MAX_NON_IDEMPOTENT_IDLE_TIME, NON_IDEMPOTENT_REFUSAL_PAUSE),
+        };
         let connect = ConnectRequest {
             address: upstream.heartbeat.address,
             max_idle_time,
+            refusal_pause,
             request_id: Some(&call.request_id),
         };
         let connected = self.connections.connect(connect).await;
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -171,7 +171,12 @@
 
     /// Returns a connection that is ready for a request.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectFailure> {
-        let request = ConnectRequest { address, max_idle_time: IDLE_TIMEOUT, request_id: None };
+        let request = ConnectRequest {
+            address,
+            max_idle_time: IDLE_TIMEOUT,
+            refusal_pause: Duration::ZERO,
+            request_id: None,
+        };
         self.connections.connect(request).await
     }
 
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -28,6 +28,8 @@
 /// Time within which a request must have ended.
 const TIMEOUT: Duration = Duration::from_secs(10);
 const IDLE_TIME: Duration = Duration::from_secs(5);
+/// Time for which a connection is not used after a refusal.
+const PAUSE: Duration = Duration::from_millis(100);
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: ";
 
 fn pool() -> ConnectionPool {
@@ -67,7 +69,8 @@
     id: &str,
     max_idle_time: Duration,
 ) -> Result<Bytes, String> {
-    let connect = ConnectRequest { address, max_idle_time, request_id: Some(id) };
+    let connect =
+        ConnectRequest { address, max_idle_time, refusal_pause: PAUSE, request_id: Some(id) };
     let connection = pool.connect(connect).await.map_err(|error| error.to_string())?;
     match timeout(DEADLINE, pool.send(connection, request(id), has_id(id))).await {
         Ok(Ok(answer)) => Ok(answer.body),
--- a/tests/http_client_connections.rs
+++ b/tests/http_client_connections.rs
@@ -25,7 +25,9 @@
 /// Time within which an expected state is reached.
 const TIMEOUT: Duration = Duration::from_secs(20);
 const IDLE_TIME: Duration = Duration::from_secs(8);
-/// Longer than a connection rests after a refusal.
+/// Time for which a connection is not used after a refusal.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longer than [`PAUSE`].
 const REST: Duration = Duration::from_millis(250);
 /// Body of a usual response, which arrives in several parts.
 const USUAL_BYTES: usize = 200 << 10;
@@ -145,7 +147,8 @@
     max_idle_time: Duration,
     body: Bytes,
 ) -> Result<Bytes, String> {
-    let connect = ConnectRequest { address, max_idle_time, request_id: Some(id) };
+    let connect =
+        ConnectRequest { address, max_idle_time, refusal_pause: PAUSE, request_id: Some(id) };
     let connection = pool.connect(connect).await.map_err(|error| error.to_string())?;
     let mut request = Request::new(Full::new(body));
     request.headers_mut().insert("host", HeaderValue::from_static("a"));
--- a/tests/http_client_memory.rs
+++ b/tests/http_client_memory.rs
@@ -67,7 +67,12 @@
 async fn endless_responses_stay_within_the_budget() -> anyhow::Result<()> {
     let address = endless_upstream().await?;
     let pool = pool();
-    let connect = ConnectRequest { address, max_idle_time: IDLE_TIME, request_id: None };
+    let connect = ConnectRequest {
+        address,
+        max_idle_time: IDLE_TIME,
+        refusal_pause: Duration::ZERO,
+        request_id: None,
+    };
     let before_mb = peak_mb();
     for _ in 0..ROUNDS {
         let requests = (0..ENDLESS).map(|_| async {
