--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -396,7 +396,7 @@
             Err(EntryRefusal {
                 reason: Reason::Overload,
                 detail: format!("the service {service} of the chain is full, load {load:.2}"),
-                retry_after: promise_return(node, admitted),
+                retry_after: Some(promise_return(node, admitted)),
             })
         }
     }
@@ -410,6 +410,7 @@
 ) -> Result<PacedCharge, EntryRefusal> {
     if let Some((service, retry_after)) = evacuation::refuse_root(node, &admitted.call) {
         let detail = format!("all upstreams of the service {service} are in evacuated zones");
+        let retry_after = Some(retry_after);
         return Err(EntryRefusal { reason: Reason::NoUpstream, detail, retry_after });
     }
     let catalog = node.catalog.load();
@@ -417,22 +418,22 @@
     pace::admit_root(node, &admitted.call, urgency).map_err(|refusal| EntryRefusal {
         reason: Reason::Overload,
         detail: format!("all upstreams of the service {} are cold", refusal.service),
-        retry_after: refusal.retry_after.max(MIN_RETRY_AFTER),
+        retry_after: Some(refusal.retry_after.max(MIN_RETRY_AFTER)),
     })
 }
 
-/// Retry-After of a root request that was refused since a service is full; `None` if there is no room
-/// within the time that is of use to the caller.
-fn promise_return<D: Dialect>(node: &Node<D>, admitted: &Admitted) -> Option<Duration> {
+/// Retry-After of a root request that was refused since a service is full: a time with room, or the whole
+/// time that the caller has left if there is no room within it.
+fn promise_return<D: Dialect>(node: &Node<D>, admitted: &Admitted) -> Duration {
     let (now, call) = (clock::now(), &admitted.call);
     let organisation = call.organisation.as_ref();
     let advice =
         node.returns.lock().promise(now, &call.route, organisation, MIN_RETRY_AFTER, call.deadline);
     node.metrics.record_return(advice);
     match advice {
-        ReturnAdvice::Unknown => Some(retry_after(&admitted.route)),
-        ReturnAdvice::After(delay) => Some(delay),
-        ReturnAdvice::NoRoom => None,
+        ReturnAdvice::Unknown => retry_after(&admitted.route),
+        ReturnAdvice::After(delay) => delay,
+        ReturnAdvice::NoRoom => call.deadline.saturating_sub(now).max(MIN_RETRY_AFTER),
     }
 }
 
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -153,8 +153,10 @@
         directory.merge(own.clone());
         let memory_bytes = memory::machine_memory_bytes(settings.limits.memory_bytes);
         let memory = Arc::new(MemoryBudget::new(memory::budget_bytes(memory_bytes)));
+        let guard = Arc::new(Guard::new(memory.clone()));
+        let links = Links::new(memory.clone());
         Self {
-            memory: memory.clone(),
+            memory,
             copy_beyond_budget: Semaphore::new(1),
             misuse: Arc::default(),
             store: D::store(settings.store, settings.store_timeout),
@@ -164,7 +166,7 @@
             proof: FreshnessProof::default(),
             members: ArcSwap::from_pointee(directory.members()),
             directory: Mutex::new(directory),
-            guard: Arc::new(Guard::new(memory)),
+            guard,
             upstream_tracker: Mutex::default(),
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
@@ -184,7 +186,7 @@
             metrics: MeshMetrics::default(),
             tokens_granted: Notify::new(),
             refresh_requested: Notify::new(),
-            links: Links::default(),
+            links,
             era: watch::Sender::new(0),
             started_at: clock::now(),
             is_compared: AtomicBool::new(false),
--- a/tests/http_client_connections.rs
+++ b/tests/http_client_connections.rs
@@ -19,11 +19,15 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
+/// Time within which an expected state is reached.
+const TIMEOUT: Duration = Duration::from_secs(20);
 const IDLE_TIME: Duration = Duration::from_secs(8);
-/// Longer than a connection rests after a refusal.
+/// Time for which a connection is not used after a refusal.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longer than [`PAUSE`].
 const REST: Duration = Duration::from_millis(250);
 /// Body of a usual response, which arrives in several parts.
 const USUAL_BYTES: usize = 200 << 10;
@@ -143,7 +147,8 @@
     max_idle_time: Duration,
     body: Bytes,
 ) -> Result<Bytes, String> {
-    let connect = ConnectRequest { address, max_idle_time, request_id: Some(id) };
+    let connect =
+        ConnectRequest { address, max_idle_time, refusal_pause: PAUSE, request_id: Some(id) };
     let connection = pool.connect(connect).await.map_err(|error| error.to_string())?;
     let mut request = Request::new(Full::new(body));
     request.headers_mut().insert("host", HeaderValue::from_static("a"));
@@ -255,9 +260,12 @@
     send_body(&pool, address, "early-a", Duration::MAX, body).await.expect("an early answer");
     send(&pool, address, "good-a").await.expect("an answer on another connection");
     assert_eq!(upstream.accepted.load(Ordering::Relaxed), 2);
-    while pool.idle_count() < 2 || !upstream.has_read_early.load(Ordering::Relaxed) {
-        sleep(Duration::from_millis(10)).await;
-    }
+    let are_idle = async {
+        while pool.idle_count() < 2 || !upstream.has_read_early.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(TIMEOUT, are_idle).await.expect("both connections are idle");
     sleep(REST).await;
     let both = [send(&pool, address, "delayed-a"), send(&pool, address, "delayed-b")];
     for answer in futures::future::join_all(both).await {
