Document the bounds on callers

The time in which input is discarded after a refusal ends early where the connection must make room.

--- a/src/http_server/intake/mod.rs
+++ b/src/http_server/intake/mod.rs
@@ -166,11 +166,6 @@
         self.intake.state.lock().table.record_use(clock::now(), self.id);
     }
 
-    /// Whether the connection must give way to others.
-    pub fn is_evicted(&self) -> bool {
-        self.evicted.is_cancelled()
-    }
-
     /// Sets what the connection is doing.
     pub fn set_activity(&self, activity: Activity) {
         self.intake.state.lock().table.set_activity(clock::now(), self.id, activity);
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -778,8 +778,11 @@
         self.stream.shutdown().await?;
         if self.has_rejected {
             self.report_idle();
-            // The time is up if the caller goes on sending.
-            let _ = timeout(LINGER_TIME, self.discard_input()).await;
+            tokio::select! {
+                // The time is up if the caller goes on sending.
+                _ = timeout(LINGER_TIME, discard_input(&self.stream)) => {}
+                () = self.ticket.evicted() => {}
+            }
         }
         Ok(())
     }
@@ -789,20 +792,21 @@
         self.activity = Activity::Idle;
         self.ticket.set_activity(Activity::Idle);
     }
+}
 
-    async fn discard_input(&mut self) -> io::Result<()> {
-        let (mut discarded, mut rest) = ([0; READ_BYTES], MAX_LINGER_BYTES);
-        while rest > 0 && !self.ticket.is_evicted() {
-            self.stream.readable().await?;
-            match self.stream.try_read(&mut discarded) {
-                Ok(0) => return Ok(()),
-                Ok(read) => rest = rest.saturating_sub(read),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err(error),
-            }
+/// Reads and discards what a caller still sends, up to [`MAX_LINGER_BYTES`].
+async fn discard_input(stream: &TcpStream) -> io::Result<()> {
+    let (mut discarded, mut rest) = ([0; READ_BYTES], MAX_LINGER_BYTES);
+    while rest > 0 {
+        stream.readable().await?;
+        match stream.try_read(&mut discarded) {
+            Ok(0) => return Ok(()),
+            Ok(read) => rest = rest.saturating_sub(read),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
         }
-        Ok(())
     }
+    Ok(())
 }
 
 fn to_read_result(read: io::Result<usize>) -> io::Result<ReadResult> {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -58,11 +58,13 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct RawMachineLimits {
-    /// Memory that the process may use; where there is none, `MemTotal` of `/proc/meminfo`.
+    /// Memory that the process may use; where there is none, `MemTotal` of `/proc/meminfo`. Three quarters
+    /// of it may hold bytes of others.
     #[serde(default)]
     #[schemars(range(min = 32, max = 1_048_576), extend("x-unit" = "MiB"))]
     pub memory_mb: Option<u64>,
-    /// File descriptors that the process may open; where there is none, the limit of the process.
+    /// File descriptors that the process may open; where there is none, the limit of the process. Five
+    /// eighths of them are for connections of callers, an eighth for those of other nodes.
     #[serde(default)]
     #[schemars(range(min = 128, max = 1_048_576), extend("x-unit" = "descriptors"))]
     pub max_descriptors: Option<u64>,
