--- a/src/http_server/intake/mod.rs
+++ b/src/http_server/intake/mod.rs
@@ -166,11 +166,6 @@
         self.intake.state.lock().table.record_use(clock::now(), self.id);
     }
 
-    /// Whether the connection must give way to others.
-    pub fn is_evicted(&self) -> bool {
-        self.evicted.is_cancelled()
-    }
-
     /// Sets what the connection is doing.
     pub fn set_activity(&self, activity: Activity) {
         self.intake.state.lock().table.set_activity(clock::now(), self.id, activity);
@@ -185,7 +180,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let mut state = self.intake.state.lock();
-        state.table.remove(self.id);
+        state.table.remove(clock::now(), self.id);
         state.tokens.remove(&self.id);
         drop(state);
         self.intake.closed.notify_one();
