--- a/src/mesh/attempts.rs
+++ b/src/mesh/attempts.rs
@@ -153,7 +153,7 @@
 
 /// Takes a retry from the budget for a request that has already reached an upstream.
 fn take_retry<D: Dialect>(node: &Node<D>, call: &Call) -> bool {
-    let fleet_size = node.members.load().len();
+    let fleet_size = node.members.load().live_len();
     let urgency = node.catalog.load().as_ref().map_or(1.0, |it| it.urgency(call.rank));
     let retry_rank = retry_rank::<D>(urgency, &call.request_id);
     let route_usage = node.route_usage.lock();
--- a/src/mesh/catalog.rs
+++ b/src/mesh/catalog.rs
@@ -120,6 +120,17 @@
 }
 
 impl Catalog {
+    /// Whether the configuration names this service, itself or as the destination of a route.
+    pub fn names_service(&self, service: &str) -> bool {
+        let mut destinations = self.routes.values().flatten().flat_map(|route| &route.destinations);
+        self.services.contains_key(service) || destinations.any(|it| *it.service == *service)
+    }
+
+    /// Whether requests of routes that are not open need the key of an organisation.
+    pub fn needs_keys(&self) -> bool {
+        !self.organisations.is_empty()
+    }
+
     /// Builds the look-up tables.
     pub fn new(parts: CatalogParts) -> Self {
         let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -2,12 +2,14 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use serde::Deserialize as _;
+use futures::future::join_all;
+use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    clock,
     mesh::{
-        Dialect, InstanceAddress, Node,
+        Dialect, InstanceAddress, Node, UpstreamRecord,
         pause::{Backoff, jittered},
         sync,
     },
@@ -28,6 +30,10 @@
 /// Time over which the nodes of a fleet check their registrations after the store has come back from a
 /// copy, so that they do not all call it at its return.
 const RESTORE_SPREAD: Duration = Duration::from_secs(5);
+/// The same after a node is back in contact with the others, which may have removed its registration.
+const CHECK_SPREAD: Duration = Duration::from_millis(500);
+/// Time between two checks of the first hub for registrations to remove.
+const REMOVAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Pauses after the registration and after the next read: when a whole fleet starts, other nodes
 /// register at about the same time.
 const EARLY_READ_PAUSES: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(3)];
@@ -65,11 +71,83 @@
                 backoff.next_delay()
             }
         };
-        if timeout(jittered(pause, PAUSE_JITTER), era.changed()).await.is_ok() {
+        let wake = async {
+            tokio::select! {
+                _ = era.changed() => RESTORE_SPREAD,
+                () = node.registration_check.notified() => CHECK_SPREAD,
+            }
+        };
+        if let Ok(spread) = timeout(jittered(pause, PAUSE_JITTER), wake).await {
             may_be_lost = true;
-            sleep(RESTORE_SPREAD.mul_f64(rand::random())).await;
+            sleep(spread.mul_f64(rand::random())).await;
+        }
+    }
+}
+
+/// Removes the registrations of lost instances, while the node is the first hub.
+pub async fn remove_lost<D: Dialect>(node: Arc<Node<D>>) {
+    let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY * 2);
+    loop {
+        sleep(REMOVAL_INTERVAL).await;
+        let now = clock::now();
+        if !node.is_first_hub(now) {
+            continue;
+        }
+        let due = node.directory.lock().removable(now, &node.settings.instance);
+        let node = &node;
+        let removals = due.iter().map(|(instance, address)| async move {
+            (instance, remove_registration(node, instance, address).await)
+        });
+        for (instance, removed) in join_all(removals).await {
+            match removed {
+                Ok(()) => backoff.reset(),
+                Err(error) => {
+                    log::warn!(
+                        instance:% = instance, cause:% = error;
+                        "removing the registration of a lost instance failed; retrying after a pause"
+                    );
+                    sleep(backoff.next_delay()).await;
+                }
+            }
+        }
+    }
+}
+
+/// Removes the registration of a lost instance, unless the instance answers or has registered at another
+/// address.
+async fn remove_registration<D: Dialect>(
+    node: &Arc<Node<D>>,
+    instance: &InstanceName,
+    address: &InstanceAddress,
+) -> Result<(), StoreError> {
+    if sync::exchange_once(node, address).await.is_ok() {
+        log::info!(instance:% = instance; "an instance that was taken for lost answers; kept it");
+        let mut directory = node.directory.lock();
+        if directory.record_contact(clock::now(), instance) {
+            node.members.store(Arc::new(directory.members()));
+        }
+        return Ok(());
+    }
+    if let Some(object) = node.store.get(KIND_INSTANCES, instance).await?
+        && let Some(value) = object.value
+    {
+        // A value that is no address is removed, too: no node can use it.
+        let stored = InstanceAddress::deserialize(value).ok();
+        if stored.is_some_and(|stored| stored != *address) {
+            log::info!(instance:% = instance; "a lost instance has registered at another address");
+            node.remove_instance(instance);
+            return Ok(());
         }
+        // The condition keeps a registration that was written after the read.
+        node.store.delete(KIND_INSTANCES, instance, object.version).await?;
     }
+    node.remove_instance(instance);
+    log::warn!(
+        instance:% = instance, address:% = address.peer_address,
+        instances = node.members.load().len();
+        "removed the registration of a lost instance"
+    );
+    Ok(())
 }
 
 /// Whether the store already had the node's address.
@@ -142,14 +220,72 @@
     Ok(Registration::New)
 }
 
+/// An instance as the store keeps it.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredInstance {
+    #[serde(flatten)]
+    address: InstanceAddress,
+    /// State of the node's upstream while it is leaving and no other node could be told; absent in
+    /// objects of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    leaving: Option<StoredLeaving>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredLeaving {
+    upstream: InstanceName,
+    left: bool,
+    started_unix_ms: u64,
+    sequence: u64,
+}
+
+fn registration<D: Dialect>(node: &Node<D>) -> Result<serde_json::Value, StoreError> {
+    let own = node.own_record();
+    let leaving = own.upstream.filter(|upstream| !upstream.ready).map(|upstream| StoredLeaving {
+        upstream: upstream.id,
+        left: upstream.has_left,
+        started_unix_ms: upstream.started_unix_ms,
+        sequence: upstream.sequence,
+    });
+    serde_json::to_value(StoredInstance { address: own.address, leaving })
+        .map_err(|error| StoreError::Refused(format!("the registration has no JSON form: {error}")))
+}
+
+/// Writes the node's registration with the state of its leaving upstream.
+pub async fn store_leaving<D: Dialect>(node: &Node<D>) -> Result<(), StoreError> {
+    write_address(node, 0).await
+}
+
+/// State of a leaving upstream that an earlier process of this node has written to the store.
+pub async fn stored_leaving<D: Dialect>(
+    node: &Node<D>,
+) -> Result<Option<UpstreamRecord>, StoreError> {
+    let object = node.store.get(KIND_INSTANCES, &node.settings.instance).await?;
+    let Some(value) = object.and_then(|object| object.value) else { return Ok(None) };
+    let stored = match StoredInstance::deserialize(value) {
+        Ok(stored) => stored,
+        Err(error) => {
+            log::warn!(cause:% = error; "ignored an invalid registration of this node");
+            return Ok(None);
+        }
+    };
+    Ok(stored.leaving.map(|leaving| UpstreamRecord {
+        id: leaving.upstream,
+        slots: 0,
+        ready: false,
+        has_left: leaving.left,
+        started_unix_ms: leaving.started_unix_ms,
+        sequence: leaving.sequence,
+    }))
+}
+
 /// Writes the node's address in place of the object with this version; 0 if there is none.
 async fn write_address<D: Dialect>(
     node: &Node<D>,
     version: ObjectVersion,
 ) -> Result<(), StoreError> {
     let own_name = &node.settings.instance;
-    let value = serde_json::to_value(node.own_record().address)
-        .map_err(|error| StoreError::Refused(format!("the address has no JSON form: {error}")))?;
+    let value = registration(node)?;
     let written = match node.store.put(KIND_INSTANCES, own_name, value.clone(), version).await {
         Err(StoreError::Conflict { current }) if current != version => {
             node.store.put(KIND_INSTANCES, own_name, value, current).await?
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     clock::Timestamp,
+    mesh::Losses,
     names::{Incarnation, InstanceName, ServiceName, ZoneName},
 };
 
@@ -149,6 +150,7 @@
     services: HashMap<ServiceName, Vec<Arc<Member>>>,
     /// Includes instances that are in the store but have not published a record yet.
     addresses: Addresses,
+    live_count: usize,
 }
 
 impl Members {
@@ -172,6 +174,12 @@
         self.addresses.len()
     }
 
+    /// Number of instances without the lost ones: the size of the fleet, for all that is divided among
+    /// its members.
+    pub fn live_len(&self) -> usize {
+        self.live_count
+    }
+
     /// Whether no instance is known.
     pub fn is_empty(&self) -> bool {
         self.addresses.is_empty()
@@ -204,6 +212,7 @@
     changes: BTreeMap<u64, InstanceName>,
     /// Addresses from the store, updated by records.
     addresses: Addresses,
+    losses: Losses,
     /// Sequence number of the last change.
     sequence: u64,
 }
@@ -262,19 +271,68 @@
         if entry.member.silent == silent {
             return false;
         }
+        Arc::make_mut(&mut entry.member).silent = silent;
+        self.record_change(instance);
+        true
+    }
+
+    /// Gives an instance the next sequence number, so that it is sent to other nodes again.
+    fn record_change(&mut self, instance: &str) {
+        let Some(entry) = self.entries.get_mut(instance) else { return };
         self.sequence += 1;
         self.changes.remove(&entry.change_sequence);
         self.changes.insert(self.sequence, entry.member.record.instance.clone());
         entry.change_sequence = self.sequence;
-        Arc::make_mut(&mut entry.member).silent = silent;
-        true
     }
 
-    /// Records an exchange with an instance itself; returns whether it was marked as silent.
+    /// Records an exchange with an instance itself; returns whether it was marked as silent or lost.
     pub fn record_contact(&mut self, now: Timestamp, instance: &str) -> bool {
         let Some(entry) = self.entries.get_mut(instance) else { return false };
         entry.last_contact_at = Some(now);
-        self.set_silent(instance, false)
+        let was_lost = self.losses.record_contact(now, instance);
+        if was_lost {
+            self.record_change(instance);
+        }
+        self.set_silent(instance, false) || was_lost
+    }
+
+    /// Marks instances as lost that the first hub `own` has not heard of; returns those.
+    pub fn mark_lost(&mut self, now: Timestamp, own: &str) -> Vec<InstanceName> {
+        let late = self.losses.mark_lost(now, own, &self.addresses);
+        for name in &late {
+            self.record_change(name);
+        }
+        late
+    }
+
+    /// Applies what the first hub has decided about an instance: the time for which it is lost, or `None`
+    /// if it is not; returns whether this is a change.
+    pub fn set_lost(&mut self, now: Timestamp, instance: &str, lost_for: Option<Duration>) -> bool {
+        self.losses.apply(now, instance, lost_for)
+    }
+
+    /// Time for which an instance is lost; `None` if it is not.
+    pub fn lost_for(&self, now: Timestamp, instance: &str) -> Option<Duration> {
+        self.losses.lost_for(now, instance)
+    }
+
+    /// Whether the first hub `own` is in contact with more than half of the fleet.
+    pub fn has_majority(&self, now: Timestamp, own: &str) -> bool {
+        self.losses.has_majority(now, own, &self.addresses)
+    }
+
+    /// Instances whose registrations the first hub `own` removes.
+    pub fn removable(&self, now: Timestamp, own: &str) -> Vec<(InstanceName, InstanceAddress)> {
+        self.losses.removable(now, own, &self.addresses)
+    }
+
+    /// Removes an instance whose registration was removed.
+    pub fn remove(&mut self, instance: &str) {
+        if let Some(entry) = self.entries.remove(instance) {
+            self.changes.remove(&entry.change_sequence);
+        }
+        Arc::make_mut(&mut self.addresses).remove(instance);
+        self.losses.forget(instance);
     }
 
     /// Clears the times of the last exchanges when the node starts to act as a hub: until then,
@@ -283,6 +341,7 @@
         for entry in self.entries.values_mut() {
             entry.last_contact_at = None;
         }
+        self.losses.reset_contacts();
     }
 
     /// Marks as silent all instances without an exchange for `SILENCE_LIMIT`, except the node's own
@@ -322,7 +381,11 @@
 
     /// Takes a snapshot for the request path.
     pub fn members(&self) -> Members {
-        let mut members = Members { addresses: self.addresses.clone(), ..Default::default() };
+        let mut members = Members {
+            addresses: self.addresses.clone(),
+            live_count: self.losses.live_count(&self.addresses),
+            ..Default::default()
+        };
         for entry in self.entries.values() {
             let service = entry.member.record.service.clone();
             members.services.entry(service).or_default().push(entry.member.clone());
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -412,7 +412,7 @@
     head: &CallHead,
     keys_are_fresh: bool,
 ) -> Result<Option<Arc<Organisation>>, EntryRefusal> {
-    if route.open {
+    if route.open || !catalog.needs_keys() {
         return Ok(None);
     }
     if !keys_are_fresh {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -19,7 +19,9 @@
 mod entry;
 mod forward;
 mod guard;
+mod leaving;
 pub mod link;
+mod losses;
 mod node;
 mod operators;
 mod pacing;
@@ -42,6 +44,7 @@
 mod run;
 mod running;
 mod settings;
+mod sole_holder;
 mod stop;
 pub mod supervise;
 mod sync;
@@ -60,6 +63,7 @@
     UpstreamRecord,
 };
 pub use guard::{Guard, GuardResult};
+pub use losses::Losses;
 pub use node::{FreshnessProof, Node};
 pub use operators::{MeshMetrics, Origin};
 pub use pacing::Pacer;
@@ -68,8 +72,8 @@
 pub use processor::ProcessorLimit;
 pub use rank::{Rank, RankOrder};
 pub use rates::{
-    CONTACT_LIFETIME, Grant, HomeLookup, HubNumber, OrganisationHash, RateHome, RateHomes,
-    TakeTokenResult, TokenStock, Want,
+    Grant, HomeLookup, HubNumber, OrganisationHash, RateHome, RateHomes, TakeTokenResult,
+    TokenStock, Want,
 };
 pub use registry::{MessageEffect, Upstream, UpstreamTracker};
 pub use retry_budget::{RetryBound, RetryBudget};
@@ -80,5 +84,6 @@
 pub use settings::{
     LiveSettings, MeshListen, MeshSettings, RawMeshListen, RawMeshSettings, RawStore,
 };
+pub use sole_holder::{CONTACT_LIFETIME, ContactProof, HolderContacts, HolderUse, Standing};
 pub use stop::PlannedStop;
 pub use sync::{home_hub, hub_count, min_sync_interval, to_token_count};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -21,8 +21,8 @@
         Bounds, Call, Catalog, CatalogSource, Dialect, Directory, Guard, GuardResult,
         InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics, MeshSettings,
         MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound, RetryBudget,
-        RootAdmission, RootFloor, RouteUsage, TokenStock, UpstreamRecord, UpstreamTracker,
-        link::Links, proto::mesh_client::MeshClient, request::BufferedRequest,
+        RootAdmission, RootFloor, RouteUsage, TokenStock, Upstream, UpstreamRecord,
+        UpstreamTracker, link::Links, proto::mesh_client::MeshClient, request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
     peers::{self, MAX_MESSAGE_BYTES},
@@ -34,6 +34,9 @@
 
 /// A node that has not acted as the first hub for this long is no longer treated as the first hub.
 const FIRST_HUB_LIFETIME_MS: u64 = 1_000;
+/// Time without contact to other nodes after which the registration is checked; a hub removes it after
+/// some 8 s.
+const MAX_UNCHECKED_SILENCE: Duration = Duration::from_secs(5);
 /// Safety margin below [`Bounds::revoke`], since the freshness check and the use of the key are not
 /// simultaneous.
 const REVOKE_MARGIN: Duration = Duration::from_millis(150);
@@ -93,6 +96,17 @@
     pub links: Links,
     /// Last known era of the store; marked as changed when the store has come back from a copy.
     pub era: watch::Sender<StoreEra>,
+    /// Notified when the registration may have been removed while the node was out of contact.
+    pub registration_check: Notify,
+    /// Whether the addresses of the fleet have been received from the store or from another node.
+    is_fleet_known: AtomicBool,
+    is_state_known: AtomicBool,
+    /// Whether another node has answered this process as the first hub.
+    has_heard_first_hub: AtomicBool,
+    /// Sequence number of this process's record that another node or the store is known to have.
+    confirmed_sequence: AtomicU64,
+    /// Milliseconds since boot of the last exchange with another node; 0 without one.
+    last_contact_ms: AtomicU64,
     started_at: Timestamp,
     /// Whether another node has stated no later configuration than the one in force here.
     is_compared: AtomicBool,
@@ -149,6 +163,12 @@
             refresh_requested: Notify::new(),
             links: Links::default(),
             era: watch::Sender::new(0),
+            registration_check: Notify::new(),
+            is_fleet_known: AtomicBool::new(false),
+            is_state_known: AtomicBool::new(false),
+            has_heard_first_hub: AtomicBool::new(false),
+            confirmed_sequence: AtomicU64::new(0),
+            last_contact_ms: AtomicU64::new(0),
             started_at: clock::now(),
             is_compared: AtomicBool::new(false),
             peers: Mutex::default(),
@@ -276,13 +296,17 @@
     pub fn update_record(&self) {
         let tracker = self.upstream_tracker.lock();
         let upstream = tracker.current();
+        let is_state_known = self.is_state_known();
         let service = match upstream {
             Some(upstream) => upstream.heartbeat.service.clone(),
             None => self.live_settings.load().service.clone(),
         };
         // When the node stops after its upstream has left, the record without an upstream removes the
         // instance from the fleet.
-        let announced = upstream.filter(|_| !(self.is_leaving() && tracker.has_left(clock::now())));
+        let announced = upstream
+            .filter(|_| !(self.is_leaving() && tracker.has_left(clock::now())))
+            .filter(|it| is_state_known || !it.is_ready());
+        let left_before = tracker.leaving_record().filter(|_| !self.is_leaving());
         let upstream = announced.map(|it| UpstreamRecord {
             id: it.heartbeat.upstream.clone(),
             slots: it.heartbeat.slots,
@@ -291,6 +315,7 @@
             started_unix_ms: it.heartbeat.started_unix_ms,
             sequence: it.heartbeat.sequence,
         });
+        let upstream = upstream.or(left_before);
         drop(tracker);
         let mut own = self.own_record.lock();
         let leaving = self.is_leaving();
@@ -350,7 +375,7 @@
         };
         log::info!(upstream:% = id; "an answer of the upstream states that it is leaving");
         if let Some(upstream) = upstream {
-            self.guard.set_upstream(upstream);
+            self.use_upstream(upstream);
             self.update_record();
         }
     }
@@ -360,7 +385,13 @@
         if record.incarnation == self.incarnation {
             return;
         }
-        let Some(earlier) = &record.upstream else { return };
+        if let Some(earlier) = &record.upstream {
+            self.apply_earlier_upstream(earlier);
+        }
+    }
+
+    /// Applies the upstream's state that an earlier process of this node has published.
+    pub fn apply_earlier_upstream(&self, earlier: &UpstreamRecord) {
         let upstream = {
             let mut tracker = self.upstream_tracker.lock();
             match tracker.apply_earlier_record(clock::now(), earlier) {
@@ -373,11 +404,60 @@
                 upstream:% = earlier.id, left = earlier.has_left;
                 "the upstream was leaving before this process started; marked it as leaving"
             );
+            self.use_upstream(upstream);
+        }
+        // A successor of this process must learn of it, too.
+        self.update_record();
+    }
+
+    /// Uses the state of the local upstream, once that which an earlier process has published is known.
+    pub fn use_upstream(&self, upstream: Upstream) {
+        if self.is_state_known() {
             self.guard.set_upstream(upstream);
-            self.update_record();
         }
     }
 
+    /// Whether another node or the store has been asked for the state of the upstream that an earlier
+    /// process of this node has published.
+    pub fn is_state_known(&self) -> bool {
+        self.is_state_known.load(Ordering::Acquire)
+    }
+
+    /// Records that the state which an earlier process has published is known, and uses the upstream.
+    pub fn set_state_known(&self) {
+        self.is_state_known.store(true, Ordering::Release);
+        let upstream = self.upstream_tracker.lock().current().cloned();
+        if let Some(upstream) = upstream {
+            self.guard.set_upstream(upstream);
+        }
+        self.update_record();
+    }
+
+    /// Whether another node or the store has this process's record up to this sequence number.
+    pub fn is_confirmed(&self, sequence: u64) -> bool {
+        self.confirmed_sequence.load(Ordering::Acquire) >= sequence
+    }
+
+    /// Records that another node or the store has this process's record up to this sequence number.
+    pub fn record_confirmation(&self, sequence: u64) {
+        self.confirmed_sequence.fetch_max(sequence, Ordering::AcqRel);
+    }
+
+    /// Whether another node has answered this process as the first hub.
+    pub fn has_heard_first_hub(&self) -> bool {
+        self.has_heard_first_hub.load(Ordering::Acquire)
+    }
+
+    /// Records that another node has answered this process as the first hub.
+    pub fn record_first_hub_heard(&self) {
+        self.has_heard_first_hub.store(true, Ordering::Release);
+    }
+
+    /// Whether the addresses of the fleet are known.
+    pub fn is_fleet_known(&self) -> bool {
+        self.is_fleet_known.load(Ordering::Acquire)
+    }
+
     fn publish_record(&self, own: &InstanceRecord) {
         let mut directory = self.directory.lock();
         directory.merge(own.clone());
@@ -397,6 +477,50 @@
         let mut directory = self.directory.lock();
         directory.set_stored_addresses(addresses);
         self.members.store(Arc::new(directory.members()));
+        self.is_fleet_known.store(true, Ordering::Release);
+    }
+
+    /// Number of instances in the fleet, without the lost ones; 0 while it is unknown, since a node that has
+    /// just started knows only itself.
+    pub fn fleet_size(&self) -> usize {
+        match self.is_fleet_known.load(Ordering::Acquire) {
+            true => self.members.load().live_len(),
+            false => 0,
+        }
+    }
+
+    /// Records an exchange with another node. After a long time without one, the registration is checked,
+    /// since a hub may have removed it.
+    pub fn record_peer_contact(&self, now: Timestamp) {
+        let now_ms = clock::to_millis(now);
+        let last_ms = self.last_contact_ms.fetch_max(now_ms, Ordering::AcqRel);
+        let silence = Duration::from_millis(now_ms.saturating_sub(last_ms));
+        if last_ms > 0 && silence > MAX_UNCHECKED_SILENCE {
+            log::info!(
+                silence_ms = clock::to_millis(silence);
+                "back in contact with other nodes; checking the registration in the store"
+            );
+            self.registration_check.notify_one();
+        }
+    }
+
+    /// Records that another node has answered an exchange of this node, and with it sent the records of the
+    /// fleet.
+    pub fn record_peer_answer(&self, now: Timestamp) {
+        self.is_fleet_known.store(true, Ordering::Release);
+        self.record_peer_contact(now);
+    }
+
+    /// Whether the node acts as the first hub without contact to more than half of the fleet.
+    pub fn is_isolated_hub(&self, now: Timestamp) -> bool {
+        self.is_first_hub(now) && !self.directory.lock().has_majority(now, &self.settings.instance)
+    }
+
+    /// Removes an instance whose registration in the store was removed.
+    pub fn remove_instance(&self, instance: &str) {
+        let mut directory = self.directory.lock();
+        directory.remove(instance);
+        self.members.store(Arc::new(directory.members()));
     }
 
     /// Records that the node acts as the hub of this number. The first hub also detects silent instances.
@@ -410,9 +534,17 @@
         if !was_hub {
             directory.reset_contacts();
         }
-        if directory.mark_silent(now, &self.settings.instance) {
+        let lost = directory.mark_lost(now, &self.settings.instance);
+        if directory.mark_silent(now, &self.settings.instance) || !lost.is_empty() {
             self.members.store(Arc::new(directory.members()));
         }
+        drop(directory);
+        if !lost.is_empty() {
+            log::warn!(
+                instances:? = lost;
+                "instances are lost; they no longer count as members of the fleet"
+            );
+        }
     }
 
     /// Number of hubs; 1 until the first hub has announced it.
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -151,6 +151,11 @@
     first_hub: bool,
     /// Number of instances that the node knows.
     instances: usize,
+    /// Number of them that are lost, and do not count as members of the fleet.
+    instances_lost: usize,
+    /// Whether another node or the store has been asked for the state of the upstream that an earlier
+    /// process of this node has published; the upstream is not used before.
+    earlier_state_known: bool,
     /// Instances that receive no requests: leaving, silent, or without a ready upstream.
     out_of_use: Vec<InstanceName>,
     gate: Option<GateStatus>,
@@ -186,6 +191,8 @@
             store_era: node.store.era(),
             first_hub: node.is_first_hub(now),
             instances: members.len(),
+            instances_lost: members.len().saturating_sub(members.live_len()),
+            earlier_state_known: node.is_state_known(),
             out_of_use: out_of_use.map(|member| member.record.instance.clone()).collect(),
             gate: node.guard.gate_status(),
             named_rate_per_s: match node.guard.named_rate() {
@@ -219,6 +226,11 @@
             self.proof_age_ms.map_or(-1.0, |age_ms| age_ms as f64 / 1000.0),
         );
         gauge("instances", "Instances that the node knows", self.instances as f64);
+        gauge(
+            "instances_lost",
+            "Instances that the first hub has not heard of for seconds; they do not count as members",
+            self.instances_lost as f64,
+        );
         gauge(
             "instances_out_of_use",
             "Instances that receive no requests: leaving, silent, or without a ready upstream",
--- a/src/mesh/probe.rs
+++ b/src/mesh/probe.rs
@@ -29,7 +29,7 @@
 pub async fn run<D: Dialect>(node: Arc<Node<D>>) {
     let mut probes = 0;
     while probes < MAX_PROBES && node.guard.upstream().is_none() {
-        if let Some(path) = health_path(&node) {
+        if let Some(path) = health_path(&node).filter(|_| node.is_state_known()) {
             probes += 1;
             match timeout(PROBE_TIMEOUT, query_health(&node, &path)).await {
                 Ok(Ok(heartbeat)) => return apply_found(&node, heartbeat),
@@ -92,7 +92,7 @@
         tracker.current().cloned()
     };
     if let Some(upstream) = upstream {
-        node.guard.set_upstream(upstream);
+        node.use_upstream(upstream);
         node.update_record();
     }
 }
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -169,6 +169,13 @@
     /// The upstream has announced that it is removed permanently.
     #[prost(bool, tag = "15")]
     pub upstream_left: bool,
+    /// The first hub, in contact with more than half of the fleet, has received no exchange from the
+    /// instance for seconds; it does not count as a part of the fleet.
+    #[prost(bool, tag = "16")]
+    pub lost: bool,
+    /// Time for which `lost` has been true.
+    #[prost(uint32, tag = "17")]
+    pub lost_for_ms: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncRequest {
@@ -206,6 +213,14 @@
     /// Position of the sender's configuration; absent in messages of earlier builds.
     #[prost(message, optional, tag = "12")]
     pub position: ::core::option::Option<ConfigurationPosition>,
+    /// Time for which the sender has used no other instance as the hub of this number; absent in messages
+    /// of earlier builds.
+    #[prost(uint32, optional, tag = "13")]
+    pub exclusive_ms: ::core::option::Option<u32>,
+    /// `hub_time_ms` of the receiver's last reply, which shows that this message was sent later; 0 if there
+    /// was none.
+    #[prost(uint64, tag = "14")]
+    pub hub_time_ms: u64,
 }
 /// Position of a configuration among all that the operators have written; see src/mesh/position.rs.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -256,6 +271,9 @@
     /// Position of the hub's configuration; absent in replies of earlier builds.
     #[prost(message, optional, tag = "14")]
     pub position: ::core::option::Option<ConfigurationPosition>,
+    /// Time of the reply by the hub's clock, for the next request; other nodes do not interpret it.
+    #[prost(uint64, tag = "15")]
+    pub hub_time_ms: u64,
 }
 /// A request that was running when upstreams crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -3,8 +3,8 @@
 //! Each organisation has a home: one node, chosen by rendezvous hashing over the known instances,
 //! that holds its token bucket. Entry nodes draw tokens from the home ahead of demand. There is no
 //! consensus and no stored state. The total admitted rate stays within the limit because only a home
-//! in contact with more than half of the fleet grants the whole rate, and in a network partition
-//! the homes of the smaller parts grant less than their share.
+//! that is provably the only one grants the whole rate (see `sole_holder`), and the homes of smaller
+//! parts of the fleet grant a small fraction of their share.
 //!
 //! Load pattern: one organisation sends eight times its usual demand through all nodes at once,
 //! while another sends three requests per second spread over a dozen nodes.
@@ -13,24 +13,20 @@
 
 use crate::{
     clock::Timestamp,
-    mesh::{Organisation, sync::home_hub},
+    mesh::{
+        CONTACT_LIFETIME, ContactProof, HolderContacts, Organisation, Standing, sync::home_hub,
+    },
     names::{InstanceName, OrganisationName},
 };
 
-/// Fraction of its share of the rate that a home grants while it is in contact with at most half of
-/// the fleet. The rest of the fleet may have the whole rate, and the bound on the requests of an
-/// organisation leaves little margin above it.
-const MINORITY_FRACTION: f64 = 0.25;
-/// Time since the last draw of an instance after which it no longer counts as in contact with a home;
-/// entry nodes draw about four times per second. While entry nodes change from one home to another,
-/// both homes may be in contact with most of them for this long.
-pub const CONTACT_LIFETIME: Duration = Duration::from_millis(700);
-/// Time for which the number of instances in contact is cached: a home receives hundreds of requests
-/// per second.
-const CONTACT_COUNT_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a request, or in which the process was paused, after which a home starts again with
-/// empty buckets: another home may have granted tokens in the meantime.
-const HOME_IDLE_LIMIT: Duration = Duration::from_millis(700);
+/// Fraction of its share of the rate that a home grants while it is not provably the only one. Another
+/// part of the fleet may have the whole rate, and the bound on the requests of an organisation leaves
+/// a tenth above it, of which [`EXTRA_RATE_FRACTION`] uses a part: with 0.25, homes of half the fleet
+/// together would exceed it.
+const MINORITY_FRACTION: f64 = 0.1;
+/// Longest time without a request for which a home that is not the only one gains tokens: the fraction
+/// of the fleet that is in contact with it is unknown after that.
+const MAX_SHARED_GAIN: Duration = Duration::from_secs(2);
 /// Fraction of the rate that is granted in addition to it. Tokens in transit, and tokens at an entry
 /// node that receives no further request, are not used; without the addition, requests within the
 /// rate are refused. The platform's bound has a larger margin than this.
@@ -63,37 +59,93 @@
     pub retry_after: Duration,
 }
 
+/// Tokens of one organisation, as of the last update of the home.
 #[derive(Debug)]
 struct Bucket {
+    /// Tokens from the time in which the home was provably the only one.
     level: f64,
-    filled_at: Timestamp,
+    /// Tokens from other times, which a home that is not the only one may grant.
+    shared_level: f64,
+    rate_per_s: f64,
+    burst: f64,
+}
+
+impl Bucket {
+    /// Adds the tokens of a time as the only home, followed by a time in which another home may have
+    /// granted tokens. Another home gains at most the rate in that time, so this one loses as much: the
+    /// levels of all homes together never exceed the burst.
+    fn advance(&mut self, sole: Duration, other: Duration, shared_fraction: f64) {
+        self.level = (self.level + self.rate_per_s * sole.as_secs_f64()).min(self.burst);
+        self.level = (self.level - self.rate_per_s * other.as_secs_f64()).max(0.0);
+        if !sole.is_zero() {
+            self.shared_level = 0.0;
+        }
+        let shared_s = other.min(MAX_SHARED_GAIN).as_secs_f64();
+        let shared_burst = (self.burst * shared_fraction).max(1.0);
+        self.shared_level =
+            (self.shared_level + self.rate_per_s * shared_fraction * shared_s).min(shared_burst);
+    }
 }
 
 /// Token buckets of the organisations that have their home at this node.
+///
+/// Buckets gain tokens only for time in which the node is provably the only home.
 #[derive(Debug, Default)]
 pub struct RateHome {
-    /// Start of the period in which the node has been a home without interruption.
-    active_since: Timestamp,
+    /// Time up to which the buckets have gained tokens.
+    updated_at: Timestamp,
+    /// Start of the present uninterrupted time as the only home.
+    sole_since: Option<Timestamp>,
+    /// Time until which the node is provably the only home.
+    sole_until: Timestamp,
+    /// Fraction of the fleet that is in contact with the home.
+    contact_fraction: f64,
     /// Time of the last request to the node as a home.
     last_used_at: Option<Timestamp>,
-    /// Fraction of the rate that the home may grant, from 0 to 1.
-    granted_fraction: f64,
     buckets: HashMap<OrganisationName, Bucket>,
 }
 
 impl RateHome {
-    /// Sets the number of instances in contact with the home, in a fleet of the given size, and records
-    /// that the home is in use.
+    /// Sets the number of instances in contact with the home, in a fleet of the given size, where these
+    /// use no other home.
     pub fn set_contacts(&mut self, now: Timestamp, contacts: usize, fleet_size: usize) {
-        if self.last_used_at.is_none_or(|at| now > at + HOME_IDLE_LIMIT) {
-            // Another home, or another part of the fleet, may have granted tokens in the meantime.
-            self.buckets.clear();
-            self.active_since = now;
-        }
-        self.last_used_at = Some(now);
         let contact_fraction = contacts as f64 / fleet_size.max(1) as f64;
-        self.granted_fraction =
-            if contact_fraction > 0.5 { 1.0 } else { contact_fraction * MINORITY_FRACTION };
+        let sole_until = match contact_fraction > 0.5 {
+            true => now + CONTACT_LIFETIME,
+            false => Timestamp::ZERO,
+        };
+        self.set_standing(now, Standing { contact_fraction, sole_until });
+    }
+
+    /// Sets what the home may grant, and records that it is in use.
+    pub fn set_standing(&mut self, now: Timestamp, standing: Standing) {
+        self.advance(now);
+        self.last_used_at = Some(now);
+        self.contact_fraction = standing.contact_fraction;
+        self.sole_until = standing.sole_until;
+        self.sole_since = match now < self.sole_until {
+            true => Some(self.sole_since.unwrap_or(now)),
+            false => None,
+        };
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        let elapsed = now.saturating_sub(self.updated_at);
+        let sole = self.sole_until.min(now).saturating_sub(self.updated_at);
+        let other = elapsed - sole;
+        let shared_fraction = self.contact_fraction * MINORITY_FRACTION;
+        for bucket in self.buckets.values_mut() {
+            bucket.advance(sole, other, shared_fraction);
+        }
+        if !other.is_zero() {
+            self.sole_since = None;
+        }
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// Fraction of the rate that the home grants at this time, from 0 to 1.
+    fn granted_fraction(&self, now: Timestamp) -> f64 {
+        if now < self.sole_until { 1.0 } else { self.contact_fraction * MINORITY_FRACTION }
     }
 
     /// Grants tokens to an entry node, after adding those that it has returned to the bucket.
@@ -107,22 +159,31 @@
         let Some(rate_per_s) = organisation.rate_per_s else {
             return Grant { tokens: wanted, retry_after: Duration::ZERO };
         };
-        let rate_per_s = rate_per_s * (1.0 + EXTRA_RATE_FRACTION) * self.granted_fraction;
-        let burst = ((organisation.burst + EXTRA_BURST_TOKENS) * self.granted_fraction).max(1.0);
-        // A new bucket has been filling since the node became a home.
-        let active_since = self.active_since;
-        let bucket = self
-            .buckets
-            .entry(organisation.name.clone())
-            .or_insert(Bucket { level: 0.0, filled_at: active_since });
-        let elapsed_s = now.saturating_sub(bucket.filled_at).as_secs_f64();
-        bucket.filled_at = now;
-        bucket.level = (bucket.level + returned + rate_per_s * elapsed_s).min(burst);
-        let tokens = wanted.min(bucket.level.floor()).max(0.0);
-        bucket.level -= tokens;
+        self.advance(now);
+        let rate_per_s = rate_per_s * (1.0 + EXTRA_RATE_FRACTION);
+        let burst = organisation.burst + EXTRA_BURST_TOKENS;
+        let granted_per_s = rate_per_s * self.granted_fraction(now);
+        let is_sole = now < self.sole_until;
+        // A new bucket has been filling since the node became the only home.
+        let sole = self.sole_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let bucket = self.buckets.entry(organisation.name.clone()).or_insert_with(|| Bucket {
+            level: rate_per_s * sole.as_secs_f64(),
+            shared_level: 0.0,
+            rate_per_s,
+            burst,
+        });
+        (bucket.rate_per_s, bucket.burst) = (rate_per_s, burst);
+        bucket.level = (bucket.level + returned).min(burst);
+        let level = if is_sole { &mut bucket.level } else { &mut bucket.shared_level };
+        let tokens = wanted.min(level.floor()).max(0.0);
+        *level -= tokens;
         let missing = (wanted - tokens).min(1.0);
         let retry_after = match missing > 0.0 {
-            true => Duration::from_secs_f64(((1.0 - bucket.level) / rate_per_s).clamp(0.0, 60.0)),
+            // A home without contact grants nothing, and tells to come back late.
+            true => {
+                let wait_s = ((1.0 - *level) / granted_per_s).clamp(0.0, 60.0);
+                Duration::from_secs_f64(if wait_s.is_finite() { wait_s } else { 60.0 })
+            }
             false => Duration::ZERO,
         };
         Grant { tokens, retry_after }
@@ -135,11 +196,7 @@
 #[derive(Debug, Default)]
 struct NumberedHome {
     home: RateHome,
-    /// Time of the last request of each instance.
-    last_request_at: HashMap<InstanceName, Timestamp>,
-    /// Number of instances in contact, valid until `counted_until`.
-    contacts: usize,
-    counted_until: Timestamp,
+    contacts: HolderContacts,
 }
 
 /// Homes that a node acts as, by the hub number for which instances address it.
@@ -155,22 +212,31 @@
 
 impl RateHomes {
     /// Records a request of the instance `requester` to the node as the hub `number`, in a fleet of the
-    /// given size, and returns the home for that number.
+    /// given size, and returns the home for that number. The instance uses no other home for the number.
     pub fn record_contact(
         &mut self,
         now: Timestamp,
         number: HubNumber,
         requester: &InstanceName,
         fleet_size: usize,
+    ) -> &mut RateHome {
+        let proof = ContactProof::assumed(now);
+        self.record_proven_contact(now, number, requester, proof, fleet_size)
+    }
+
+    /// Like [`Self::record_contact`], with what the request proves about the homes that the instance
+    /// uses.
+    pub fn record_proven_contact(
+        &mut self,
+        now: Timestamp,
+        number: HubNumber,
+        requester: &InstanceName,
+        proof: ContactProof,
+        fleet_size: usize,
     ) -> &mut RateHome {
         let numbered = self.homes.entry(number).or_default();
-        numbered.last_request_at.insert(requester.clone(), now);
-        if now >= numbered.counted_until {
-            numbered.last_request_at.retain(|_, at| now <= *at + CONTACT_LIFETIME);
-            numbered.contacts = numbered.last_request_at.len();
-            numbered.counted_until = now + CONTACT_COUNT_INTERVAL;
-        }
-        numbered.home.set_contacts(now, numbered.contacts, fleet_size);
+        let standing = numbered.contacts.record(now, requester, proof, fleet_size);
+        numbered.home.set_standing(now, standing);
         &mut numbered.home
     }
 
@@ -178,8 +244,8 @@
     pub fn granted_fractions(&self, now: Timestamp) -> Vec<(HubNumber, f64)> {
         let active = self.homes.iter().filter_map(|(number, numbered)| {
             let home = &numbered.home;
-            let is_active = home.last_used_at.is_some_and(|at| now <= at + HOME_IDLE_LIMIT);
-            is_active.then_some((*number, home.granted_fraction))
+            let is_active = home.last_used_at.is_some_and(|at| now <= at + CONTACT_LIFETIME);
+            is_active.then_some((*number, home.granted_fraction(now)))
         });
         active.collect()
     }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -15,6 +15,12 @@
 /// its id are treated as late ones; messages may be delayed by seconds.
 const LATE_MESSAGE_WINDOW: Duration = Duration::from_secs(15);
 
+/// Time for which heartbeats of an apparently earlier start must arrive in order, without one of the known
+/// start, before it replaces the known one; late heartbeats arrive within 5 s.
+const STEPPED_CLOCK_TIME: Duration = Duration::from_secs(6);
+/// Number of such heartbeats.
+const STEPPED_CLOCK_HEARTBEATS: u32 = 4;
+
 /// The node's local upstream.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Upstream {
@@ -48,6 +54,18 @@
     departed: Option<(InstanceName, DepartedStart)>,
     /// The newest upstream record that an earlier process of this node published.
     earlier: Option<UpstreamRecord>,
+    /// Start that appears to be earlier than the known one and still sends heartbeats.
+    rival: Option<Rival>,
+}
+
+/// Heartbeats of a start of an upstream whose clock may have stepped back.
+#[derive(Debug)]
+struct Rival {
+    upstream: InstanceName,
+    started_unix_ms: u64,
+    last_sequence: u64,
+    heartbeats: u32,
+    first_at: Timestamp,
 }
 
 /// Start of an upstream that has left.
@@ -65,12 +83,35 @@
         self.current.as_ref()
     }
 
+    /// Record of an upstream that has left, or was leaving when an earlier process of this node ended, while
+    /// no other one is known.
+    pub fn leaving_record(&self) -> Option<UpstreamRecord> {
+        if self.current.is_some() {
+            return None;
+        }
+        let departed = self.departed.as_ref().map(|(id, start)| UpstreamRecord {
+            id: id.clone(),
+            slots: 0,
+            ready: false,
+            has_left: true,
+            started_unix_ms: match start {
+                DepartedStart::Known(started_unix_ms) => *started_unix_ms,
+                DepartedStart::Unknown(_) => 0,
+            },
+            sequence: 0,
+        });
+        departed.or_else(|| self.earlier.clone().filter(|earlier| !earlier.ready))
+    }
+
     /// Applies a heartbeat, unless it is late.
     pub fn apply_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) -> MessageEffect {
         let position = (heartbeat.started_unix_ms, heartbeat.sequence);
-        if self.has_departed(now, &heartbeat) || self.precedes_earlier_record(&heartbeat) {
+        if self.has_departed(now, &heartbeat) {
             return MessageEffect::Late;
         }
+        if self.precedes_earlier_record(&heartbeat) {
+            return self.apply_apparently_earlier(now, heartbeat);
+        }
         let Some(known) = &self.current else {
             self.set_current(now, heartbeat);
             return MessageEffect::Replaced;
@@ -78,9 +119,13 @@
         let known_position = (known.heartbeat.started_unix_ms, known.heartbeat.sequence);
         let same_start =
             known.heartbeat.upstream == heartbeat.upstream && position.0 == known_position.0;
-        if position < known_position || (!same_start && position.0 <= known_position.0) {
+        if same_start && position < known_position {
             return MessageEffect::Late;
         }
+        if !same_start && position.0 <= known_position.0 {
+            return self.apply_apparently_earlier(now, heartbeat);
+        }
+        self.rival = None;
         if !same_start {
             self.set_current(now, heartbeat);
             return MessageEffect::Replaced;
@@ -91,6 +136,39 @@
         if changed { MessageEffect::Changed } else { MessageEffect::Unchanged }
     }
 
+    /// Applies a heartbeat that appears to come from an earlier start than the known one. It is a late one,
+    /// unless heartbeats of that start go on while the known one sends none: then the clock has stepped
+    /// back between two starts, and an order by time would ignore the upstream for good.
+    fn apply_apparently_earlier(&mut self, now: Timestamp, heartbeat: Heartbeat) -> MessageEffect {
+        let is_rival = |rival: &Rival| {
+            rival.upstream == heartbeat.upstream
+                && rival.started_unix_ms == heartbeat.started_unix_ms
+        };
+        let Some(rival) = self.rival.as_mut().filter(|rival| is_rival(rival)) else {
+            self.rival = Some(Rival {
+                upstream: heartbeat.upstream,
+                started_unix_ms: heartbeat.started_unix_ms,
+                last_sequence: heartbeat.sequence,
+                heartbeats: 1,
+                first_at: now,
+            });
+            return MessageEffect::Late;
+        };
+        if heartbeat.sequence <= rival.last_sequence {
+            return MessageEffect::Late;
+        }
+        rival.last_sequence = heartbeat.sequence;
+        rival.heartbeats += 1;
+        if rival.heartbeats < STEPPED_CLOCK_HEARTBEATS || now < rival.first_at + STEPPED_CLOCK_TIME
+        {
+            return MessageEffect::Late;
+        }
+        self.rival = None;
+        self.earlier = None;
+        self.set_current(now, heartbeat);
+        MessageEffect::Replaced
+    }
+
     /// Applies a leave message; the upstream still serves for a short time.
     pub fn apply_leave(&mut self, now: Timestamp, upstream: &str) -> MessageEffect {
         let is_current =
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -21,9 +21,11 @@
     http_server::{self, pipelined},
     mesh::{
         Dialect, MeshSettings, MessageEffect, Node, PlannedStop, ProcessorLimit, Upstream,
-        UpstreamMessage, configuration, control, entry::CallerHandler, operators, peer_service,
-        probe, processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync,
+        UpstreamMessage, UpstreamState, configuration, control, entry::CallerHandler, leaving,
+        operators, peer_service, probe, processor::MEASUREMENT_INTERVAL, reload,
+        supervise::supervise, sync,
     },
+    names::ServiceName,
     store::ObjectApi as _,
 };
 
@@ -99,6 +101,8 @@
             tasks.spawn(supervise(name, move || task(node.clone())));
         };
     spawn(&mut control_tasks, "registration", |node| control::register(node).boxed());
+    spawn(&mut control_tasks, "removal", |node| control::remove_lost(node).boxed());
+    spawn(&mut control_tasks, "earlier state", |node| leaving::learn_earlier_state(node).boxed());
     spawn(&mut control_tasks, "configuration", |node| configuration::run(node).boxed());
     spawn(&mut control_tasks, "probe", |node| probe::run(node).boxed());
     spawn(&mut control_tasks, "state log", |node| log_state(node).boxed());
@@ -250,6 +254,21 @@
     }
 }
 
+/// Checks that the service in a heartbeat is that of the settings or one that the configuration names.
+fn check_service<D: Dialect>(
+    node: &Node<D>,
+    service: &ServiceName,
+) -> Result<(), (StatusCode, &'static str)> {
+    if *service == node.live_settings.load().service {
+        return Ok(());
+    }
+    match node.catalog.load().as_ref() {
+        Some(catalog) if catalog.names_service(service) => Ok(()),
+        Some(_) => Err((StatusCode::BAD_REQUEST, "the configuration names no such service")),
+        None => Err((StatusCode::SERVICE_UNAVAILABLE, "no configuration was read yet")),
+    }
+}
+
 async fn handle_upstream_message<D: Dialect>(
     node: Arc<Node<D>>,
     request: Request<Incoming>,
@@ -270,6 +289,16 @@
             return http_server::text(StatusCode::BAD_REQUEST, &cause);
         }
     };
+    if let UpstreamMessage::Heartbeat(heartbeat) = &message
+        && let Err((status, cause)) = check_service(&node, &heartbeat.service)
+    {
+        log::warn!(
+            upstream:% = heartbeat.upstream, service:% = heartbeat.service, status = status.as_u16(),
+            cause = cause;
+            "ignored the heartbeat of an upstream; the known one stays"
+        );
+        return http_server::text(status, cause);
+    }
     let now = clock::now();
     let (effect, upstream): (MessageEffect, Option<Upstream>) = {
         let mut tracker = node.upstream_tracker.lock();
@@ -287,8 +316,20 @@
     if matches!(effect, MessageEffect::Replaced | MessageEffect::Changed)
         && let Some(upstream) = upstream
     {
-        node.guard.set_upstream(upstream);
+        node.use_upstream(upstream);
+        node.update_record();
+    }
+    let is_leaving = match &message {
+        UpstreamMessage::Heartbeat(heartbeat) => heartbeat.state == UpstreamState::Draining,
+        UpstreamMessage::Leave { .. } => true,
+    };
+    if is_leaving {
+        // Publishes also the departure of an upstream of which no heartbeat has arrived.
         node.update_record();
+        if !leaving::confirm(&node).await {
+            let cause = "the state could not be made known beyond this process";
+            return http_server::text(StatusCode::SERVICE_UNAVAILABLE, cause);
+        }
     }
     http_server::json(StatusCode::OK, &serde_json::json!({}))
 }
--- /dev/null
+++ b/src/mesh/sole_holder/mod.rs
@@ -0,0 +1,146 @@
+//! Proof that a node is the only one that grants the tokens of a hub number.
+//!
+//! Load pattern: one organisation sends many times its rate while a hub is cut off, paused or
+//! restarted, so that other nodes take its place and it takes it back. Each of them is in contact with
+//! most of the fleet at some time, and a request to a paused hub is answered seconds later.
+//!
+//! An instance counts for a holder from the sending of a request on, for [`CONTACT_LIFETIME`], and only if
+//! it had used no other holder for that long. Two holders can never count the same instance at the same
+//! time, so at most one of them counts more than half of the fleet. The time at which a request was sent
+//! is bounded by the time at which the holder sent the reply whose time the request repeats; clocks of
+//! two nodes are never compared.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{clock::Timestamp, names::InstanceName};
+
+/// Time after a request of an instance for which it counts as in contact with a holder, and for which
+/// it must have used no other one before. An instance makes an exchange every 250 ms at least, and the
+/// proof of a request is as old as the exchange before it; a hub that is replaced costs this time without
+/// the whole rate.
+pub const CONTACT_LIFETIME: Duration = Duration::from_millis(900);
+/// Time for which the counted instances are cached: a holder receives hundreds of requests per second.
+const COUNT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a request to a holder shows about the instance that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ContactProof {
+    /// Time after which the request was sent, by the holder's clock; `None` if it is unknown, as in the
+    /// first request of an instance.
+    pub sent_after: Option<Timestamp>,
+    /// Time before the request for which the instance has used no other holder.
+    pub exclusive_for: Duration,
+}
+
+impl ContactProof {
+    /// Proof of a request that was sent just now by an instance that uses no other holder. Requests of
+    /// builds that state nothing are treated in this way.
+    pub fn assumed(now: Timestamp) -> Self {
+        Self { sent_after: Some(now), exclusive_for: CONTACT_LIFETIME }
+    }
+
+    /// Time until which the instance counts for the holder alone.
+    fn proven_until(self) -> Option<Timestamp> {
+        let sent_after = self.sent_after.filter(|_| self.exclusive_for >= CONTACT_LIFETIME)?;
+        Some(sent_after + CONTACT_LIFETIME)
+    }
+}
+
+/// What a holder may grant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// Fraction of the fleet that is in contact with the holder.
+    pub contact_fraction: f64,
+    /// Time until which the holder is provably the only one; the past if it is not proven.
+    pub sole_until: Timestamp,
+}
+
+#[derive(Debug)]
+struct Contact {
+    received_at: Timestamp,
+    proven_until: Option<Timestamp>,
+}
+
+/// Instances in contact with a holder of one hub number.
+#[derive(Debug, Default)]
+pub struct HolderContacts {
+    by_instance: HashMap<InstanceName, Contact>,
+    standing: Option<Standing>,
+    counted_until: Timestamp,
+}
+
+impl HolderContacts {
+    /// Records a request of an instance, in a fleet of the given size; a size of 0 is unknown, and
+    /// proves nothing.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        requester: &InstanceName,
+        proof: ContactProof,
+        fleet_size: usize,
+    ) -> Standing {
+        let contact = Contact { received_at: now, proven_until: proof.proven_until() };
+        self.by_instance.insert(requester.clone(), contact);
+        match self.standing {
+            Some(standing) if now < self.counted_until && now < standing.sole_until => standing,
+            _ => self.count(now, fleet_size),
+        }
+    }
+
+    fn count(&mut self, now: Timestamp, fleet_size: usize) -> Standing {
+        self.by_instance.retain(|_, contact| now <= contact.received_at + CONTACT_LIFETIME);
+        let contacts = self.by_instance.len();
+        let mut proven: Vec<Timestamp> =
+            self.by_instance.values().filter_map(|contact| contact.proven_until).collect();
+        let majority = fleet_size / 2 + 1;
+        let is_majority = fleet_size > 0 && proven.len() >= majority;
+        // As long as the last of the majority counts, all others of it count too.
+        let sole_until = match is_majority {
+            true => *proven.select_nth_unstable_by(majority - 1, |a, b| b.cmp(a)).1,
+            false => Timestamp::ZERO,
+        };
+        let contact_fraction = match fleet_size {
+            0 => 0.0,
+            size => (contacts as f64 / size as f64).min(1.0),
+        };
+        let standing = Standing { contact_fraction, sole_until };
+        self.standing = Some(standing);
+        self.counted_until = now + COUNT_INTERVAL;
+        standing
+    }
+}
+
+/// The holders that a node has used for one hub number.
+#[derive(Debug)]
+pub struct HolderUse {
+    holder: Option<InstanceName>,
+    /// Time of the last use of the present holder.
+    used_at: Timestamp,
+    /// Time of the last use of any other holder. An earlier process may have used one until the start.
+    others_until: Timestamp,
+}
+
+impl HolderUse {
+    /// State of a process that has started at this time.
+    pub fn new(started_at: Timestamp) -> Self {
+        Self { holder: None, used_at: started_at, others_until: started_at }
+    }
+
+    /// Records that the node begins to use a holder, and returns the time for which it has used no
+    /// other one.
+    pub fn begin(&mut self, now: Timestamp, holder: &InstanceName) -> Duration {
+        if self.holder.as_ref() != Some(holder) {
+            if self.holder.is_some() {
+                self.others_until = self.used_at;
+            }
+            self.holder = Some(holder.clone());
+        }
+        self.used_at = now;
+        now.saturating_sub(self.others_until)
+    }
+
+    /// Records the end of a use, also of a failed one: the holder may have received the request.
+    pub fn end(&mut self, now: Timestamp) {
+        self.used_at = now;
+    }
+}
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -6,16 +6,21 @@
 //! tokens of the organisations that have their home there. There is no consensus: while two nodes use
 //! different instances as the same hub, changes only reach them later.
 
-use std::{collections::HashMap, ops::RangeInclusive, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    ops::RangeInclusive,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::{
     clock::{self, Timestamp},
     mesh::{
-        Addresses, Dialect, Grant, HubNumber, InstanceAddress, InstanceRecord, MergeResult, Node,
-        OrganisationHash, Pacer, Position, UpstreamRecord, Want, configuration, pause::jittered,
-        proto,
+        Addresses, ContactProof, Dialect, Grant, HolderUse, HubNumber, InstanceAddress,
+        InstanceRecord, MergeResult, Node, OrganisationHash, Pacer, Position, UpstreamRecord, Want,
+        configuration, pause::jittered, proto,
     },
     names::InstanceName,
     once::QuarantineEntry,
@@ -48,6 +53,8 @@
 /// to [`MAX_FAILURE_PAUSE`].
 const FIRST_FAILURE_PAUSE: Duration = Duration::from_secs(1);
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(8);
+/// Time between two exchanges that a first hub without contact to most of the fleet attempts.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 /// How much fresher another node's proof must be before this node requests it.
 const PROOF_ADVANTAGE: Duration = Duration::from_millis(300);
 /// Value of `proof_age_ms` in messages of a node that has no freshness proof.
@@ -61,8 +68,11 @@
 struct Contact {
     hub_incarnation: u64,
     hub_sequence: u64,
+    /// Time of the hub's last reply by its own clock; 0 without one.
+    hub_time_ms: u64,
     /// Generation and sequence of this node's record at the hub.
     known_record: (u64, u64),
+    known_incarnation: u64,
     /// Instances for which the hub sent outdated records.
     outdated: Vec<InstanceName>,
     /// Number of this node's last crash change that was reported to the hub.
@@ -74,12 +84,23 @@
 /// Role of the receiving node in an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// The hub with this number; the first hub has the number 0.
-    Hub(HubNumber),
+    /// A hub.
+    Hub {
+        /// Number of the hub; the first hub has the number 0.
+        number: HubNumber,
+        /// Time for which this node has used no other instance as the hub of this number.
+        exclusive: Duration,
+    },
     /// Any other node.
     Peer,
 }
 
+impl Role {
+    fn is_first_hub(self) -> bool {
+        matches!(self, Self::Hub { number: 0, .. })
+    }
+}
+
 /// Instances with a failed last exchange, each with the end and the length of its current pause.
 #[derive(Debug, Default)]
 struct FailurePauses(HashMap<InstanceName, (Instant, Duration)>);
@@ -104,6 +125,8 @@
     let mut sync_now = node.sync_now.subscribe();
     let mut contacts: HashMap<InstanceName, Contact> = HashMap::new();
     let mut pacer = Pacer::default();
+    let mut holder_use = HolderUse::new(clock::now());
+    let (mut next_search, mut searched) = (Instant::now() + SEARCH_INTERVAL, 0);
     loop {
         let began = Instant::now();
         let members = node.members.load_full();
@@ -120,7 +143,11 @@
             Some(hub) if hub != node.settings.instance => {
                 let address = members.addresses()[&hub].clone();
                 let contact = contacts.entry(hub.clone()).or_default();
-                match exchange(&node, &address, contact, &wants, Role::Hub(number)).await {
+                let exclusive = holder_use.begin(now, &hub);
+                let role = Role::Hub { number, exclusive };
+                let exchanged = exchange(&node, &address, contact, &wants, role).await;
+                holder_use.end(clock::now());
+                match exchanged {
                     Ok(()) => drop(pauses.0.remove(&hub)),
                     Err(cause) => {
                         log::warn!(
@@ -138,14 +165,23 @@
             _ => {
                 node.act_as_hub(number, now);
                 if number == 0 {
-                    node.set_hub_count(hub_count(hubs, members.len()));
+                    node.set_hub_count(hub_count(hubs, members.live_len()));
                 }
-                let grants = draw_tokens(&node, number, &node.settings.instance, &wants);
+                let own = &node.settings.instance;
+                let proof = ContactProof {
+                    sent_after: Some(now),
+                    exclusive_for: holder_use.begin(now, own),
+                };
+                let grants = draw_tokens(&node, number, own, proof, &wants);
                 apply_grants(&node, &wants, grants);
+                if number == 0 && began >= next_search && node.is_isolated_hub(now) {
+                    next_search = began + SEARCH_INTERVAL;
+                    searched = search_other(&node, &ranking, searched).await;
+                }
             }
         }
         node.tokens_granted.notify_waiters();
-        let pause = pacer.record_exchange(now, min_sync_interval(members.len()));
+        let pause = pacer.record_exchange(now, min_sync_interval(members.live_len()));
         sleep_until(began + pause.max(MIN_SYNC_INTERVAL)).await;
         // An error means that the sender was dropped with the node; a timeout, that the regular
         // interval has passed.
@@ -153,6 +189,30 @@
     }
 }
 
+/// Makes an exchange with the next other instance in the ranking after `searched` ones; returns the number
+/// of searched ones.
+///
+/// A first hub makes no exchanges of its own. If it was cut off and the others have removed it, they no
+/// longer know its address and do not return to it by themselves.
+async fn search_other<D: Dialect>(
+    node: &Arc<Node<D>>,
+    ranking: &Ranking,
+    searched: usize,
+) -> usize {
+    let others = ranking.order.iter().filter(|it| **it != node.settings.instance);
+    let others: Vec<&InstanceName> = others.collect();
+    let Some(instance) = searched.checked_rem(others.len()).map(|index| others[index]) else {
+        return 0;
+    };
+    let address = node.members.load().addresses().get(instance).cloned();
+    if let Some(address) = address
+        && let Err(cause) = exchange_once(node, &address).await
+    {
+        log::debug!(instance:% = instance, cause = cause; "no exchange with another node");
+    }
+    searched.wrapping_add(1)
+}
+
 /// Makes one exchange with a node outside the loop of [`run`], to receive its freshness proof,
 /// configuration and records.
 pub async fn exchange_once<D: Dialect>(
@@ -162,6 +222,43 @@
     exchange(node, address, &mut Contact::default(), &[], Role::Peer).await
 }
 
+/// Sends the node's record to another node; returns an error unless that node then has it.
+pub async fn publish_to<D: Dialect>(
+    node: &Arc<Node<D>>,
+    address: &InstanceAddress,
+) -> Result<(), String> {
+    // The first exchange may find the record of an earlier process, and raise the generation above it.
+    for _ in 0..2 {
+        let own = node.own_record();
+        let mut contact = Contact::default();
+        exchange(node, address, &mut contact, &[], Role::Peer).await?;
+        let has_own = contact.known_incarnation == own.incarnation;
+        if has_own && contact.known_record >= (own.generation, own.sequence) {
+            return Ok(());
+        }
+    }
+    Err("the node has another record of this instance".to_owned())
+}
+
+/// The first `count` other instances in the ranking for the first hub, without silent ones: the nodes that
+/// are told of an upstream's leaving, and that a restarted node asks.
+pub fn first_ranked<D: Dialect>(node: &Node<D>, count: usize) -> Vec<InstanceAddress> {
+    let members = node.members.load();
+    let silent: HashSet<&InstanceName> = members
+        .with_record()
+        .filter(|member| member.silent)
+        .map(|member| &member.record.instance)
+        .collect();
+    let mut ranking = Ranking::default();
+    ranking.update(members.addresses(), 0);
+    let others = ranking
+        .order
+        .iter()
+        .filter(|it| **it != node.settings.instance && !silent.contains(*it))
+        .take(count);
+    others.filter_map(|it| members.addresses().get(it).cloned()).collect()
+}
+
 async fn exchange<D: Dialect>(
     node: &Arc<Node<D>>,
     address: &InstanceAddress,
@@ -171,7 +268,7 @@
 ) -> Result<(), String> {
     let own = node.own_record();
     let sent_at = clock::now();
-    let is_first_hub = role == Role::Hub(0);
+    let is_first_hub = role.is_first_hub();
     let (crash_changes, crashed) = {
         let crashes = node.guard.crashes.lock();
         match is_first_hub && crashes.change_number() != contact.reported_crash_change {
@@ -196,13 +293,18 @@
             })
             .collect(),
         hub: match role {
-            Role::Hub(number) => u32::try_from(number + 1).unwrap_or(u32::MAX),
+            Role::Hub { number, .. } => u32::try_from(number + 1).unwrap_or(u32::MAX),
             Role::Peer => 0,
         },
         later: later_records(node, std::mem::take(&mut contact.outdated)),
         crashed: crashed.iter().map(crashed_to_proto).collect(),
         verdicts: contact.known_verdict_change,
         position: Some(node.position().into()),
+        exclusive_ms: match role {
+            Role::Hub { exclusive, .. } => Some(clock::to_millis_u32(exclusive)),
+            Role::Peer => None,
+        },
+        hub_time_ms: contact.hub_time_ms,
     };
     let mut peer = node.peer(address.peer_address);
     let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
@@ -210,6 +312,7 @@
         Ok(Err(status)) => return Err(status.message().to_owned()),
         Err(_) => return Err(format!("no answer within {SYNC_TIMEOUT:?}")),
     };
+    node.record_peer_answer(clock::now());
     // A restarted hub has lost the crashes that were reported to its earlier process.
     let same_process =
         reply.hub_incarnation == contact.hub_incarnation || contact.hub_incarnation == 0;
@@ -217,10 +320,15 @@
     contact.known_verdict_change = reply.verdicts;
     contact.hub_incarnation = reply.hub_incarnation;
     contact.hub_sequence = reply.hub_sequence;
+    contact.hub_time_ms = reply.hub_time_ms;
     contact.known_record = (reply.known_generation, reply.known_sequence);
+    contact.known_incarnation = reply.known_incarnation;
     node.raise_generation(reply.known_generation, reply.known_incarnation);
     contact.outdated = apply_records(node, std::mem::take(&mut reply.records), role);
     apply_crashed(node, &reply.crashed);
+    if is_first_hub {
+        node.record_first_hub_heard();
+    }
     if is_first_hub && reply.hubs > 0 {
         node.set_hub_count(usize::try_from(reply.hubs).unwrap_or(MAX_HUBS).min(MAX_HUBS));
     }
@@ -257,10 +365,13 @@
     if records.is_empty() {
         return outdated;
     }
+    let now = clock::now();
     let (mut changed, mut own_earlier) = (false, Vec::new());
+    let has_no_hub = node.is_first_hub(now) || !node.has_heard_first_hub();
     let mut directory = node.directory.lock();
     for record in records {
         let silent = record.silent;
+        let lost_for = record.lost.then(|| Duration::from_millis(u64::from(record.lost_for_ms)));
         let Some(record) = from_proto(record) else { continue };
         if record.instance == node.settings.instance {
             own_earlier.push(record);
@@ -274,8 +385,12 @@
         }
         // Hubs receive the exchanges of an instance at different times, so only the first hub decides
         // which instances are silent.
-        if role == Role::Hub(0) {
+        if role.is_first_hub() {
             changed |= directory.set_silent(&instance, silent);
+            changed |= directory.set_lost(now, &instance, lost_for);
+        } else if lost_for.is_some() && has_no_hub {
+            // A node that starts as the first hub takes over what the one before has decided.
+            changed |= directory.set_lost(now, &instance, lost_for);
         }
     }
     if changed {
@@ -341,15 +456,32 @@
     let record = request.record.and_then(from_proto);
     apply_later_records(node, request.later);
     apply_crashed(node, &request.crashed);
-    let (changes, known) = {
+    node.record_peer_contact(now);
+    let (sequence, records, known) = {
         let mut directory = node.directory.lock();
+        // A process that has just started learns what the earlier one has published, also where its own
+        // record takes the place of that one.
+        let earlier = record.as_ref().and_then(|record| {
+            let known = directory.record_of(&instance)?;
+            (known.incarnation != record.incarnation).then(|| to_proto(known, false))
+        });
         let mut changed =
             record.is_some_and(|record| directory.merge(record) == MergeResult::Applied);
         changed |= directory.record_contact(now, &instance);
         if changed {
             node.members.store(Arc::new(directory.members()));
         }
-        (directory.changes_since(known_sequence), directory.record_of(&instance).cloned())
+        let changes = directory.changes_since(known_sequence);
+        let records = changes.members.iter().map(|member| {
+            let lost_for = directory.lost_for(now, &member.record.instance);
+            proto::InstanceRecord {
+                lost: lost_for.is_some(),
+                lost_for_ms: clock::to_millis_u32(lost_for.unwrap_or_default()),
+                ..to_proto(&member.record, member.silent)
+            }
+        });
+        let records: Vec<_> = earlier.into_iter().chain(records).collect();
+        (changes.sequence, records, directory.record_of(&instance).cloned())
     };
     let wants: Vec<Want> = request
         .wants
@@ -361,7 +493,18 @@
         })
         .collect();
     let grants = match usize::try_from(request.hub).unwrap_or(0).checked_sub(1) {
-        Some(number) => draw_tokens(node, number, &instance, &wants),
+        Some(number) => {
+            let proof = match request.exclusive_ms {
+                Some(exclusive_ms) => ContactProof {
+                    sent_after: Some(of_this_process(request.hub_time_ms))
+                        .filter(|sent_ms| (1..=clock::to_millis(now)).contains(sent_ms))
+                        .map(Duration::from_millis),
+                    exclusive_for: Duration::from_millis(u64::from(exclusive_ms)),
+                },
+                None => ContactProof::assumed(now),
+            };
+            draw_tokens(node, number, &instance, proof, &wants)
+        }
         None => Vec::new(),
     };
     let grants = grants.into_iter().map(|grant| proto::Grant {
@@ -395,12 +538,8 @@
     let source = node.catalog_source.load();
     proto::SyncReply {
         hub_incarnation: node.incarnation,
-        hub_sequence: changes.sequence,
-        records: changes
-            .members
-            .iter()
-            .map(|member| to_proto(&member.record, member.silent))
-            .collect(),
+        hub_sequence: sequence,
+        records,
         catalog_version: position.version,
         position: Some(position.into()),
         proof_age_ms: match node.catalog.load().is_some() {
@@ -425,6 +564,7 @@
             true => u32::try_from(node.hub_count()).unwrap_or(0),
             false => 0,
         },
+        hub_time_ms: clock::to_millis(now),
     }
 }
 
@@ -433,13 +573,14 @@
     node: &Node<D>,
     number: HubNumber,
     requester: &InstanceName,
+    proof: ContactProof,
     wants: &[Want],
 ) -> Vec<Grant> {
     let now = clock::now();
-    let fleet_size = node.members.load().len();
+    let fleet_size = node.fleet_size();
     let catalog = node.catalog.load_full();
     let mut homes = node.homes.lock();
-    let home = homes.record_contact(now, number, requester, fleet_size);
+    let home = homes.record_proven_contact(now, number, requester, proof, fleet_size);
     let grants = wants.iter().map(|want| {
         match catalog.as_ref().and_then(|catalog| catalog.organisation(&want.organisation)) {
             Some(organisation) => home.grant_tokens(now, organisation, want.tokens, want.returned),
@@ -540,6 +681,8 @@
         upstream_started_unix_ms: upstream.map_or(0, |it| it.started_unix_ms),
         upstream_sequence: upstream.map_or(0, |it| it.sequence),
         upstream_left: upstream.is_some_and(|it| it.has_left),
+        lost: false,
+        lost_for_ms: 0,
     }
 }
 
--- /dev/null
+++ b/tests/mesh_fleet_state.rs
@@ -0,0 +1,325 @@
+//! A few real nodes with a stand-in for the store: acknowledged leaving, lost machines, and messages and
+//! configurations that are unusual. The test itself sends the heartbeats of the upstreams.
+
+#[path = "soak/mod.rs"]
+mod fleet;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use fleet::store::{Store, StoreFault};
+use hibiscusdoor::standin::{HttpReply, http_call, new_client};
+use http::Method;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Timeout for the fleet to reach an expected state.
+const WAIT: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(50);
+const KIND: &str = "hibiscusdoor-instances";
+
+struct Node {
+    address: IpAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Option<Child>,
+}
+
+impl Node {
+    fn start(&mut self) -> anyhow::Result<()> {
+        let output = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusd"))
+            .args(["mesh", "--settings"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        self.process = Some(child);
+        Ok(())
+    }
+
+    fn kill(&mut self) -> anyhow::Result<()> {
+        if let Some(mut child) = self.process.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        if let Some(child) = &self.process {
+            kill_process(Pid::from_child(child), signal)?;
+        }
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        port: u16,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> anyhow::Result<HttpReply> {
+        let url = format!("http://{}{path}", SocketAddr::new(self.address, port));
+        http_call(&new_client(), method, &url, headers, body.to_owned()).await
+    }
+
+    async fn state(&self) -> anyhow::Result<Value> {
+        Ok(self.call(Method::GET, 7005, "/state", &[], "").await?.json())
+    }
+
+    /// Waits until the state dump meets the condition.
+    async fn wait_for(&self, what: &str, is_met: impl Fn(&Value) -> bool) -> anyhow::Result<Value> {
+        let until = Instant::now() + WAIT;
+        loop {
+            let state = self.state().await;
+            if let Ok(state) = &state
+                && is_met(state)
+            {
+                return Ok(state.clone());
+            }
+            anyhow::ensure!(Instant::now() < until, "waited for {what}, last state {state:?}");
+            sleep(POLL).await;
+        }
+    }
+
+    async fn beat(&self, upstream: &str, fields: Value) -> anyhow::Result<u16> {
+        let path = format!("/instances/{upstream}");
+        let reply = self.call(Method::PUT, 7004, &path, &[], &fields.to_string()).await?;
+        Ok(reply.status.as_u16())
+    }
+
+    async fn leave(&self, upstream: &str) -> anyhow::Result<u16> {
+        let path = format!("/instances/{upstream}");
+        Ok(self.call(Method::DELETE, 7004, &path, &[], "").await?.status.as_u16())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.kill();
+    }
+}
+
+struct Fleet {
+    store: Arc<Store>,
+    nodes: Vec<Node>,
+    stop: CancellationToken,
+    _folder: TempDir,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+fn heartbeat(service: &str, born: u64, sequence: u64) -> Value {
+    json!({
+        "address": "127.0.0.1:9", "born": born,
+        "info": { "service": service, "version": "v1", "zone": "zone-a", "slots": 5 },
+        "status": { "state": "ready", "sequence": sequence, "coldRemaining": "0ms" },
+    })
+}
+
+fn configuration(with_organisations: bool) -> Value {
+    let mut resources = vec![
+        json!({"resourceType": "routes", "metadata": {"name": "orders"}, "spec": {
+            "host": "calls.example", "pathPrefix": "/", "kind": "unsafe", "timeout": "3000ms",
+            "aim": "1000ms", "priority": 0, "service": "orders", "maxAttempts": 1, "public": false}}),
+        json!({"resourceType": "services", "metadata": {"name": "orders"}, "spec": {
+            "healthPath": "/health", "maxConnections": 40, "protocol": "h1", "tls": false}}),
+    ];
+    if with_organisations {
+        resources.push(json!({"resourceType": "tenants", "metadata": {"name": "bars"}, "spec": {
+            "apiKeys": ["key-of-bars-0123"], "priority": 1, "ratePerS": 100, "burst": 100}}));
+    }
+    json!({ "version": 3, "resources": resources })
+}
+
+impl Fleet {
+    /// Starts nodes with upstreams that have sent one heartbeat, and waits until all know all.
+    async fn start(count: usize, case: u16) -> anyhow::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let stop = CancellationToken::new();
+        let (store, store_address) = Store::start("127.0.0.1:0", stop.clone()).await?;
+        store.write("config", "main", configuration(true));
+        let network = (std::process::id() % 200 + 20) as u8;
+        let address =
+            |index: usize| IpAddr::V4(Ipv4Addr::new(127, network, case as u8, (index + 1) as u8));
+        let mut nodes = Vec::new();
+        for index in 0..count {
+            let at = |port: u16| SocketAddr::new(address(index), port).to_string();
+            let seeds = (0..count).filter(|seed| *seed != index);
+            let seeds = seeds.map(|seed| SocketAddr::new(address(seed), 7004).to_string());
+            let settings = json!({
+                "instance": format!("node-{index}"), "zone": "zone-a", "service": "orders",
+                "upstream": at(7006),
+                "listen": {
+                    "callers": at(7001), "peers": at(7002), "readiness": at(7003),
+                    "heartbeats": at(7004), "operators": at(7005),
+                },
+                "store": { "address": store_address.to_string() },
+                "seeds": seeds.collect::<Vec<_>>(),
+                "bounds": { "drain": "2s", "grace": "6s", "revoke": "5s", "revokeFailClosed": true },
+                "log": { "level": "info", "format": "json" },
+            });
+            let path = folder.path().join(format!("node-{index}.json"));
+            std::fs::write(&path, settings.to_string())?;
+            let log = folder.path().join(format!("node-{index}.log"));
+            let mut node = Node { address: address(index), settings: path, log, process: None };
+            node.start()?;
+            nodes.push(node);
+        }
+        let fleet = Self { store, nodes, stop, _folder: folder };
+        for (index, node) in fleet.nodes.iter().enumerate() {
+            node.wait_for("the start", |state| {
+                state["earlier_state_known"] != false && state["configuration_version"] != 0
+            })
+            .await?;
+            node.beat(&format!("u-{index}"), heartbeat("orders", 1_000, 5)).await?;
+        }
+        for node in &fleet.nodes {
+            node.wait_for("all in use", |state| {
+                state["instances"] == count
+                    && state["out_of_use"].as_array().is_some_and(Vec::is_empty)
+            })
+            .await?;
+        }
+        Ok(fleet)
+    }
+}
+
+/// Guards against an acknowledged leaving that is lost with the process: a late heartbeat makes the
+/// restarted node use the upstream again.
+async fn a_leaving_outlives_the_process(
+    count: usize,
+    case: u16,
+    store_fault: StoreFault,
+) -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(count, case).await?;
+    fleet.store.set_fault(store_fault);
+    assert_eq!(fleet.nodes[0].leave("u-0").await?, 200);
+    fleet.nodes[0].kill()?;
+    fleet.nodes[0].start()?;
+    let node = &fleet.nodes[0];
+    node.wait_for("the restart", |state| {
+        state["earlier_state_known"] != false && state["instances"] == count
+    })
+    .await?;
+    assert_eq!(node.beat("u-0", heartbeat("orders", 1_000, 4)).await?, 200);
+    let state = node.state().await?;
+    let is_used = state["upstream"] == "u-0" && state["upstream_ready"] == true;
+    assert!(!is_used, "the upstream that has left is in use again: {state}");
+    // Another upstream takes the place.
+    node.beat("v-0", heartbeat("orders", 2_000, 1)).await?;
+    node.wait_for("another upstream", |state| state["upstream"] == "v-0").await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_that_another_node_knows_outlives_the_process() -> anyhow::Result<()> {
+    a_leaving_outlives_the_process(3, 1, StoreFault::None).await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_without_a_store_outlives_the_process() -> anyhow::Result<()> {
+    a_leaving_outlives_the_process(3, 2, StoreFault::Silent).await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_that_only_the_store_knows_outlives_the_process() -> anyhow::Result<()> {
+    a_leaving_outlives_the_process(1, 3, StoreFault::None).await
+}
+
+/// Guards against an acknowledgement of a leaving that nothing but the process knows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_that_nothing_else_knows_is_not_acknowledged() -> anyhow::Result<()> {
+    let fleet = Fleet::start(1, 4).await?;
+    fleet.store.set_fault(StoreFault::Unavailable);
+    assert_eq!(fleet.nodes[0].leave("u-0").await?, 503);
+    fleet.store.set_fault(StoreFault::None);
+    assert_eq!(fleet.nodes[0].leave("u-0").await?, 200);
+    Ok(())
+}
+
+/// Guards against registrations of lost machines that stay, and against an instance that was removed while
+/// it was paused and does not come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_instances_are_removed_and_come_back() -> anyhow::Result<()> {
+    let fleet = Fleet::start(3, 5).await?;
+    for (index, others) in [(0, 1), (2, 0)] {
+        let name = format!("node-{index}");
+        fleet.nodes[index].signal(Signal::STOP)?;
+        let until = Instant::now() + WAIT;
+        while fleet.store.contains(KIND, &name) {
+            anyhow::ensure!(Instant::now() < until, "the registration of {name} stays");
+            sleep(POLL).await;
+        }
+        fleet.nodes[index].signal(Signal::CONT)?;
+        let until = Instant::now() + WAIT;
+        while !fleet.store.contains(KIND, &name) {
+            anyhow::ensure!(Instant::now() < until, "{name} does not register again");
+            sleep(POLL).await;
+        }
+        fleet.nodes[others]
+            .wait_for("all in use", |state| {
+                state["instances"] == 3
+                    && state["instances_lost"] == 0
+                    && state["out_of_use"].as_array().is_some_and(Vec::is_empty)
+            })
+            .await?;
+    }
+    Ok(())
+}
+
+/// Guards against a heartbeat of another writer that takes the upstream of a node out of use.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn heartbeats_of_other_writers_are_ignored() -> anyhow::Result<()> {
+    let fleet = Fleet::start(1, 6).await?;
+    let node = &fleet.nodes[0];
+    let mut missing = heartbeat("orders", 9_000, 1);
+    missing["status"] = json!({});
+    let mut other_type = heartbeat("orders", 9_000, 1);
+    other_type["info"]["slots"] = json!("many");
+    for fields in [heartbeat("unheard", 9_000, 1), missing, other_type, json!("no heartbeat")] {
+        assert_eq!(node.beat("w-0", fields).await?, 400);
+        let state = node.state().await?;
+        assert_eq!((&state["upstream"], &state["service"]), (&json!("u-0"), &json!("orders")));
+        assert_eq!(state["upstream_ready"], true);
+    }
+    Ok(())
+}
+
+/// Guards against status 401 for all requests where the configuration has no organisations.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn without_organisations_no_request_needs_a_key() -> anyhow::Result<()> {
+    let fleet = Fleet::start(1, 7).await?;
+    let node = &fleet.nodes[0];
+    let headers =
+        [("host", "calls.example"), ("x-attempt-id", "00000a0000000001"), ("x-deadline-ms", "500")];
+    // Within the first second, keys are not decided on.
+    let until = Instant::now() + WAIT;
+    while node.call(Method::GET, 7001, "/x", &headers, "").await?.status.as_u16() != 401 {
+        anyhow::ensure!(Instant::now() < until, "a request without a key is not refused");
+        sleep(POLL).await;
+    }
+    let mut without = configuration(false);
+    without["version"] = json!(4);
+    let version = fleet.store.write("config", "main", without);
+    node.wait_for("the configuration", |state| state["configuration_version"] == version).await?;
+    let reply = node.call(Method::GET, 7001, "/x", &headers, "").await?;
+    assert_ne!(reply.status.as_u16(), 401);
+    Ok(())
+}
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -158,3 +158,39 @@
     unless_the_upstream_has_started_again(
         None, earlier(false, 5, 8), &[("a", 6, 1, READY, MessageEffect::Replaced)], true),
 }
+
+/// Guards against an upstream that stays out of use for good after its clock has stepped back between two
+/// starts, and against a start that is taken for the present one although the known one is still heard.
+fn a_start_with_an_earlier_time(upstream: &str, known_is_heard: bool, is_used: bool) {
+    let mut tracker = UpstreamTracker::default();
+    let mut now = NOW;
+    tracker.apply_heartbeat(now, heartbeat("a", 50, 9, READY));
+    for sequence in 1..=8 {
+        now += Duration::from_millis(1500);
+        tracker.apply_heartbeat(now, heartbeat(upstream, 20, sequence, READY));
+        if known_is_heard {
+            tracker.apply_heartbeat(now, heartbeat("a", 50, 9 + sequence, READY));
+        }
+    }
+    let known = tracker.current().expect("an upstream");
+    assert_eq!(known.heartbeat.started_unix_ms == 20, is_used);
+}
+
+crate::cases! { a_start_with_an_earlier_time:
+    of_another_upstream("b", false, true),
+    of_the_same_upstream("a", false, true),
+    beside_the_known_one("b", true, false),
+}
+
+/// Guards against late heartbeats of an earlier start, as many as arrive within the lateness of messages,
+/// that replace a start which has not been heard of since.
+#[test]
+fn late_heartbeats_do_not_replace_a_later_start() {
+    let mut tracker = UpstreamTracker::default();
+    tracker.apply_heartbeat(NOW, heartbeat("b", 50, 1, READY));
+    for (sequence, late_ms) in [(7, 500), (8, 2_000), (9, 3_500), (10, 5_000)] {
+        let now = NOW + Duration::from_millis(late_ms);
+        let effect = tracker.apply_heartbeat(now, heartbeat("a", 20, sequence, READY));
+        assert_eq!(effect, MessageEffect::Late);
+    }
+}
