Tell a short time to return while a home does not know its fleet

Until a new process has read the addresses of the fleet, its home has no rate, and the time until the next token came out as 60 s.

--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -179,11 +179,11 @@
         *level -= tokens;
         let missing = (wanted - tokens).min(1.0);
         let retry_after = match missing > 0.0 {
-            // A home without contact grants nothing, and tells to come back late.
-            true => {
-                let wait_s = ((1.0 - *level) / granted_per_s).clamp(0.0, 60.0);
-                Duration::from_secs_f64(if wait_s.is_finite() { wait_s } else { 60.0 })
+            true if granted_per_s > 0.0 => {
+                Duration::from_secs_f64(((1.0 - *level) / granted_per_s).clamp(0.0, 60.0))
             }
+            // A home that does not know the fleet yet has no rate to tell the time by.
+            true => CONTACT_LIFETIME,
             false => Duration::ZERO,
         };
         Grant { tokens, retry_after }
