--- a/src/memory/machine.rs
+++ b/src/memory/machine.rs
@@ -9,8 +9,8 @@
 const FALLBACK_DESCRIPTORS: usize = 4_096;
 const MEMORY_FILE: &str = "/proc/meminfo";
 
-/// Memory of the machine: `stated` by the settings, or `MemTotal` of `/proc/meminfo` up to
-/// [`MAX_ASSUMED_MEMORY_BYTES`].
+/// Memory of the machine: `stated` by the settings, or `MemTotal` of `/proc/meminfo`, up to that of a small
+/// machine.
 pub fn machine_memory_bytes(stated: Option<usize>) -> usize {
     if let Some(bytes) = stated {
         return bytes;
