Count the requests that pay for retries over the whole window

The bound on retries counts the requests of a window, of the one before it or of the one half a window before it, whichever has most.

--- a/src/mesh/chains/admission.rs
+++ b/src/mesh/chains/admission.rs
@@ -1,13 +1,16 @@
 //! Admission of call chains that use a service which refuses a part of its requests.
 //!
 //! Load pattern: see the parent module. Each entry node has an account of retries for each service.
-//! The calls of its chains add the ratio of the bound, the retries of these calls are taken off, and a
-//! share of the slack is added over time. What can be saved is limited to that of a short time, so that
-//! the bound also holds in a window in which few requests follow. A chain begins if the account holds
-//! more than is set aside from it, and what its retries are expected to need is held until its end.
+//! It holds the ratio of the bound for the calls of its chains in the last window and a share of the slack,
+//! less the retries of these calls in the same time. A chain begins if the account holds more than is set
+//! aside from it, and what its retries are expected to need is held until its end.
 //! Chains compete by their retry rank: of the account, more is set aside from those of higher rank.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     clock::Timestamp,
@@ -19,11 +22,8 @@
 const USED_RATIO_FRACTION: f64 = 0.83;
 /// Fraction of the slack that is used: nodes' views of the size of the fleet differ at times.
 const USED_SLACK_FRACTION: f64 = 0.4;
-/// Time whose calls fill the account. A longer one would permit more retries than the bound in a
-/// window of which most has few requests.
-const SAVED_TIME: Duration = Duration::from_millis(1900);
-/// Time constant of the mean rate of calls.
-const RATE_TIME_CONSTANT: Duration = Duration::from_secs(5);
+/// Slices of a window, each with its own counts.
+const SLICES_PER_WINDOW: u32 = 20;
 /// Factor of the expected retries of a chain that are reserved, so that its last calls find some.
 const RESERVED_FACTOR: f64 = 1.1;
 /// Fraction of the account that is set aside from a chain, as a multiple of its retry rank, and its
@@ -69,33 +69,43 @@
 /// Retries of one service that this entry node may reserve.
 #[derive(Debug)]
 struct Account {
-    available: f64,
-    calls_per_s: f64,
-    updated_at: Timestamp,
+    /// Calls and retries of ended chains in the slices of the last window, by the number of the slice.
+    slices: VecDeque<(u64, f64, f64)>,
+    /// Retries that are held for running chains.
+    held: f64,
     probed_at: Timestamp,
 }
 
 impl Account {
     fn new(now: Timestamp) -> Self {
-        Self { available: 0.0, calls_per_s: 0.0, updated_at: now, probed_at: now }
-    }
-
-    fn max_available(&self, ratio: f64, slack: f64) -> f64 {
-        ratio * self.calls_per_s * SAVED_TIME.as_secs_f64() + slack
+        Self { slices: VecDeque::new(), held: 0.0, probed_at: now }
     }
 
-    fn advance_to(&mut self, now: Timestamp, share: &Share) {
-        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.updated_at = self.updated_at.max(now);
-        self.calls_per_s *= (-elapsed_s / RATE_TIME_CONSTANT.as_secs_f64()).exp();
-        let added = share.slack * elapsed_s / share.window_s;
-        let limit = self.max_available(share.ratio, share.slack);
-        self.available = (self.available + added).min(limit);
+    /// Retries that the calls of the last window permit, and those of them that are left.
+    fn allowance(&mut self, slice: u64, share: &Share) -> (f64, f64) {
+        while self
+            .slices
+            .front()
+            .is_some_and(|(first, ..)| first + u64::from(SLICES_PER_WINDOW) < slice)
+        {
+            self.slices.pop_front();
+        }
+        let (calls, retries) = self
+            .slices
+            .iter()
+            .fold((0.0, 0.0), |sum, (_, calls, retries)| (sum.0 + calls, sum.1 + retries));
+        let allowed = share.ratio * calls + share.slack;
+        (allowed, allowed - retries - self.held)
     }
 
-    fn add(&mut self, retries: f64, share: &Share) {
-        let limit = self.max_available(share.ratio, share.slack);
-        self.available = (self.available + retries).min(limit);
+    fn add(&mut self, slice: u64, calls: f64, retries: f64) {
+        match self.slices.back_mut() {
+            Some((last, all_calls, all_retries)) if *last == slice => {
+                *all_calls += calls;
+                *all_retries += retries;
+            }
+            _ => self.slices.push_back((slice, calls, retries)),
+        }
     }
 }
 
@@ -103,7 +113,6 @@
 struct Share {
     ratio: f64,
     slack: f64,
-    window_s: f64,
 }
 
 /// Decides which call chains begin while a service that they use refuses a part of its requests.
@@ -138,7 +147,7 @@
         retry_rank: f64,
         is_below_floor: bool,
     ) -> ChainVerdict {
-        let share = self.share(fleet_size);
+        let (share, slice) = (self.share(fleet_size), self.slice_at(now));
         let retry_rank = if is_below_floor { retry_rank.min(FLOOR_RANK) } else { retry_rank };
         let mut reservation: Option<RetryReservation> = None;
         for used in &usage.services {
@@ -147,10 +156,9 @@
                 continue;
             }
             let account = account_of(&mut self.accounts, &used.service, now);
-            account.advance_to(now, &share);
-            let set_aside = (SET_ASIDE_PER_RANK * retry_rank).min(MAX_SET_ASIDE)
-                * account.max_available(share.ratio, share.slack);
-            if account.available > set_aside {
+            let (allowed, available) = account.allowance(slice, &share);
+            let set_aside = (SET_ASIDE_PER_RANK * retry_rank).min(MAX_SET_ASIDE) * allowed;
+            if available > set_aside {
                 let retries_per_call = RESERVED_FACTOR * refused_share / (1.0 - refused_share);
                 // The calls themselves will add to the account.
                 let held = (retries_per_call - share.ratio).max(0.0) * used.requests;
@@ -171,7 +179,7 @@
             return ChainVerdict::Refuse { service: used.service.clone(), refused_share };
         }
         if let Some(reservation) = &reservation {
-            account_of(&mut self.accounts, &reservation.service, now).available -= reservation.held;
+            account_of(&mut self.accounts, &reservation.service, now).held += reservation.held;
         }
         ChainVerdict::Begin(reservation.map(Arc::new))
     }
@@ -182,34 +190,35 @@
         &mut self,
         now: Timestamp,
         usage: &Usage,
-        fleet_size: usize,
         reservation: Option<&RetryReservation>,
     ) {
-        let share = self.share(fleet_size);
+        let slice = self.slice_at(now);
         if let Some(reservation) = reservation {
             self.refund(reservation);
         }
         for used in &usage.services {
             let account = account_of(&mut self.accounts, &used.service, now);
-            account.advance_to(now, &share);
-            account.calls_per_s += used.requests / RATE_TIME_CONSTANT.as_secs_f64();
-            let retries = (used.arrivals - used.requests).max(0.0);
-            account.add(share.ratio * used.requests - retries, &share);
+            account.add(slice, used.requests, (used.arrivals - used.requests).max(0.0));
         }
     }
 
     /// Returns the retries that are held for a chain.
     pub fn refund(&mut self, reservation: &RetryReservation) {
         if let Some(account) = self.accounts.get_mut(&reservation.service) {
-            account.available += reservation.held;
+            account.held -= reservation.held;
         }
     }
 
+    /// Number of the slice that contains `now`.
+    fn slice_at(&self, now: Timestamp) -> u64 {
+        let slice = self.bound.window / SLICES_PER_WINDOW;
+        u64::try_from(now.as_nanos() / slice.as_nanos().max(1)).unwrap_or(u64::MAX)
+    }
+
     fn share(&self, fleet_size: usize) -> Share {
         Share {
             ratio: self.bound.ratio * USED_RATIO_FRACTION,
             slack: self.bound.slack * USED_SLACK_FRACTION / fleet_size.max(1) as f64,
-            window_s: self.bound.window.as_secs_f64().max(f64::MIN_POSITIVE),
         }
     }
 }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -568,9 +568,8 @@
     }
     if admitted.call.depth == 0 {
         let reservation = admitted.call.reservation.as_deref();
-        let fleet_size = node.members.load().live_len();
         let mut chain_admission = node.chain_admission.lock();
-        chain_admission.record_end(clock::now(), &result.usage, fleet_size, reservation);
+        chain_admission.record_end(clock::now(), &result.usage, reservation);
     }
     if succeeded {
         node.route_usage.lock().record(&admitted.call.route, &result.usage);
--- a/src/mesh/retry_budget.rs
+++ b/src/mesh/retry_budget.rs
@@ -35,13 +35,6 @@
 /// fleet, and the nodes' views of that size differ at times.
 const USED_SLACK_FRACTION: f64 = 0.4;
 
-/// Time whose requests are the most that may be saved up for retries in any shorter part of the window.
-/// Without this limit, the requests of the whole window before a fault would permit retries at once,
-/// and the bound would be exceeded in the window that follows if fewer requests arrive in it.
-const SAVED_TIME: Duration = Duration::from_millis(1900);
-/// The least that may be saved up, so that single failures at small rates are retried.
-const MIN_SAVED: f64 = 4.0;
-
 /// Square roots of the reserved retries by which they may be exceeded at a node: how many its calls need
 /// varies, and the nodes' deviations cancel each other out over the fleet.
 const OVERDRAFT_DEVIATIONS: f64 = 2.0;
@@ -100,14 +93,6 @@
         }
     }
 
-    /// Sums over the latest slice, the latest two, and so on.
-    fn recent_sums(&self) -> impl Iterator<Item = Counts> {
-        self.slices.iter().rev().scan(Counts::default(), |sum, (_, counts)| {
-            sum.add(*counts);
-            Some(*sum)
-        })
-    }
-
     /// Sum over the window that ends with `slice`; drops older slices.
     fn sum(&mut self, slice: u64) -> Counts {
         while self
@@ -204,16 +189,11 @@
         let slice = self.slice_at(now);
         let RetryBound { ratio, slack, .. } = self.bound;
         let slack = slack * USED_SLACK_FRACTION / fleet_size.max(1) as f64;
-        let saved_fraction = SAVED_TIME.as_secs_f64() / self.bound.window.as_secs_f64();
-        let own = self.window_of(service);
-        let all = own.sum(slice);
-        let is_exhausted = |counts: &Counts, saved: f64| {
-            let allowed = ratio * counts.weighted_requests + slack + saved;
-            counts.retries + 1.0 > allowed
-                || counts.retries > allowed * (1.0 - MAX_RESERVED_FRACTION * retry_rank)
-        };
-        let saved = (ratio * all.weighted_requests * saved_fraction).max(MIN_SAVED);
-        if is_exhausted(&all, 0.0) || own.recent_sums().any(|counts| is_exhausted(&counts, saved)) {
+        let own = self.window_of(service).sum(slice);
+        let allowed = ratio * own.weighted_requests + slack;
+        if own.retries + 1.0 > allowed
+            || own.retries > allowed * (1.0 - MAX_RESERVED_FRACTION * retry_rank)
+        {
             return false;
         }
         for used in uses_of_other_services(service, usage) {
