Reserve the memory of large link frames as they arrive

A decoder reserved the stated length of a frame at its announcement. The memory is now reserved in steps; announced_frames_take_no_memory fails without the change.

--- a/src/mesh/link/frames.rs
+++ b/src/mesh/link/frames.rs
@@ -15,7 +15,8 @@
 /// Size of the buffer of one read.
 const READ_BYTES: usize = 8 << 10;
 /// Size above which a frame is reserved in the memory budget before it is read. Smaller ones never wait
-/// for memory, so that usual requests and replies pass.
+/// for memory, so that usual requests and replies pass. The memory of a larger one is reserved in steps
+/// as it arrives: a node that announced 64 MiB and sent nothing took the memory of all callers.
 const UNRESERVED_FRAME_BYTES: usize = 64 << 10;
 /// Time between two attempts to reserve memory.
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -59,19 +60,23 @@
         if length > MAX_MESSAGE_BYTES {
             return Err(invalid(format!("a frame of {length} bytes, above {MAX_MESSAGE_BYTES}")));
         }
-        if length > UNRESERVED_FRAME_BYTES && self.reserved.is_none() {
+        let total = size_of::<u32>() + length;
+        if length > UNRESERVED_FRAME_BYTES {
             if length > self.memory.limit_bytes() {
                 return Err(invalid(format!(
                     "a frame of {length} bytes exceeds the memory budget"
                 )));
             }
-            self.reserved = self.memory.reserve(length);
-            if self.reserved.is_none() {
+            let step = total.min((2 * input.len()).max(UNRESERVED_FRAME_BYTES));
+            if !self.reserve(step) {
                 self.waits_for_memory = true;
                 return Ok(None);
             }
+            if input.len() < total {
+                input.reserve(step - input.len());
+                return Ok(None);
+            }
         }
-        let total = size_of::<u32>() + length;
         if input.len() < total {
             input.reserve(total - input.len());
             return Ok(None);
@@ -85,6 +90,17 @@
         LinkFrame::decode(bytes).map(Some).map_err(|error| invalid(error.to_string()))
     }
 
+    /// Raises the reservation of the frame that is being read to this size; false if there is no memory.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        let held = self.reserved.as_ref().map_or(0, Reservation::bytes);
+        let Some(added) = self.memory.reserve(bytes.saturating_sub(held)) else { return false };
+        match &mut self.reserved {
+            Some(reserved) => reserved.merge(added),
+            None => self.reserved = Some(added),
+        }
+        true
+    }
+
     /// Whether the budget has no memory for the next frame. Nothing more may be read until it has.
     pub fn waits_for_memory(&self) -> bool {
         self.waits_for_memory
