--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -425,6 +425,9 @@
 /// Retry-After of a root request that was refused since a service is full: a time with room, or the whole
 /// time that the caller has left if there is no room within it.
 fn promise_return<D: Dialect>(node: &Node<D>, admitted: &Admitted) -> Duration {
+    if !node.admits_chains() {
+        return retry_after(&admitted.route);
+    }
     let (now, call) = (clock::now(), &admitted.call);
     let organisation = call.organisation.as_ref();
     let advice =
@@ -439,6 +442,9 @@
 
 /// Decides whether a call chain begins while services that it uses refuse a part of their requests.
 fn begin_chain<D: Dialect>(node: &Node<D>, call: &Call) -> ChainVerdict {
+    if !node.admits_chains() {
+        return ChainVerdict::Begin(None);
+    }
     let now = clock::now();
     let route_usage = node.route_usage.lock();
     let Some(usage) = route_usage.mean(&call.route) else { return ChainVerdict::Begin(None) };
@@ -494,7 +500,9 @@
         if is_admitted || now >= give_up_at {
             node.root_floor.lock().record(now, &route.name, organisation, is_admitted);
             node.returns.lock().record(now, &route.name, organisation, is_admitted);
-            if let Some(usage) = node.route_usage.lock().mean(&route.name) {
+            if node.admits_chains()
+                && let Some(usage) = node.route_usage.lock().mean(&route.name)
+            {
                 let mut root_admission = node.root_admission.lock();
                 root_admission.record_decision(now, usage, urgency, organisation, is_admitted);
             }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -326,6 +326,11 @@
             && (!self.evacuates_zones() || self.evacuations.load().is_known())
     }
 
+    /// Whether root requests are admitted by their call chains, by shares and with promised returns.
+    pub fn admits_chains(&self) -> bool {
+        self.live_settings.load().admits_chains
+    }
+
     /// Whether the platform evacuates availability zones.
     pub fn evacuates_zones(&self) -> bool {
         self.live_settings.load().bounds.evacuate.is_some()
--- a/src/mesh/root_admission.rs
+++ b/src/mesh/root_admission.rs
@@ -254,8 +254,10 @@
             true => self.load > LIFT_LOAD,
             false => self.load > BIND_LOAD,
         };
-        // An overdraft is limited by the time in which it accrues, so it shrinks with the allowance.
-        if let (Some(before), Some(after)) = (allowance_before, self.allowance_per_s())
+        // An overdraft is limited by the time in which it accrues, so it shrinks with the allowance where
+        // shares are kept.
+        if !self.shares.is_empty()
+            && let (Some(before), Some(after)) = (allowance_before, self.allowance_per_s())
             && after < before
             && self.available_s < 0.0
         {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -49,6 +49,10 @@
     /// Limits of the node's machine, or of the process where the platform limits it.
     #[serde(default)]
     pub limits: RawMachineLimits,
+    /// Whether root requests are admitted by what their call chains can complete within the bound on retries,
+    /// by fair shares of organisations within a rank, and with a `Retry-After` at which there is room.
+    #[serde(default)]
+    pub chain_admission: bool,
     /// Whether the node learns from the answers of its upstream how many requests a second it takes, after a
     /// start, a crash and other interruptions.
     #[serde(default)]
@@ -139,6 +143,8 @@
     pub bounds: Bounds,
     /// Limits of the machine.
     pub limits: MachineLimits,
+    /// Whether root requests are admitted by their call chains, by shares and with promised returns.
+    pub admits_chains: bool,
     /// Whether the pace of the upstream is learned from its answers.
     pub learns_pace: bool,
     /// Logging.
@@ -163,6 +169,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
+    /// Whether root requests are admitted by their call chains, by shares and with promised returns.
+    pub admits_chains: bool,
     /// Whether the pace of the upstream is learned from its answers.
     pub learns_pace: bool,
 }
@@ -174,6 +182,7 @@
             service: settings.service.clone(),
             seeds: settings.seeds.clone(),
             bounds: settings.bounds,
+            admits_chains: settings.admits_chains,
             learns_pace: settings.learns_pace,
         }
     }
@@ -270,6 +279,7 @@
             seeds,
             bounds,
             limits,
+            admits_chains: raw.chain_admission,
             learns_pace: raw.pace,
             log: raw.log,
         })
