Bound the slices of retry accounts, and use one wrapper for reserved bytes

An account of retries dropped old slices only when a chain was decided on, so with chain_admission off it grew by two entries a second for each service; it drops them when it adds one, and nothing is recorded while the setting is off. Bodies of answers and large frames use memory::reserved_bytes instead of wrappers of their own, and the slices of a window are numbered in one place, RetryBound::slice_at.

--- a/src/http_client/body.rs
+++ b/src/http_client/body.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, sleep};
 
-use crate::memory::{MemoryBudget, Reservation};
+use crate::memory::{self, MemoryBudget, Reservation};
 
 /// Size up to which a body may use the whole budget, so that answers of usual size are read while
 /// larger ones wait for memory.
@@ -26,18 +26,6 @@
 /// Time between two attempts to reserve memory.
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A complete body, whose memory is returned to the budget when the last copy of its `Bytes` is dropped.
-struct Held<T> {
-    data: T,
-    _reserved: Reservation,
-}
-
-impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
-    fn as_ref(&self) -> &[u8] {
-        self.data.as_ref()
-    }
-}
-
 /// Reads a complete body of at most `max_bytes`; the error says why it was given up.
 pub async fn read(
     mut body: Incoming,
@@ -55,7 +43,7 @@
         if buffer.data.is_empty() && body.is_end_stream() {
             // Most bodies arrive in one piece, which is not copied.
             let reserved = reserve(memory, data.len(), 0).await?;
-            return Ok(Bytes::from_owner(Held { data, _reserved: reserved }));
+            return Ok(memory::reserved_bytes(data, reserved));
         }
         buffer.append(&data).await?;
     }
@@ -101,7 +89,7 @@
         let Some(mut reserved) = self.reserved else { return Bytes::new() };
         self.data.shrink_to_fit();
         reserved.shrink_to(self.data.capacity());
-        Bytes::from_owner(Held { data: self.data, _reserved: reserved })
+        memory::reserved_bytes(self.data.into(), reserved)
     }
 }
 
--- a/src/mesh/chains/admission.rs
+++ b/src/mesh/chains/admission.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     clock::Timestamp,
-    mesh::{RetryBound, ServiceRefusals, Usage},
+    mesh::{RetryBound, ServiceRefusals, Usage, retry_budget::SLICES_PER_WINDOW},
     names::ServiceName,
 };
 
@@ -22,8 +22,6 @@
 const USED_RATIO_FRACTION: f64 = 0.83;
 /// Fraction of the slack that is used: nodes' views of the size of the fleet differ at times.
 const USED_SLACK_FRACTION: f64 = 0.4;
-/// Slices of a window, each with its own counts.
-const SLICES_PER_WINDOW: u32 = 20;
 /// Factor of the expected retries of a chain that are reserved, so that its last calls find some.
 const RESERVED_FACTOR: f64 = 1.1;
 /// Fraction of the account that is set aside from a chain, as a multiple of its retry rank, and its
@@ -83,13 +81,7 @@
 
     /// Retries that the calls of the last window permit, and those of them that are left.
     fn allowance(&mut self, slice: u64, share: &Share) -> (f64, f64) {
-        while self
-            .slices
-            .front()
-            .is_some_and(|(first, ..)| first + u64::from(SLICES_PER_WINDOW) < slice)
-        {
-            self.slices.pop_front();
-        }
+        self.drop_old(slice);
         let (calls, retries) = self
             .slices
             .iter()
@@ -99,6 +91,7 @@
     }
 
     fn add(&mut self, slice: u64, calls: f64, retries: f64) {
+        self.drop_old(slice);
         match self.slices.back_mut() {
             Some((last, all_calls, all_retries)) if *last == slice => {
                 *all_calls += calls;
@@ -107,6 +100,17 @@
             _ => self.slices.push_back((slice, calls, retries)),
         }
     }
+
+    /// Drops slices that are older than the window.
+    fn drop_old(&mut self, slice: u64) {
+        while self
+            .slices
+            .front()
+            .is_some_and(|(first, ..)| first + u64::from(SLICES_PER_WINDOW) < slice)
+        {
+            self.slices.pop_front();
+        }
+    }
 }
 
 /// The entry node's share of the bound on retries.
@@ -147,7 +151,7 @@
         retry_rank: f64,
         is_below_floor: bool,
     ) -> ChainVerdict {
-        let (share, slice) = (self.share(fleet_size), self.slice_at(now));
+        let (share, slice) = (self.share(fleet_size), self.bound.slice_at(now));
         let retry_rank = if is_below_floor { retry_rank.min(FLOOR_RANK) } else { retry_rank };
         let mut reservation: Option<RetryReservation> = None;
         for used in &usage.services {
@@ -192,7 +196,7 @@
         usage: &Usage,
         reservation: Option<&RetryReservation>,
     ) {
-        let slice = self.slice_at(now);
+        let slice = self.bound.slice_at(now);
         if let Some(reservation) = reservation {
             self.refund(reservation);
         }
@@ -209,12 +213,6 @@
         }
     }
 
-    /// Number of the slice that contains `now`.
-    fn slice_at(&self, now: Timestamp) -> u64 {
-        let slice = self.bound.window / SLICES_PER_WINDOW;
-        u64::try_from(now.as_nanos() / slice.as_nanos().max(1)).unwrap_or(u64::MAX)
-    }
-
     fn share(&self, fleet_size: usize) -> Share {
         Share {
             ratio: self.bound.ratio * USED_RATIO_FRACTION,
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -474,7 +474,8 @@
     let urgency = catalog.as_ref().map_or(1.0, |it| it.urgency(admitted.call.rank));
     let organisation = admitted.call.organisation.as_ref();
     let deadline = admitted.call.deadline;
-    let is_promised = node.returns.lock().claim(clock::now(), &route.name, organisation, deadline);
+    let is_promised = node.admits_chains()
+        && node.returns.lock().claim(clock::now(), &route.name, organisation, deadline);
     if is_promised {
         node.metrics.record_return_admitted();
     }
@@ -499,12 +500,12 @@
         let is_admitted = verdict == RootVerdict::Admit;
         if is_admitted || now >= give_up_at {
             node.root_floor.lock().record(now, &route.name, organisation, is_admitted);
-            node.returns.lock().record(now, &route.name, organisation, is_admitted);
-            if node.admits_chains()
-                && let Some(usage) = node.route_usage.lock().mean(&route.name)
-            {
-                let mut root_admission = node.root_admission.lock();
-                root_admission.record_decision(now, usage, urgency, organisation, is_admitted);
+            if node.admits_chains() {
+                node.returns.lock().record(now, &route.name, organisation, is_admitted);
+                if let Some(usage) = node.route_usage.lock().mean(&route.name) {
+                    let mut root_admission = node.root_admission.lock();
+                    root_admission.record_decision(now, usage, urgency, organisation, is_admitted);
+                }
             }
             return verdict;
         }
@@ -574,8 +575,8 @@
     if let Some(parent) = &admitted.parent {
         parent.record_nested_call(&result.usage, result.was_refused, !succeeded);
     }
-    if admitted.call.depth == 0 {
-        let reservation = admitted.call.reservation.as_deref();
+    let reservation = admitted.call.reservation.as_deref();
+    if admitted.call.depth == 0 && (node.admits_chains() || reservation.is_some()) {
         let mut chain_admission = node.chain_admission.lock();
         chain_admission.record_end(clock::now(), &result.usage, reservation);
     }
--- a/src/mesh/link/frames.rs
+++ b/src/mesh/link/frames.rs
@@ -2,12 +2,12 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use bytes::{Buf as _, Bytes, BytesMut};
+use bytes::{Buf as _, BytesMut};
 use prost::Message as _;
 use tokio::{io::AsyncReadExt as _, net::tcp::OwnedReadHalf, time::sleep};
 
 use crate::{
-    memory::{MemoryBudget, Reservation},
+    memory::{self, MemoryBudget, Reservation},
     mesh::proto::LinkFrame,
     peers::MAX_MESSAGE_BYTES,
 };
@@ -30,18 +30,6 @@
     waits_for_memory: bool,
 }
 
-/// The bytes of a large frame, whose memory is returned when the last part of it is dropped.
-struct ReservedFrame {
-    bytes: Bytes,
-    _reserved: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedFrame {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl FrameDecoder {
     /// Creates a decoder that reserves large frames in `memory`.
     pub fn new(memory: Arc<MemoryBudget>) -> Self {
@@ -84,7 +72,7 @@
         input.advance(size_of::<u32>());
         let bytes = input.split_to(length).freeze();
         let bytes = match self.reserved.take() {
-            Some(reserved) => Bytes::from_owner(ReservedFrame { bytes, _reserved: reserved }),
+            Some(reserved) => memory::reserved_bytes(bytes, reserved),
             None => bytes,
         };
         LinkFrame::decode(bytes).map(Some).map_err(|error| invalid(error.to_string()))
--- a/src/mesh/retry_budget.rs
+++ b/src/mesh/retry_budget.rs
@@ -20,7 +20,7 @@
 };
 
 /// Slices of a window, each with its own counts.
-const SLICES_PER_WINDOW: u32 = 20;
+pub(super) const SLICES_PER_WINDOW: u32 = 20;
 /// Fraction of the bound that is used.
 const USED_BOUND_FRACTION: f64 = 0.97;
 /// Fraction of the bound that is set aside, for each level of calls above a request, for arrivals
@@ -50,6 +50,14 @@
     pub slack: f64,
 }
 
+impl RetryBound {
+    /// Number of the slice that contains `now`.
+    pub(super) fn slice_at(&self, now: Timestamp) -> u64 {
+        let slice = self.window / SLICES_PER_WINDOW;
+        u64::try_from(now.as_nanos() / slice.as_nanos().max(1)).unwrap_or(u64::MAX)
+    }
+}
+
 /// Counts of one service at a node.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
@@ -141,7 +149,7 @@
         depth: u32,
         usage: Option<&Usage>,
     ) {
-        let slice = self.slice_at(now);
+        let slice = self.bound.slice_at(now);
         let weighted_requests =
             USED_BOUND_FRACTION - ANCESTOR_FRACTION * f64::from(depth.min(MAX_ANCESTOR_LEVELS));
         let counts = Counts { weighted_requests, ..Counts::default() };
@@ -154,7 +162,7 @@
 
     /// Records the retries that the entry node of a chain has reserved for one of its calls.
     pub fn record_reservation(&mut self, now: Timestamp, reservation: &RetryReservation) {
-        let slice = self.slice_at(now);
+        let slice = self.bound.slice_at(now);
         let counts = Counts { reserved: reservation.retries_per_call, ..Counts::default() };
         self.window_of(&reservation.service).add(slice, counts);
     }
@@ -163,7 +171,7 @@
     ///
     /// The reservations of all chains are used in common, as calls need unequal numbers of retries.
     pub fn take_reserved_retry(&mut self, now: Timestamp, service: &ServiceName) -> bool {
-        let slice = self.slice_at(now);
+        let slice = self.bound.slice_at(now);
         let window = self.window_of(service);
         let sum = window.sum(slice);
         let overdraft = OVERDRAFT_DEVIATIONS * sum.reserved.sqrt();
@@ -186,7 +194,7 @@
         fleet_size: usize,
         retry_rank: f64,
     ) -> bool {
-        let slice = self.slice_at(now);
+        let slice = self.bound.slice_at(now);
         let RetryBound { ratio, slack, .. } = self.bound;
         let slack = slack * USED_SLACK_FRACTION / fleet_size.max(1) as f64;
         let own = self.window_of(service).sum(slice);
@@ -218,12 +226,6 @@
         }
         self.windows.get_mut(service).expect("the window has been inserted")
     }
-
-    /// Number of the slice that contains `now`.
-    fn slice_at(&self, now: Timestamp) -> u64 {
-        let slice = self.bound.window / SLICES_PER_WINDOW;
-        u64::try_from(now.as_nanos() / slice.as_nanos().max(1)).unwrap_or(u64::MAX)
-    }
 }
 
 /// Uses of services other than the called `service`.
