--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -325,6 +325,11 @@
         self.losses.lost_for(now, instance)
     }
 
+    /// Whether any instance is marked as silent or lost.
+    pub fn has_marks(&self) -> bool {
+        self.losses.has_any() || self.entries.values().any(|entry| entry.member.silent)
+    }
+
     /// Whether the first hub `own` is in contact with more than half of the fleet.
     pub fn has_majority(&self, now: Timestamp, own: &str) -> bool {
         self.losses.has_majority(now, own, &self.addresses)
--- a/src/mesh/losses/mod.rs
+++ b/src/mesh/losses/mod.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Whether any instance is lost.
+    pub fn has_any(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
     /// Time for which an instance is lost; `None` if it is not.
     pub fn lost_for(&self, now: Timestamp, instance: &str) -> Option<Duration> {
         self.lost.get(instance).map(|since| now.saturating_sub(*since))
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -81,6 +81,15 @@
     known_verdict_change: u64,
 }
 
+impl Contact {
+    /// Requests the records of all instances with the next exchange. A node that returns to a first hub may
+    /// have taken over marks from another one in the meantime; the hub does not know them and sends changed
+    /// records only, so the marks would stay.
+    fn request_all_records(&mut self) {
+        self.hub_sequence = 0;
+    }
+}
+
 /// Role of the receiving node in an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -126,6 +135,7 @@
     let mut contacts: HashMap<InstanceName, Contact> = HashMap::new();
     let mut pacer = Pacer::default();
     let mut holder_use = HolderUse::new(clock::now());
+    let mut last_hub: Option<InstanceName> = None;
     let (mut next_search, mut searched) = (Instant::now() + SEARCH_INTERVAL, 0);
     loop {
         let began = Instant::now();
@@ -143,12 +153,21 @@
             Some(hub) if hub != node.settings.instance => {
                 let address = members.addresses()[&hub].clone();
                 let contact = contacts.entry(hub.clone()).or_default();
+                if number == 0
+                    && last_hub.as_ref() != Some(&hub)
+                    && node.directory.lock().has_marks()
+                {
+                    contact.request_all_records();
+                }
                 let exclusive = holder_use.begin(now, &hub);
                 let role = Role::Hub { number, exclusive };
                 let exchanged = exchange(&node, &address, contact, &wants, role).await;
                 holder_use.end(clock::now());
                 match exchanged {
-                    Ok(()) => drop(pauses.0.remove(&hub)),
+                    Ok(()) => {
+                        pauses.0.remove(&hub);
+                        last_hub = Some(hub);
+                    }
                     Err(cause) => {
                         log::warn!(
                             hub:% = hub, cause = cause;
@@ -168,6 +187,7 @@
                     node.set_hub_count(hub_count(hubs, members.live_len()));
                 }
                 let own = &node.settings.instance;
+                last_hub = Some(own.clone());
                 let proof = ContactProof {
                     sent_after: Some(now),
                     exclusive_for: holder_use.begin(now, own),
