Let a replaced hub confirm that it no longer counts a node

Cause: a home of rates must be the only one for 0.9 s before it grants the whole rate.

A holder is now in use until the last reply that was repeated to it, as its own count has it; one that never replied was not used. A node that turns to another hub tells the earlier one, which stops counting it and confirms that. A hub whose node is stopping is replaced while it still answers, and the second exchange with a new hub follows the first one at once.

--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     ops::Bound,
     sync::Arc,
@@ -154,6 +154,8 @@
     addresses: Addresses,
     /// Whether any upstream is cold.
     has_cold: bool,
+    /// Instances whose nodes are stopping.
+    leaving: HashSet<InstanceName>,
     live_count: usize,
 }
 
@@ -189,6 +191,11 @@
         self.live_count
     }
 
+    /// Whether the node of an instance is stopping.
+    pub fn is_leaving(&self, instance: &str) -> bool {
+        self.leaving.contains(instance)
+    }
+
     /// Whether no instance is known.
     pub fn is_empty(&self) -> bool {
         self.addresses.is_empty()
@@ -401,6 +408,9 @@
             ..Default::default()
         };
         for entry in self.entries.values() {
+            if entry.member.record.leaving {
+                members.leaving.insert(entry.member.record.instance.clone());
+            }
             let service = entry.member.record.service.clone();
             members.has_cold |=
                 entry.member.ready_upstream().is_some_and(|upstream| upstream.pace_per_ks > 0);
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -22,10 +22,10 @@
     memory::{self, MemoryBudget},
     mesh::{
         Bounds, Call, Catalog, CatalogSource, ChainAdmission, Dialect, Directory, Guard,
-        GuardResult, InstanceAddress, InstanceRecord, LiveSettings, Members, MeshMetrics,
-        MeshSettings, MessageEffect, Placement, PlannedStop, Position, RateHomes, RetryBound,
-        RetryBudget, ReturnPromises, RootAdmission, RootFloor, RouteUsage, ServiceRefusals,
-        TokenStock, Upstream, UpstreamRecord, UpstreamTracker,
+        GuardResult, HubNumber, InstanceAddress, InstanceRecord, LiveSettings, Members,
+        MeshMetrics, MeshSettings, MessageEffect, Placement, PlannedStop, Position, RateHomes,
+        RetryBound, RetryBudget, ReturnPromises, RootAdmission, RootFloor, RouteUsage,
+        ServiceRefusals, TokenStock, Upstream, UpstreamRecord, UpstreamTracker,
         evacuation::Evacuations,
         link::Links,
         pace::{self, PacedRoots},
@@ -612,6 +612,12 @@
         self.record_peer_contact(now);
     }
 
+    /// Stops counting an instance that turns to another home for this hub number.
+    pub fn release_home(&self, number: HubNumber, instance: &str) {
+        let fleet_size = self.fleet_size();
+        self.homes.lock().release(clock::now(), number, instance, fleet_size);
+    }
+
     /// Whether the node acts as the first hub without contact to more than half of the fleet.
     pub fn is_isolated_hub(&self, now: Timestamp) -> bool {
         self.is_first_hub(now) && !self.directory.lock().has_majority(now, &self.settings.instance)
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -258,6 +258,10 @@
     /// Evacuated zones that the sender knows; absent if it knows no state.
     #[prost(message, optional, tag = "15")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// The sender turns to another instance as the hub of this number, and wants the receiver to stop counting
+    /// it. `exclusive_ms` is 0.
+    #[prost(bool, tag = "16")]
+    pub released: bool,
 }
 /// Availability zones under evacuation, as read from the store; see src/mesh/evacuation.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -325,6 +329,10 @@
     /// Time of the reply by the hub's clock, for the next request; other nodes do not interpret it.
     #[prost(uint64, tag = "15")]
     pub hub_time_ms: u64,
+    /// The receiver no longer counts the sender of a request with `released`; false in replies of earlier
+    /// builds, which do not know that field.
+    #[prost(bool, tag = "16")]
+    pub released: bool,
     /// Evacuated zones that the hub knows; absent if it knows no state.
     #[prost(message, optional, tag = "17")]
     pub evacuations: ::core::option::Option<Evacuations>,
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -24,6 +24,8 @@
 /// a tenth above it, of which [`EXTRA_RATE_FRACTION`] uses a part: with 0.25, homes of half the fleet
 /// together would exceed it.
 const MINORITY_FRACTION: f64 = 0.1;
+/// Longest time until the next token that a home states.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Longest time without a request for which a home that is not the only one gains tokens: the fraction
 /// of the fleet that is in contact with it is unknown after that.
 const MAX_SHARED_GAIN: Duration = Duration::from_secs(2);
@@ -180,7 +182,13 @@
         let missing = (wanted - tokens).min(1.0);
         let retry_after = match missing > 0.0 {
             true if granted_per_s > 0.0 => {
-                Duration::from_secs_f64(((1.0 - *level) / granted_per_s).clamp(0.0, 60.0))
+                let longest = match !is_sole && self.contact_fraction > 0.5 {
+                    // Most of the fleet has turned to this home; it grants the whole rate soon.
+                    true => CONTACT_LIFETIME,
+                    false => MAX_RETRY_AFTER,
+                };
+                let wait_s = (1.0 - *level) / granted_per_s;
+                Duration::from_secs_f64(wait_s.clamp(0.0, longest.as_secs_f64()))
             }
             // A home that does not know the fleet yet has no rate to tell the time by.
             true => CONTACT_LIFETIME,
@@ -240,6 +248,20 @@
         &mut numbered.home
     }
 
+    /// Records that an instance turns to another home for this number; it no longer counts for this node's.
+    pub fn release(
+        &mut self,
+        now: Timestamp,
+        number: HubNumber,
+        requester: &str,
+        fleet_size: usize,
+    ) {
+        if let Some(numbered) = self.homes.get_mut(&number) {
+            let standing = numbered.contacts.release(now, requester, fleet_size);
+            numbered.home.set_standing(now, standing);
+        }
+    }
+
     /// Fraction of the rates that the node grants now, for each hub number.
     pub fn granted_fractions(&self, now: Timestamp) -> Vec<(HubNumber, f64)> {
         let active = self.homes.iter().filter_map(|(number, numbered)| {
--- a/src/mesh/sole_holder/mod.rs
+++ b/src/mesh/sole_holder/mod.rs
@@ -16,8 +16,8 @@
 
 /// Time after a request of an instance for which it counts as in contact with a holder, and for which
 /// it must have used no other one before. An instance makes an exchange every 250 ms at least, and the
-/// proof of a request is as old as the exchange before it; a hub that is replaced costs this time without
-/// the whole rate.
+/// proof of a request is as old as the exchange before it; a hub that is lost costs this time after its last
+/// replies without the whole rate.
 pub const CONTACT_LIFETIME: Duration = Duration::from_millis(900);
 /// Time for which the counted instances are cached: a holder receives hundreds of requests per second.
 const COUNT_INTERVAL: Duration = Duration::from_millis(50);
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Forgets an instance that turns to another holder.
+    pub fn release(&mut self, now: Timestamp, requester: &str, fleet_size: usize) -> Standing {
+        self.by_instance.remove(requester);
+        self.count(now, fleet_size)
+    }
+
     fn count(&mut self, now: Timestamp, fleet_size: usize) -> Standing {
         self.by_instance.retain(|_, contact| now <= contact.received_at + CONTACT_LIFETIME);
         let contacts = self.by_instance.len();
@@ -110,37 +116,84 @@
     }
 }
 
+/// Exchanges of a node with one holder.
+#[derive(Debug, Default, Clone, Copy)]
+struct HolderExchanges {
+    /// Time of the holder's last reply.
+    replied_at: Option<Timestamp>,
+    /// Time of the latest reply that a request has repeated; the holder may count the instance for
+    /// [`CONTACT_LIFETIME`] after it.
+    repeated_at: Option<Timestamp>,
+    /// The same for requests without a reply, which may still arrive.
+    unanswered_at: Option<Timestamp>,
+}
+
 /// The holders that a node has used for one hub number.
+///
+/// A holder counts an instance until [`CONTACT_LIFETIME`] after the reply that a request of the instance
+/// repeats. So a holder is in use until the last reply that was repeated to it, not until the end of the
+/// last attempt to reach it; one that has never replied was not used at all.
 #[derive(Debug)]
 pub struct HolderUse {
+    /// Start of the process. An earlier process may have used any holder until then.
+    started_at: Timestamp,
     holder: Option<InstanceName>,
-    /// Time of the last use of the present holder.
-    used_at: Timestamp,
-    /// Time of the last use of any other holder. An earlier process may have used one until the start.
-    others_until: Timestamp,
+    exchanges: HashMap<InstanceName, HolderExchanges>,
 }
 
 impl HolderUse {
     /// State of a process that has started at this time.
     pub fn new(started_at: Timestamp) -> Self {
-        Self { holder: None, used_at: started_at, others_until: started_at }
+        Self { started_at, holder: None, exchanges: HashMap::new() }
     }
 
-    /// Records that the node begins to use a holder, and returns the time for which it has used no
-    /// other one.
+    /// Records that the node begins an exchange with a holder, and returns the time for which it has used
+    /// no other one. The request repeats the time of the holder's last reply.
     pub fn begin(&mut self, now: Timestamp, holder: &InstanceName) -> Duration {
-        if self.holder.as_ref() != Some(holder) {
-            if self.holder.is_some() {
-                self.others_until = self.used_at;
-            }
-            self.holder = Some(holder.clone());
+        let exchanges = self.exchanges.entry(holder.clone()).or_default();
+        exchanges.repeated_at = exchanges.repeated_at.max(exchanges.replied_at);
+        self.select(now, holder)
+    }
+
+    /// Like [`Self::begin`] for the node's own instance, which needs no reply.
+    pub fn begin_own(&mut self, now: Timestamp, own: &InstanceName) -> Duration {
+        self.exchanges.entry(own.clone()).or_default().repeated_at = Some(now);
+        self.select(now, own)
+    }
+
+    fn select(&mut self, now: Timestamp, holder: &InstanceName) -> Duration {
+        self.holder = Some(holder.clone());
+        let is_recent = |at: Option<Timestamp>| at.is_some_and(|at| now <= at + CONTACT_LIFETIME);
+        self.exchanges.retain(|name, exchanges| {
+            name == holder || is_recent(exchanges.repeated_at.max(exchanges.replied_at))
+        });
+        let others = self.exchanges.iter().filter(|(name, _)| *name != holder);
+        let others_until = others.filter_map(|(_, exchanges)| exchanges.repeated_at).max();
+        now.saturating_sub(others_until.unwrap_or_default().max(self.started_at))
+    }
+
+    /// Records the end of the exchange that has begun last. A request without a reply may still arrive.
+    pub fn end(&mut self, now: Timestamp, is_answered: bool) {
+        let Some(holder) = &self.holder else { return };
+        let Some(exchanges) = self.exchanges.get_mut(holder) else { return };
+        match is_answered {
+            true => exchanges.replied_at = Some(now),
+            false => exchanges.unanswered_at = exchanges.repeated_at,
         }
-        self.used_at = now;
-        now.saturating_sub(self.others_until)
     }
 
-    /// Records the end of a use, also of a failed one: the holder may have received the request.
-    pub fn end(&mut self, now: Timestamp) {
-        self.used_at = now;
+    /// The holder in use, if it may count the instance and `next` is another one: a notice to it saves the
+    /// time until it no longer does.
+    pub fn replaced_by(&self, now: Timestamp, next: &InstanceName) -> Option<InstanceName> {
+        let holder = self.holder.as_ref().filter(|holder| *holder != next)?;
+        let repeated_at = self.exchanges.get(holder)?.repeated_at?;
+        (now <= repeated_at + CONTACT_LIFETIME).then(|| holder.clone())
+    }
+
+    /// Records that a holder has confirmed that it no longer counts the instance.
+    pub fn confirm_release(&mut self, holder: &InstanceName) {
+        if let Some(exchanges) = self.exchanges.get_mut(holder) {
+            exchanges.repeated_at = exchanges.unanswered_at;
+        }
     }
 }
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -119,6 +119,10 @@
         self.0.get(instance).is_some_and(|(until, _)| now < *until)
     }
 
+    fn has_failed(&self, instance: &InstanceName) -> bool {
+        self.0.contains_key(instance)
+    }
+
     fn record_failure(&mut self, instance: &InstanceName, now: Instant) {
         let pause = self
             .0
@@ -146,27 +150,46 @@
             continue;
         }
         ranking.update(members.addresses(), number);
-        let hub = ranking.order.iter().find(|it| !pauses.is_paused(it, began)).cloned();
+        let is_usable = |it: &&InstanceName| !pauses.is_paused(it, began);
+        // A hub that is about to stop is replaced while it still answers. If all are, they are used.
+        let hub = ranking.order.iter().find(|it| is_usable(it) && !members.is_leaving(it));
+        let hub = hub.or_else(|| ranking.order.iter().find(is_usable)).cloned();
         let now = clock::now();
-        let wants = node.stock.lock().due_wants(now, |lookup| lookup.home_hub(hubs) == number);
+        let replaced = hub.as_ref().and_then(|hub| holder_use.replaced_by(now, hub));
+        // A hub without a reply to the last exchange is not asked; it may be cut off.
+        let released = replaced.filter(|it| !pauses.has_failed(it));
+        // Only the second exchange shows a new hub that this node uses no other one, so the first one would
+        // be granted nothing.
+        let is_new = hub.is_some() && hub != last_hub;
+        let wants = match is_new {
+            true => Vec::new(),
+            false => node.stock.lock().due_wants(now, |lookup| lookup.home_hub(hubs) == number),
+        };
         match hub {
             Some(hub) if hub != node.settings.instance => {
                 let address = members.addresses()[&hub].clone();
                 let contact = contacts.entry(hub.clone()).or_default();
-                if number == 0
-                    && last_hub.as_ref() != Some(&hub)
-                    && node.directory.lock().has_marks()
-                {
+                if number == 0 && is_new && node.directory.lock().has_marks() {
                     contact.request_all_records();
                 }
                 let exclusive = holder_use.begin(now, &hub);
                 let role = Role::Hub { number, exclusive };
-                let exchanged = exchange(&node, &address, contact, &wants, role).await;
-                holder_use.end(clock::now());
+                let (exchanged, is_released) = tokio::join!(
+                    exchange(&node, &address, contact, &wants, role),
+                    release(&node, number, released.as_ref()),
+                );
+                holder_use.end(clock::now(), exchanged.is_ok());
+                if let Some(released) = released.filter(|_| is_released) {
+                    holder_use.confirm_release(&released);
+                }
                 match exchanged {
                     Ok(()) => {
                         pauses.0.remove(&hub);
                         last_hub = Some(hub);
+                        if is_new {
+                            sleep_until(began + MIN_SYNC_INTERVAL).await;
+                            continue;
+                        }
                     }
                     Err(cause) => {
                         log::warn!(
@@ -188,10 +211,13 @@
                 }
                 let own = &node.settings.instance;
                 last_hub = Some(own.clone());
-                let proof = ContactProof {
-                    sent_after: Some(now),
-                    exclusive_for: holder_use.begin(now, own),
-                };
+                let exclusive_for = holder_use.begin_own(now, own);
+                if let Some(released) = released
+                    && release(&node, number, Some(&released)).await
+                {
+                    holder_use.confirm_release(&released);
+                }
+                let proof = ContactProof { sent_after: Some(now), exclusive_for };
                 let grants = draw_tokens(&node, number, own, proof, &wants);
                 apply_grants(&node, &wants, grants);
                 if number == 0 && began >= next_search && node.is_isolated_hub(now) {
@@ -209,6 +235,43 @@
     }
 }
 
+/// Makes a hub that this node no longer uses stop counting it; returns whether it has confirmed that.
+///
+/// The hub's substitute then grants the whole rates at once, instead of after the time for which the
+/// earlier hub may count the instance.
+async fn release<D: Dialect>(
+    node: &Arc<Node<D>>,
+    number: HubNumber,
+    hub: Option<&InstanceName>,
+) -> bool {
+    let Some(hub) = hub else { return false };
+    if *hub == node.settings.instance {
+        node.release_home(number, hub);
+        return true;
+    }
+    let Some(address) = node.members.load().addresses().get(hub).cloned() else { return false };
+    let request = proto::SyncRequest {
+        instance: node.settings.instance.to_string(),
+        hub: u32::try_from(number + 1).unwrap_or(u32::MAX),
+        // Earlier builds take this for an exchange that proves nothing.
+        exclusive_ms: Some(0),
+        released: true,
+        ..Default::default()
+    };
+    let mut peer = node.peer(address.peer_address);
+    match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
+        Ok(Ok(reply)) => reply.into_inner().released,
+        Ok(Err(status)) => {
+            log::debug!(hub:% = hub, cause = status.message(); "the replaced hub has not confirmed it");
+            false
+        }
+        Err(_) => {
+            log::debug!(hub:% = hub; "the replaced hub has not answered");
+            false
+        }
+    }
+}
+
 /// Makes an exchange with the next other instance in the ranking after `searched` ones; returns the number
 /// of searched ones.
 ///
@@ -326,6 +389,7 @@
             Role::Peer => None,
         },
         hub_time_ms: contact.hub_time_ms,
+        released: false,
     };
     let mut peer = node.peer(address.peer_address);
     let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
@@ -466,6 +530,12 @@
     request: proto::SyncRequest,
 ) -> proto::SyncReply {
     let now = clock::now();
+    if request.released {
+        if let Some(number) = usize::try_from(request.hub).unwrap_or(0).checked_sub(1) {
+            node.release_home(number, &request.instance);
+        }
+        return proto::SyncReply { released: true, ..Default::default() };
+    }
     // Sequence numbers that the client received from an earlier process under this node's name do not
     // apply to this process.
     let of_this_process = |number| match request.hub_incarnation == node.incarnation {
@@ -589,6 +659,7 @@
             false => 0,
         },
         hub_time_ms: clock::to_millis(now),
+        released: false,
     }
 }
 
--- a/tests/mesh_sole_holder.rs
+++ b/tests/mesh_sole_holder.rs
@@ -43,6 +43,8 @@
     Pause(usize),
     Resume,
     Restart(usize),
+    /// The node announces that it stops; the others replace it while it still answers.
+    Leave(usize),
     /// The organisation sends far more than its rate, or nothing.
     Demand(bool),
 }
@@ -89,6 +91,7 @@
     organisation: Organisation,
     cut: u8,
     paused: Option<usize>,
+    leaving: Option<usize>,
     is_busy: bool,
     processes: u64,
     /// Time and tokens of the grants that have reached their nodes.
@@ -104,6 +107,7 @@
             organisation,
             cut: 0,
             paused: None,
+            leaving: None,
             is_busy: false,
             processes: nodes as u64,
             grants: Vec::new(),
@@ -126,8 +130,10 @@
             Event::Restart(node) => {
                 let (node, count) = (node % self.nodes.len(), self.nodes.len());
                 self.processes += 1;
+                self.leaving = self.leaving.filter(|leaving| *leaving != node);
                 self.nodes[node] = Node::new(self.processes, self.now, count);
             }
+            Event::Leave(node) => self.leaving = Some(node % self.nodes.len()),
             Event::Demand(is_busy) => self.is_busy = is_busy,
         }
     }
@@ -160,7 +166,7 @@
                 return;
             }
             node.pending = None;
-            node.holder_use.end(now);
+            node.holder_use.end(now, false);
             let pause =
                 node.failed[holder].map_or(FIRST_PAUSE, |(_, last)| (last * 2).min(MAX_PAUSE));
             node.failed[holder] = Some((now + pause, pause));
@@ -169,9 +175,19 @@
             return;
         }
         let is_paused = |holder: &usize| node.failed[*holder].is_some_and(|(until, _)| now < until);
-        let holder = (0..node.answered.len()).find(|it| *it == index || !is_paused(it));
+        let leaving = self.leaving;
+        let holder = (0..node.answered.len())
+            .find(|it| leaving != Some(*it) && (*it == index || !is_paused(it)));
         let holder = holder.unwrap_or(index);
-        let exclusive_for = node.holder_use.begin(now, &name(holder));
+        let replaced = node.holder_use.replaced_by(now, &name(holder));
+        let released = replaced
+            .and_then(|replaced| (0..node.answered.len()).find(|it| name(*it) == replaced))
+            .filter(|it| node.failed[*it].is_none());
+        let exclusive_for = match holder == index {
+            true => node.holder_use.begin_own(now, &name(holder)),
+            false => node.holder_use.begin(now, &name(holder)),
+        };
+        self.release(index, released);
         let wanted = if self.is_busy { WANTED } else { 0.0 };
         let sent_after = match holder == index {
             true => Some(now),
@@ -189,10 +205,11 @@
             let process = self.nodes[holder].process;
             let interval = if self.is_busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
             let node = &mut self.nodes[index];
+            let is_first = node.answered[holder].is_none_or(|(known, _)| known != process);
             node.answered[holder] = Some((process, now));
             node.failed[holder] = None;
-            node.holder_use.end(now);
-            node.next_exchange_at = now + interval;
+            node.holder_use.end(now, true);
+            node.next_exchange_at = if is_first { now } else { now + interval };
             return;
         }
         if self.paused == Some(holder) && self.reaches(index, holder) {
@@ -201,6 +218,16 @@
         self.nodes[index].pending = Some((holder, now + EXCHANGE_TIMEOUT));
     }
 
+    /// Tells a replaced holder that the node no longer uses it, where it can be reached.
+    fn release(&mut self, index: usize, replaced: Option<usize>) {
+        let Some(replaced) = replaced else { return };
+        if self.paused != Some(replaced) && self.reaches(index, replaced) {
+            let fleet = self.nodes.len();
+            self.nodes[replaced].homes.release(self.now, 0, &name(index), fleet);
+            self.nodes[index].holder_use.confirm_release(&name(replaced));
+        }
+    }
+
     fn answer(&mut self, holder: usize, request: &Request) -> f64 {
         let fleet = self.nodes.len();
         let homes = &mut self.nodes[holder].homes;
@@ -279,6 +306,33 @@
     assert_eq!(simulation.sole_homes(), 1);
 }
 
+/// Guards against seconds without the whole rate each time that the home is replaced: when it announces
+/// its stop, when it is back, and when it ends without notice. Requests within the rate were refused then.
+fn keeps_granting(events: &[Event], most_missing_s: f64) {
+    let rate_per_s = 100.0;
+    let mut simulation = Simulation::new(5, organisation(rate_per_s, 100.0));
+    simulation.run(Duration::from_secs(4));
+    simulation.apply(Event::Demand(true));
+    simulation.run(Duration::from_secs(4));
+    for event in events {
+        let before: f64 = simulation.grants.iter().map(|(_, tokens)| tokens).sum();
+        simulation.apply(*event);
+        simulation.run(Duration::from_secs(4));
+        let after: f64 = simulation.grants.iter().map(|(_, tokens)| tokens).sum();
+        let missing_s = 4.0 - (after - before) / rate_per_s;
+        assert!(missing_s <= most_missing_s, "{missing_s} s without the rate after {event:?}");
+    }
+    assert!(simulation.max_excess() <= 0.0);
+}
+
+crate::cases! { keeps_granting:
+    a_planned_stop(&[Event::Leave(0)], 0.2),
+    a_planned_stop_of_one_home_after_the_other(&[Event::Leave(0), Event::Leave(1), Event::Leave(2)], 0.2),
+    a_return_after_a_stop(&[Event::Leave(0), Event::Restart(0)], 0.2),
+    a_home_that_is_cut_off(&[Event::Cut(1)], 1.1),
+    a_home_that_is_back_in_contact(&[Event::Cut(1), Event::Heal], 1.1),
+}
+
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         (0u8..32).prop_map(Event::Cut),
@@ -286,6 +340,7 @@
         (0usize..5).prop_map(Event::Pause),
         Just(Event::Resume),
         (0usize..5).prop_map(Event::Restart),
+        (0usize..5).prop_map(Event::Leave),
         any::<bool>().prop_map(Event::Demand),
     ]
 }
