--- a/tests/mesh_rates.rs
+++ b/tests/mesh_rates.rs
@@ -187,10 +187,14 @@
             .find(|home| *home == index || now >= self.nodes[index].missed_until[*home])
             .unwrap_or(index);
         let home_name: Arc<str> = format!("node-{home}").into();
-        let exclusive_for = self.nodes[index].holder_use.begin(now, &home_name);
+        let holder_use = &mut self.nodes[index].holder_use;
+        let exclusive_for = match home == index {
+            true => holder_use.begin_own(now, &home_name),
+            false => holder_use.begin(now, &home_name),
+        };
         if !self.reaches(now, index, home) {
             let node = &mut self.nodes[index];
-            node.holder_use.end(now + DRAW_TIMEOUT);
+            node.holder_use.end(now + DRAW_TIMEOUT, false);
             node.draw_timeout_at = now + DRAW_TIMEOUT;
             node.missed_until[home] = now + DRAW_TIMEOUT + MISSED_HOME_PAUSE;
             node.stock.restore_returned(&wants);
@@ -202,6 +206,7 @@
         let proof = ContactProof { sent_after, exclusive_for };
         let requester: Arc<str> = format!("node-{index}").into();
         self.nodes[index].answered_at[home] = Some(now);
+        self.nodes[index].holder_use.end(now, true);
         self.nodes[home].homes.record_proven_contact(now, 0, &requester, proof, fleet);
         for Want { organisation, tokens, returned } in wants {
             let homes = &mut self.nodes[home].homes;
