Try a hub that does not answer in time once more before it is replaced

Cause: under a burst the hub answered some exchanges after the timeout of 300 ms. The second attempt ends before a substitute could grant the whole rates, so a lost hub costs no more time than before.

--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -81,6 +81,14 @@
     known_verdict_change: u64,
 }
 
+/// Why an exchange has failed.
+#[derive(Debug)]
+struct ExchangeFailure {
+    cause: String,
+    /// Whether there was no answer in time; the other node may be slow.
+    is_timeout: bool,
+}
+
 impl Contact {
     /// Requests the records of all instances with the next exchange. A node that returns to a first hub may
     /// have taken over marks from another one in the meantime; the hub does not know them and sends changed
@@ -140,6 +148,7 @@
     let mut pacer = Pacer::default();
     let mut holder_use = HolderUse::new(clock::now());
     let mut last_hub: Option<InstanceName> = None;
+    let mut is_retry = false;
     let (mut next_search, mut searched) = (Instant::now() + SEARCH_INTERVAL, 0);
     loop {
         let began = Instant::now();
@@ -184,6 +193,7 @@
                 }
                 match exchanged {
                     Ok(()) => {
+                        is_retry = false;
                         pauses.0.remove(&hub);
                         last_hub = Some(hub);
                         if is_new {
@@ -191,13 +201,21 @@
                             continue;
                         }
                     }
-                    Err(cause) => {
+                    Err(failure) => {
+                        node.stock.lock().restore_returned(&wants);
+                        // If a part of the fleet left a hub that is slow for a moment, no hub would have
+                        // a majority. A substitute cannot grant the whole rates before the end of a
+                        // second attempt anyway.
+                        if failure.is_timeout && !is_retry {
+                            is_retry = true;
+                            continue;
+                        }
+                        is_retry = false;
                         log::warn!(
-                            hub:% = hub, cause = cause;
+                            hub:% = hub, cause = failure.cause;
                             "exchange with the hub failed; using the next instance in the ranking"
                         );
                         pauses.record_failure(&hub, Instant::now());
-                        node.stock.lock().restore_returned(&wants);
                         continue;
                     }
                 }
@@ -302,7 +320,9 @@
     node: &Arc<Node<D>>,
     address: &InstanceAddress,
 ) -> Result<(), String> {
-    exchange(node, address, &mut Contact::default(), &[], Role::Peer).await
+    exchange(node, address, &mut Contact::default(), &[], Role::Peer)
+        .await
+        .map_err(|failure| failure.cause)
 }
 
 /// Sends the node's record to another node; returns an error unless that node then has it.
@@ -314,7 +334,9 @@
     for _ in 0..2 {
         let own = node.own_record();
         let mut contact = Contact::default();
-        exchange(node, address, &mut contact, &[], Role::Peer).await?;
+        exchange(node, address, &mut contact, &[], Role::Peer)
+            .await
+            .map_err(|failure| failure.cause)?;
         let has_own = contact.known_incarnation == own.incarnation;
         if has_own && contact.known_record >= (own.generation, own.sequence) {
             return Ok(());
@@ -348,7 +370,7 @@
     contact: &mut Contact,
     wants: &[Want],
     role: Role,
-) -> Result<(), String> {
+) -> Result<(), ExchangeFailure> {
     let own = node.own_record();
     let sent_at = clock::now();
     let is_first_hub = role.is_first_hub();
@@ -394,8 +416,13 @@
     let mut peer = node.peer(address.peer_address);
     let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
         Ok(Ok(reply)) => reply.into_inner(),
-        Ok(Err(status)) => return Err(status.message().to_owned()),
-        Err(_) => return Err(format!("no answer within {SYNC_TIMEOUT:?}")),
+        Ok(Err(status)) => {
+            return Err(ExchangeFailure { cause: status.message().to_owned(), is_timeout: false });
+        }
+        Err(_) => {
+            let cause = format!("no answer within {SYNC_TIMEOUT:?}");
+            return Err(ExchangeFailure { cause, is_timeout: true });
+        }
     };
     node.record_peer_answer(clock::now());
     // A restarted hub has lost the crashes that were reported to its earlier process.
--- a/tests/mesh_sole_holder.rs
+++ b/tests/mesh_sole_holder.rs
@@ -66,6 +66,8 @@
     next_exchange_at: Duration,
     /// The holder that has not answered an exchange yet, and the end of the wait for it.
     pending: Option<(usize, Duration)>,
+    /// Whether the last exchange had no answer in time; the holder is then tried once more.
+    is_retry: bool,
     /// Requests that arrived during a pause.
     queue: Vec<Request>,
 }
@@ -80,6 +82,7 @@
             failed: vec![None; nodes],
             next_exchange_at: now,
             pending: None,
+            is_retry: false,
             queue: Vec::new(),
         }
     }
@@ -167,6 +170,10 @@
             }
             node.pending = None;
             node.holder_use.end(now, false);
+            node.is_retry = !node.is_retry;
+            if node.is_retry {
+                return;
+            }
             let pause =
                 node.failed[holder].map_or(FIRST_PAUSE, |(_, last)| (last * 2).min(MAX_PAUSE));
             node.failed[holder] = Some((now + pause, pause));
@@ -208,6 +215,7 @@
             let is_first = node.answered[holder].is_none_or(|(known, _)| known != process);
             node.answered[holder] = Some((process, now));
             node.failed[holder] = None;
+            node.is_retry = false;
             node.holder_use.end(now, true);
             node.next_exchange_at = if is_first { now } else { now + interval };
             return;
