--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -262,6 +262,10 @@
     /// it. `exclusive_ms` is 0.
     #[prost(bool, tag = "16")]
     pub released: bool,
+    /// The sender acts as the hub of this number and wants the receiver not to do so for 0.9 s. `exclusive_ms`
+    /// is 0.
+    #[prost(bool, tag = "17")]
+    pub claimed: bool,
 }
 /// Availability zones under evacuation, as read from the store; see src/mesh/evacuation.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -333,6 +337,9 @@
     /// builds, which do not know that field.
     #[prost(bool, tag = "16")]
     pub released: bool,
+    /// The receiver does as a request with `claimed` wants; false in replies of earlier builds.
+    #[prost(bool, tag = "20")]
+    pub yielded: bool,
     /// Evacuated zones that the hub knows; absent if it knows no state.
     #[prost(message, optional, tag = "17")]
     pub evacuations: ::core::option::Option<Evacuations>,
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -262,6 +262,31 @@
         }
     }
 
+    /// Whether a claim may make the node's home for this number the only one.
+    pub fn can_claim(&self, now: Timestamp, number: HubNumber) -> bool {
+        self.homes.get(&number).is_some_and(|numbered| numbered.contacts.can_claim(now))
+    }
+
+    /// Records that all other instances have confirmed a claim for this number, sent at `sent_at`.
+    pub fn confirm_claim(
+        &mut self,
+        now: Timestamp,
+        number: HubNumber,
+        sent_at: Timestamp,
+        fleet_size: usize,
+    ) {
+        let numbered = self.homes.entry(number).or_default();
+        let standing = numbered.contacts.confirm_claim(now, sent_at, fleet_size);
+        numbered.home.set_standing(now, standing);
+    }
+
+    /// Gives up the node's home for this number for a claim of another node, unless most of the fleet uses
+    /// it; returns whether it did.
+    pub fn yield_to_claim(&mut self, now: Timestamp, number: HubNumber, fleet_size: usize) -> bool {
+        let numbered = self.homes.entry(number).or_default();
+        now >= numbered.home.sole_until && numbered.contacts.yield_to_claim(now, fleet_size)
+    }
+
     /// Fraction of the rates that the node grants now, for each hub number.
     pub fn granted_fractions(&self, now: Timestamp) -> Vec<(HubNumber, f64)> {
         let active = self.homes.iter().filter_map(|(number, numbered)| {
--- a/src/mesh/sole_holder/mod.rs
+++ b/src/mesh/sole_holder/mod.rs
@@ -9,6 +9,12 @@
 //! time, so at most one of them counts more than half of the fleet. The time at which a request was sent
 //! is bounded by the time at which the holder sent the reply whose time the request repeats; clocks of
 //! two nodes are never compared.
+//!
+//! A holder in contact with most of the fleet may shorten that time by a claim: if every other instance
+//! confirms that its process will not be a holder for [`CONTACT_LIFETIME`], no other holder is left that
+//! could count an instance from before the claim. Until then it counts also instances that have used no
+//! other holder since it sent the claim. Without this, no home granted the whole rates for a second after
+//! a whole fleet had started.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -39,10 +45,9 @@
         Self { sent_after: Some(now), exclusive_for: CONTACT_LIFETIME }
     }
 
-    /// Time until which the instance counts for the holder alone.
-    fn proven_until(self) -> Option<Timestamp> {
-        let sent_after = self.sent_after.filter(|_| self.exclusive_for >= CONTACT_LIFETIME)?;
-        Some(sent_after + CONTACT_LIFETIME)
+    /// Whether no other holder counts the instance.
+    fn is_exclusive(self) -> bool {
+        self.exclusive_for >= CONTACT_LIFETIME
     }
 }
 
@@ -58,7 +63,17 @@
 #[derive(Debug)]
 struct Contact {
     received_at: Timestamp,
-    proven_until: Option<Timestamp>,
+    proof: ContactProof,
+}
+
+impl Contact {
+    /// Time until which the instance counts for the holder alone, which has sent its claim at this time.
+    fn counts_until(&self, claimed_at: Option<Timestamp>) -> Option<Timestamp> {
+        let others_until = self.received_at.saturating_sub(self.proof.exclusive_for);
+        let is_counted =
+            self.proof.is_exclusive() || claimed_at.is_some_and(|at| others_until <= at);
+        Some(self.proof.sent_after.filter(|_| is_counted)? + CONTACT_LIFETIME)
+    }
 }
 
 /// Instances in contact with a holder of one hub number.
@@ -67,6 +82,10 @@
     by_instance: HashMap<InstanceName, Contact>,
     standing: Option<Standing>,
     counted_until: Timestamp,
+    /// When the last claim that all other instances have confirmed was sent.
+    claimed_at: Option<Timestamp>,
+    /// Time until which the node is no holder, since another one has claimed that.
+    yielded_until: Timestamp,
 }
 
 impl HolderContacts {
@@ -79,7 +98,7 @@
         proof: ContactProof,
         fleet_size: usize,
     ) -> Standing {
-        let contact = Contact { received_at: now, proven_until: proof.proven_until() };
+        let contact = Contact { received_at: now, proof };
         self.by_instance.insert(requester.clone(), contact);
         match self.standing {
             Some(standing) if now < self.counted_until && now < standing.sole_until => standing,
@@ -93,27 +112,68 @@
         self.count(now, fleet_size)
     }
 
+    /// Whether a claim may make the node the only holder: it is in contact with most of the fleet, and is
+    /// not the only holder yet.
+    pub fn can_claim(&self, now: Timestamp) -> bool {
+        let has_majority = |it: &Standing| it.contact_fraction > 0.5 && now >= it.sole_until;
+        now >= self.yielded_until && self.standing.as_ref().is_some_and(has_majority)
+    }
+
+    /// Records that all other instances have confirmed a claim that was sent at this time.
+    pub fn confirm_claim(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        fleet_size: usize,
+    ) -> Standing {
+        self.claimed_at = Some(sent_at);
+        self.count(now, fleet_size)
+    }
+
+    /// Makes the node no holder for [`CONTACT_LIFETIME`], unless most of the fleet is in contact with it;
+    /// returns whether it did.
+    pub fn yield_to_claim(&mut self, now: Timestamp, fleet_size: usize) -> bool {
+        let standing = self.count(now, fleet_size);
+        if standing.contact_fraction > 0.5 || now < standing.sole_until {
+            return false;
+        }
+        self.claimed_at = None;
+        self.yielded_until = now + CONTACT_LIFETIME;
+        true
+    }
+
     fn count(&mut self, now: Timestamp, fleet_size: usize) -> Standing {
         self.by_instance.retain(|_, contact| now <= contact.received_at + CONTACT_LIFETIME);
-        let contacts = self.by_instance.len();
-        let mut proven: Vec<Timestamp> =
-            self.by_instance.values().filter_map(|contact| contact.proven_until).collect();
-        let majority = fleet_size / 2 + 1;
-        let is_majority = fleet_size > 0 && proven.len() >= majority;
-        // As long as the last of the majority counts, all others of it count too.
-        let sole_until = match is_majority {
-            true => *proven.select_nth_unstable_by(majority - 1, |a, b| b.cmp(a)).1,
-            false => Timestamp::ZERO,
-        };
+        self.claimed_at = self.claimed_at.filter(|at| now < *at + CONTACT_LIFETIME);
         let contact_fraction = match fleet_size {
             0 => 0.0,
-            size => (contacts as f64 / size as f64).min(1.0),
+            size => (self.by_instance.len() as f64 / size as f64).min(1.0),
+        };
+        let claimed_until = self.claimed_at.map(|at| at + CONTACT_LIFETIME);
+        let by_claim =
+            claimed_until.map(|until| self.majority_until(self.claimed_at, fleet_size).min(until));
+        let sole_until = match now < self.yielded_until {
+            true => Timestamp::ZERO,
+            false => by_claim.unwrap_or_default().max(self.majority_until(None, fleet_size)),
         };
         let standing = Standing { contact_fraction, sole_until };
         self.standing = Some(standing);
         self.counted_until = now + COUNT_INTERVAL;
         standing
     }
+
+    /// Time until which more than half of the fleet counts for the holder alone.
+    fn majority_until(&self, claimed_at: Option<Timestamp>, fleet_size: usize) -> Timestamp {
+        let contacts = self.by_instance.values();
+        let mut counted: Vec<Timestamp> =
+            contacts.filter_map(|contact| contact.counts_until(claimed_at)).collect();
+        let majority = fleet_size / 2 + 1;
+        // As long as the last of the majority counts, all others of it count too.
+        match fleet_size > 0 && counted.len() >= majority {
+            true => *counted.select_nth_unstable_by(majority - 1, |a, b| b.cmp(a)).1,
+            false => Timestamp::ZERO,
+        }
+    }
 }
 
 /// Exchanges of a node with one holder.
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use futures::future::join_all;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::{
@@ -55,6 +56,12 @@
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(8);
 /// Time between two exchanges that a first hub without contact to most of the fleet attempts.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a claim of a hub; it doubles with each further one up to [`MAX_CLAIM_PAUSE`].
+const FIRST_CLAIM_PAUSE: Duration = Duration::from_millis(80);
+const MAX_CLAIM_PAUSE: Duration = Duration::from_secs(2);
+/// Largest fleet in which hubs make claims: a claim costs one message for each instance. In larger fleets
+/// a hub that has just started waits for the end of the time in which another one may be in use.
+const MAX_CLAIMED_INSTANCES: usize = 128;
 /// How much fresher another node's proof must be before this node requests it.
 const PROOF_ADVANTAGE: Duration = Duration::from_millis(300);
 /// Value of `proof_age_ms` in messages of a node that has no freshness proof.
@@ -149,6 +156,7 @@
     let mut holder_use = HolderUse::new(clock::now());
     let mut last_hub: Option<InstanceName> = None;
     let mut is_retry = false;
+    let mut claims = Claims::new();
     let (mut next_search, mut searched) = (Instant::now() + SEARCH_INTERVAL, 0);
     loop {
         let began = Instant::now();
@@ -235,6 +243,9 @@
                 {
                     holder_use.confirm_release(&released);
                 }
+                if claims.is_due(&node, number, began) {
+                    claims.claim(&node, number).await;
+                }
                 let proof = ContactProof { sent_after: Some(now), exclusive_for };
                 let grants = draw_tokens(&node, number, own, proof, &wants);
                 apply_grants(&node, &wants, grants);
@@ -247,12 +258,84 @@
         node.tokens_granted.notify_waiters();
         let pause = pacer.record_exchange(now, min_sync_interval(members.live_len()));
         sleep_until(began + pause.max(MIN_SYNC_INTERVAL)).await;
+        let interval = match node.homes.lock().can_claim(clock::now(), number) {
+            true => FIRST_CLAIM_PAUSE,
+            false => SYNC_INTERVAL,
+        };
         // An error means that the sender was dropped with the node; a timeout, that the regular
         // interval has passed.
-        let _ = timeout(jittered(SYNC_INTERVAL, SYNC_INTERVAL_JITTER), sync_now.changed()).await;
+        let _ = timeout(jittered(interval, SYNC_INTERVAL_JITTER), sync_now.changed()).await;
+    }
+}
+
+/// Claims of a node that acts as a hub and is not provably the only one.
+struct Claims {
+    next_at: Instant,
+    pause: Duration,
+}
+
+impl Claims {
+    fn new() -> Self {
+        Self { next_at: Instant::now(), pause: FIRST_CLAIM_PAUSE }
+    }
+
+    /// Whether the node should claim the hub number now.
+    fn is_due<D: Dialect>(&mut self, node: &Node<D>, number: HubNumber, now: Instant) -> bool {
+        let is_small = node.members.load().len() <= MAX_CLAIMED_INSTANCES;
+        if !is_small || !node.homes.lock().can_claim(clock::now(), number) {
+            self.pause = FIRST_CLAIM_PAUSE;
+            return false;
+        }
+        now >= self.next_at
+    }
+
+    /// Asks all other instances not to act as the hub of this number.
+    async fn claim<D: Dialect>(&mut self, node: &Arc<Node<D>>, number: HubNumber) {
+        let sent_at = clock::now();
+        let members = node.members.load_full();
+        let asked: Vec<_> = {
+            let directory = node.directory.lock();
+            let others = members.addresses().iter().filter(|(instance, _)| {
+                **instance != node.settings.instance
+                    && directory.lost_for(sent_at, instance).is_none()
+            });
+            others.map(|(_, address)| node.peer(address.peer_address)).collect()
+        };
+        let request = proto::SyncRequest {
+            instance: node.settings.instance.to_string(),
+            hub: hub_field(number),
+            // Earlier builds take this for an exchange that proves nothing.
+            exclusive_ms: Some(0),
+            claimed: true,
+            ..Default::default()
+        };
+        let answers = asked.into_iter().map(|mut peer| {
+            let request = request.clone();
+            async move {
+                let answer = timeout(SYNC_TIMEOUT, peer.sync(request)).await;
+                matches!(answer, Ok(Ok(reply)) if reply.get_ref().yielded)
+            }
+        });
+        let answers = join_all(answers).await;
+        let (count, confirmed) = (answers.len(), answers.iter().filter(|it| **it).count());
+        let now = clock::now();
+        if confirmed == count {
+            let fleet_size = node.fleet_size();
+            node.homes.lock().confirm_claim(now, number, sent_at, fleet_size);
+        }
+        log::info!(
+            hub_number = number, asked = count, confirmed = confirmed;
+            "claimed to be the only hub of this number"
+        );
+        self.next_at = Instant::now() + self.pause;
+        self.pause = (self.pause * 2).min(MAX_CLAIM_PAUSE);
     }
 }
 
+fn hub_field(number: HubNumber) -> u32 {
+    u32::try_from(number + 1).unwrap_or(u32::MAX)
+}
+
 /// Makes a hub that this node no longer uses stop counting it; returns whether it has confirmed that.
 ///
 /// The hub's substitute then grants the whole rates at once, instead of after the time for which the
@@ -270,7 +353,7 @@
     let Some(address) = node.members.load().addresses().get(hub).cloned() else { return false };
     let request = proto::SyncRequest {
         instance: node.settings.instance.to_string(),
-        hub: u32::try_from(number + 1).unwrap_or(u32::MAX),
+        hub: hub_field(number),
         // Earlier builds take this for an exchange that proves nothing.
         exclusive_ms: Some(0),
         released: true,
@@ -398,7 +481,7 @@
             })
             .collect(),
         hub: match role {
-            Role::Hub { number, .. } => u32::try_from(number + 1).unwrap_or(u32::MAX),
+            Role::Hub { number, .. } => hub_field(number),
             Role::Peer => 0,
         },
         later: later_records(node, std::mem::take(&mut contact.outdated)),
@@ -412,6 +495,7 @@
         },
         hub_time_ms: contact.hub_time_ms,
         released: false,
+        claimed: false,
     };
     let mut peer = node.peer(address.peer_address);
     let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
@@ -557,12 +641,16 @@
     request: proto::SyncRequest,
 ) -> proto::SyncReply {
     let now = clock::now();
-    if request.released {
-        if let Some(number) = usize::try_from(request.hub).unwrap_or(0).checked_sub(1) {
-            node.release_home(number, &request.instance);
-        }
+    let hub_number = usize::try_from(request.hub).unwrap_or(0).checked_sub(1);
+    if let Some(number) = hub_number.filter(|_| request.released) {
+        node.release_home(number, &request.instance);
         return proto::SyncReply { released: true, ..Default::default() };
     }
+    if let Some(number) = hub_number.filter(|_| request.claimed) {
+        let fleet_size = node.fleet_size();
+        let yielded = node.homes.lock().yield_to_claim(now, number, fleet_size);
+        return proto::SyncReply { yielded, ..Default::default() };
+    }
     // Sequence numbers that the client received from an earlier process under this node's name do not
     // apply to this process.
     let of_this_process = |number| match request.hub_incarnation == node.incarnation {
@@ -612,7 +700,7 @@
             returned: to_token_count(want.returned),
         })
         .collect();
-    let grants = match usize::try_from(request.hub).unwrap_or(0).checked_sub(1) {
+    let grants = match hub_number {
         Some(number) => {
             let proof = match request.exclusive_ms {
                 Some(exclusive_ms) => ContactProof {
@@ -687,6 +775,7 @@
         },
         hub_time_ms: clock::to_millis(now),
         released: false,
+        yielded: false,
     }
 }
 
--- a/tests/mesh_sole_holder.rs
+++ b/tests/mesh_sole_holder.rs
@@ -195,6 +195,9 @@
             false => node.holder_use.begin(now, &name(holder)),
         };
         self.release(index, released);
+        if holder == index {
+            self.claim(index);
+        }
         let wanted = if self.is_busy { WANTED } else { 0.0 };
         let sent_after = match holder == index {
             true => Some(now),
@@ -236,6 +239,26 @@
         }
     }
 
+    /// Claims that the node is the only holder, which all others must confirm.
+    fn claim(&mut self, index: usize) {
+        let (now, fleet) = (self.now, self.nodes.len());
+        if !self.nodes[index].homes.can_claim(now, 0) {
+            return;
+        }
+        let others: Vec<usize> = (0..fleet).filter(|it| *it != index).collect();
+        let mut confirmed = 0;
+        for other in &others {
+            if self.paused != Some(*other) && self.reaches(index, *other) {
+                confirmed += usize::from(self.nodes[*other].homes.yield_to_claim(now, 0, fleet));
+            }
+        }
+        // The answers arrive one step later.
+        let sent_at = now.saturating_sub(STEP);
+        if confirmed == others.len() {
+            self.nodes[index].homes.confirm_claim(now, 0, sent_at, fleet);
+        }
+    }
+
     fn answer(&mut self, holder: usize, request: &Request) -> f64 {
         let fleet = self.nodes.len();
         let homes = &mut self.nodes[holder].homes;
@@ -314,6 +337,23 @@
     assert_eq!(simulation.sole_homes(), 1);
 }
 
+/// Guards against a second without the whole rate after all nodes of a fleet have started at once.
+#[test]
+fn a_restarted_fleet_grants_its_rates_at_once() {
+    let mut simulation = Simulation::new(5, organisation(100.0, 100.0));
+    simulation.apply(Event::Demand(true));
+    simulation.run(Duration::from_secs(4));
+    for node in [3, 0, 1, 4, 2] {
+        simulation.apply(Event::Restart(node));
+        simulation.run(Duration::from_millis(40));
+    }
+    let before: f64 = simulation.grants.iter().map(|(_, tokens)| tokens).sum();
+    simulation.run(Duration::from_secs(4));
+    let granted = simulation.grants.iter().map(|(_, tokens)| tokens).sum::<f64>() - before;
+    assert!(granted >= 350.0, "{granted} tokens in 4 s, of 400");
+    assert!(simulation.max_excess() <= 0.0);
+}
+
 /// Guards against seconds without the whole rate each time that the home is replaced: when it announces
 /// its stop, when it is back, and when it ends without notice. Requests within the rate were refused then.
 fn keeps_granting(events: &[Event], most_missing_s: f64) {
