Add a check of configurations in the platform's form

Cause: a configuration for the platform could not be checked before it was written to the store. The parser of the nodes stops at the first error, and accepts entries that can never match and limits that contradict each other.

Change: src/platform/check/ reports all findings with location, expected and found value: errors of each field, entries that never apply, contradictions, and the differences from the configuration in force in the terms of those who are affected. It uses the parser of the nodes, whose types it may now read; the parser behaves as before. Keys are never quoted.

--- a/src/findings/mod.rs
+++ b/src/findings/mod.rs
@@ -331,7 +331,8 @@
     }
 }
 
-fn shorten(text: &str) -> String {
+/// Shortens a value to the longest part that a finding quotes.
+pub(crate) fn shorten(text: &str) -> String {
     if text.chars().count() <= MAX_FOUND_CHARS {
         return text.to_owned();
     }
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -52,10 +52,10 @@
 /// free, so that ordinary requests are read while large ones wait.
 const MAX_SMALL_BODY_BYTES: usize = 32 << 10;
 /// Part of the budget, in eighths, up to which small requests are read.
-const SMALL_REQUEST_EIGHTHS: usize = 7;
+pub(crate) const SMALL_REQUEST_EIGHTHS: usize = 7;
 /// Part of the budget, in eighths, up to which the bodies of others are read. At 160 MB it holds one body
 /// of 64 MiB.
-const LARGE_REQUEST_EIGHTHS: usize = 5;
+pub(crate) const LARGE_REQUEST_EIGHTHS: usize = 5;
 /// Part of the budget, in eighths, above which the requests of a connection run one after the other, since
 /// their answers would be held until those before them have been written.
 const SERIAL_EIGHTHS: usize = 4;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -81,6 +81,7 @@
 pub use position::Position;
 pub use processor::ProcessorLimit;
 pub use rank::{Rank, RankOrder};
+pub(crate) use rates::DRAW_AHEAD;
 pub use rates::{
     Grant, HomeLookup, HubNumber, OrganisationHash, RateHome, RateHomes, TakeTokenResult,
     TokenStock, Want,
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -36,7 +36,7 @@
 /// Time for which an entry node draws tokens ahead of demand; shorter than the time after which an
 /// unresponsive home is replaced. Tokens held by entry nodes add to the burst. The platform's bound
 /// has a margin of half a second of the rate, and [`EXTRA_RATE_FRACTION`] uses a part of it.
-const DRAW_AHEAD: Duration = Duration::from_millis(250);
+pub(crate) const DRAW_AHEAD: Duration = Duration::from_millis(250);
 /// Stock above this multiple of the target is returned to the home.
 const MAX_STOCK_FACTOR: f64 = 1.5;
 /// Number of tokens below which nothing is drawn ahead; single tokens are then drawn on demand.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use smallvec::smallvec;
+use smallvec::{SmallVec, smallvec};
 
 use super::text;
 use crate::{
@@ -12,6 +12,10 @@
     names::Revision,
 };
 
+/// What a route without a usable destination lacks.
+pub(super) const EXPECTED_DESTINATIONS: &str =
+    "a service, or a traffic split with a weight above 0";
+
 #[derive(Deserialize)]
 struct Document {
     version: u64,
@@ -19,49 +23,49 @@
 }
 
 #[derive(Deserialize)]
-struct Resource {
+pub(super) struct Resource {
     /// `routes`, `services`, `tenants` or `limits`.
     #[serde(rename = "resourceType")]
-    kind: String,
+    pub(super) kind: String,
     #[serde(default)]
-    metadata: Metadata,
+    pub(super) metadata: Metadata,
     #[serde(default)]
-    spec: Value,
+    pub(super) spec: Value,
 }
 
 #[derive(Default, Deserialize)]
-struct Metadata {
+pub(super) struct Metadata {
     #[serde(default)]
-    name: String,
+    pub(super) name: String,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct RouteSpec {
-    host: String,
-    path_prefix: String,
-    kind: RouteKind,
+pub(super) struct RouteSpec {
+    pub(super) host: String,
+    pub(super) path_prefix: String,
+    pub(super) kind: RouteKind,
     #[serde(deserialize_with = "text::deserialize")]
-    timeout: Duration,
+    pub(super) timeout: Duration,
     /// Time within which an answer is worth most; the timeout where there is none.
     #[serde(default, deserialize_with = "text::deserialize_option")]
-    aim: Option<Duration>,
+    pub(super) aim: Option<Duration>,
     /// Rank among the routes; 0 is the highest.
     #[serde(default)]
-    priority: u32,
+    pub(super) priority: u32,
     /// The only service that answers; it takes precedence over `traffic_split`.
-    service: Option<String>,
-    traffic_split: Option<Vec<SplitPart>>,
+    pub(super) service: Option<String>,
+    pub(super) traffic_split: Option<Vec<SplitPart>>,
     /// Upstreams that one attempt of a client may be sent to; 1 where there is no number.
-    max_attempts: Option<u32>,
+    pub(super) max_attempts: Option<u32>,
     /// Open to all: requests need no key.
     #[serde(default)]
-    public: bool,
+    pub(super) public: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Deserialize)]
 #[serde(rename_all = "lowercase")]
-enum RouteKind {
+pub(super) enum RouteKind {
     /// Requests may run more than once.
     Safe,
     /// Requests may run at most once for each attempt of a client.
@@ -75,53 +79,53 @@
 }
 
 #[derive(Deserialize)]
-struct SplitPart {
-    service: String,
-    weight: f64,
+pub(super) struct SplitPart {
+    pub(super) service: String,
+    pub(super) weight: f64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct ServiceSpec {
+pub(super) struct ServiceSpec {
     /// Path of the health check; empty where there is none.
     #[serde(default)]
-    health_path: String,
+    pub(super) health_path: String,
     /// Connections that one upstream accepts.
     #[serde(default)]
-    max_connections: u32,
+    pub(super) max_connections: u32,
     /// Time for which an upstream is cold after its start.
     #[serde(default, deserialize_with = "text::deserialize_option")]
-    cold_start: Option<Duration>,
+    pub(super) cold_start: Option<Duration>,
     /// Requests per second that a cold upstream accepts from all nodes together; 0 means no limit.
     #[serde(default)]
-    cold_per_s: f64,
+    pub(super) cold_per_s: f64,
 }
 
 /// An organisation, which the platform calls a tenant.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct TenantSpec {
+pub(super) struct TenantSpec {
     #[serde(default)]
-    api_keys: Vec<Arc<str>>,
+    pub(super) api_keys: Vec<Arc<str>>,
     /// Rank that overrides the rank of the route; 0 is the highest.
-    priority: Option<u32>,
+    pub(super) priority: Option<u32>,
     /// Requests per second over all nodes; 0 means no limit.
     #[serde(default)]
-    rate_per_s: f64,
+    pub(super) rate_per_s: f64,
     /// Requests that may arrive at once over all nodes.
     #[serde(default)]
-    burst: f64,
+    pub(super) burst: f64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct LimitsSpec {
-    max_header_bytes: Option<usize>,
-    max_body_bytes: Option<usize>,
+pub(super) struct LimitsSpec {
+    pub(super) max_header_bytes: Option<usize>,
+    pub(super) max_body_bytes: Option<usize>,
     #[serde(default, deserialize_with = "text::deserialize_option")]
-    header_timeout: Option<Duration>,
+    pub(super) header_timeout: Option<Duration>,
     #[serde(default, deserialize_with = "text::deserialize_option")]
-    idle_timeout: Option<Duration>,
+    pub(super) idle_timeout: Option<Duration>,
 }
 
 /// Version that the operators gave a configuration document.
@@ -139,7 +143,7 @@
         match &*kind {
             "routes" => {
                 let spec = RouteSpec::deserialize(resource.spec).map_err(to_entry_error)?;
-                parts.routes.push(to_route(&name, spec)?);
+                parts.routes.push(to_route(&name, &spec)?);
             }
             "services" => {
                 let spec = ServiceSpec::deserialize(resource.spec).map_err(to_entry_error)?;
@@ -175,20 +179,28 @@
     Ok(parts)
 }
 
-fn to_route(name: &str, spec: RouteSpec) -> Result<Route, String> {
-    let destinations = match (spec.service, spec.traffic_split) {
+/// Services that a route sends requests to, with their weights; empty if it is unusable.
+pub(super) fn to_destinations(
+    service: Option<&str>,
+    traffic_split: Option<&[SplitPart]>,
+) -> SmallVec<[Destination; 2]> {
+    match (service, traffic_split) {
         (Some(service), _) => smallvec![Destination { service: service.into(), weight: 1.0 }],
         (None, Some(split)) => {
-            let destination =
-                |part: SplitPart| Destination { service: part.service.into(), weight: part.weight };
-            split.into_iter().filter(|part| part.weight > 0.0).map(destination).collect()
+            let destination = |part: &SplitPart| Destination {
+                service: part.service.as_str().into(),
+                weight: part.weight,
+            };
+            split.iter().filter(|part| part.weight > 0.0).map(destination).collect()
         }
         (None, None) => smallvec![],
-    };
+    }
+}
+
+pub(super) fn to_route(name: &str, spec: &RouteSpec) -> Result<Route, String> {
+    let destinations = to_destinations(spec.service.as_deref(), spec.traffic_split.as_deref());
     if destinations.is_empty() {
-        return Err(format!(
-            "routes/{name}: expected a service, or a traffic split with a weight above 0"
-        ));
+        return Err(format!("routes/{name}: expected {EXPECTED_DESTINATIONS}"));
     }
     if spec.kind == RouteKind::Unknown {
         log::warn!(route = name; "the route has an unknown kind; its requests are never repeated");
@@ -196,7 +208,7 @@
     Ok(Route {
         name: name.into(),
         host: spec.host.to_ascii_lowercase().into(),
-        prefix: spec.path_prefix.into(),
+        prefix: spec.path_prefix.as_str().into(),
         destinations,
         idempotent: spec.kind == RouteKind::Safe,
         timeout: spec.timeout,
@@ -207,7 +219,7 @@
     })
 }
 
-fn to_limits(spec: &LimitsSpec) -> CallerLimits {
+pub(super) fn to_limits(spec: &LimitsSpec) -> CallerLimits {
     let defaults = CallerLimits::default();
     CallerLimits {
         max_header_bytes: spec.max_header_bytes.unwrap_or(defaults.max_header_bytes),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! It translates the platform's messages, at the boundary, into the types of [`crate::mesh`].
 
 mod bounds;
+pub mod check;
 mod configuration;
 mod headers;
 mod heartbeat;
