Check the platform's form in `hibiscusctl check`

Cause: `hibiscusctl check` knew one form of the configuration only.

Change: the form of the file selects the check. The check of the other form has the same output and exit codes as before.

--- a/src/bin/hibiscusctl.rs
+++ b/src/bin/hibiscusctl.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use hibiscusdoor::{
-    control::{self, UsageError},
+    control::{self, CheckFailed, UsageError},
     findings::Findings,
 };
 
@@ -17,6 +17,11 @@
             println!("{}", text.trim_end());
             ExitCode::SUCCESS
         }
+        // The report is the output of the command, also where it has findings.
+        Err(error) if error.is::<CheckFailed>() => {
+            println!("{error}");
+            ExitCode::from(EXIT_FAILED)
+        }
         Err(error) => {
             eprintln!("{error:#}");
             let is_wrong_input = error.is::<Findings>()
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     config::{Document, ResourceKind},
-    control::{client::AdminClient, fleet, help, resource},
+    control::{check, client::AdminClient, fleet, help, resource},
     findings,
     mesh::RawMeshSettings,
     settings::RawSettings,
@@ -107,12 +107,7 @@
             reject_remaining(arguments)?;
             fleet::upstreams(&session).await
         }
-        "check" => {
-            let file = positional_argument(&mut arguments, "FILE")?;
-            reject_remaining(arguments)?;
-            check(&file)?;
-            Ok(format!("{file}: no findings"))
-        }
+        "check" => check::run(&session, arguments),
         "reference" => {
             let name =
                 positional_argument(&mut arguments, "settings, settings-mesh or configuration")?;
@@ -168,7 +163,8 @@
     Ok(page.trim_end().to_owned())
 }
 
-fn check(file: &str) -> anyhow::Result<Document> {
+/// Checks a configuration file in the form that `apply` accepts.
+pub fn check_document(file: &str) -> anyhow::Result<Document> {
     Ok(findings::check_input_file::<Document>(Path::new(file))?)
 }
 
@@ -177,7 +173,7 @@
     let timeout_s = arguments.opt_value_from_str("--timeout-s")?;
     let file = positional_argument(&mut arguments, "FILE")?;
     reject_remaining(arguments)?;
-    let document = check(&file)?;
+    let document = check_document(&file)?;
     let body = serde_json::to_vec(&document)?;
     let changed = session.client.send_change(Method::PUT, "/v1/configuration", None, body).await;
     let revision = changed.map_err(|error| error.context(file))?;
--- a/src/control/help.rs
+++ b/src/control/help.rs
@@ -158,9 +158,23 @@
 const CHECK: &str = "\
 hibiscusctl check: checks a configuration file without a node
 
-Usage: hibiscusctl check FILE
+Usage: hibiscusctl [--json] check FILE [--against FILE] [--calls FILE] [--memory-mb N]
+                                       [--retry-ratio N]
 
 All findings are printed, each with the file, the place in it, the expected and the found value.
+Nothing is sent.
+
+For a configuration in the form of the operators' platform, the findings include entries that can
+never match and limits that contradict each other. These options are for this form only:
+  --against FILE      also print the differences from FILE, the configuration in force; differences
+                      are no findings
+  --calls FILE        compare the time limits of nested calls: FILE is a JSON object with a list of
+                      the routes that are called for each route that calls others
+  --memory-mb N       compare the limits on requests with the memory of the smallest machine
+  --retry-ratio N     retries per request that the platform's bound permits [default: 0.2]
+
+Exit codes for this form: 0 no findings, 1 findings, 2 wrong usage or an unreadable file; for the
+other form: 0 no findings, 2 findings or wrong usage.
 ";
 
 const REFERENCE: &str = "\
