Test the shutdown of HTTP/2 connections

Cause: connections now decide by themselves when they are closed at a shutdown, and HTTP/2 takes a branch of its own there that no test reached.

Change: a test with a request that runs longer than idle connections stay open, on a connection that its client keeps.

--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -20,6 +20,7 @@
 };
 use http::{Method, Request, Response, StatusCode, request::Parts};
 use hyper::body::Incoming;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use tokio::{net::TcpListener, task::JoinSet, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -305,6 +306,35 @@
     Ok(())
 }
 
+/// Guards against a shutdown that cuts a running request of an HTTP/2 connection, or that waits for the
+/// connection after its answer: HTTP/2 has no header that closes it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 1)]
+async fn shutdown_finishes_requests_of_http2_and_closes_their_connection() -> anyhow::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let url = format!("http://{}/", listener.local_addr()?);
+    let shutdown = CancellationToken::new();
+    let server = tokio::spawn(http_server::serve(
+        listener,
+        shutdown.clone(),
+        async |_: Request<Incoming>| {
+            sleep(IDLE_CONNECTIONS_ARE_CLOSED).await;
+            text(StatusCode::OK, "done")
+        },
+    ));
+    let client = Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+    let running = tokio::spawn({
+        let client = client.clone();
+        async move { http_call(&client, Method::GET, &url, &[], "").await }
+    });
+    sleep(TIME_BEFORE_SHUTDOWN).await;
+    shutdown.cancel();
+    assert_eq!(running.await??.status, StatusCode::OK);
+    // The client still holds the connection.
+    tokio::time::timeout(SHUTDOWN_TIMEOUT / 2, server).await??;
+    drop(client);
+    Ok(())
+}
+
 const CLOSE_TIMES: CloseTimes =
     CloseTimes { head: Duration::from_secs(10), idle: Duration::from_secs(1) };
 
