Reach a hub that starts at the same time within a fraction of a second

For 3 s after the start, a hub that has not replied yet is tried again after 0.1 s, connections to other nodes time out after 0.2 s, and a contact that gives a hub its majority starts the claim at once.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -40,6 +40,9 @@
 /// gRPC client of another node.
 pub type Peer = MeshClient<tonic::transport::Channel>;
 
+/// Time for a connection to another node. A lost SYN is sent again after a second only, so a shorter time
+/// reaches a node sooner that starts at the same time as this one.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// A node that has not acted as the first hub for this long is no longer treated as the first hub.
 const FIRST_HUB_LIFETIME_MS: u64 = 1_000;
 /// Time without contact to other nodes after which the registration is checked; a hub removes it after
@@ -224,7 +227,7 @@
     pub fn peer(&self, address: SocketAddr) -> Peer {
         let mut peers = self.peers.lock();
         let peer = peers.entry(address).or_insert_with(|| {
-            MeshClient::new(peers::channel(address))
+            MeshClient::new(peers::channel(address, PEER_CONNECT_TIMEOUT))
                 .max_decoding_message_size(MAX_MESSAGE_BYTES)
                 .max_encoding_message_size(MAX_MESSAGE_BYTES)
         });
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -54,6 +54,11 @@
 /// to [`MAX_FAILURE_PAUSE`].
 const FIRST_FAILURE_PAUSE: Duration = Duration::from_secs(1);
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(8);
+/// Time after the start of a node in which a hub without a reply so far is tried again after
+/// [`START_FAILURE_PAUSE`]. Where all nodes start at once, those that started before the hub used others
+/// for a second, and no hub had a majority.
+const START_TIME: Duration = Duration::from_secs(3);
+const START_FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two exchanges that a first hub without contact to most of the fleet attempts.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a claim of a hub; it doubles with each further one up to [`MAX_CLAIM_PAUSE`].
@@ -138,11 +143,15 @@
         self.0.contains_key(instance)
     }
 
+    /// Records a failed exchange with an instance that may be starting at the same time as this node.
+    fn record_start_failure(&mut self, instance: &InstanceName, now: Instant) {
+        self.0.insert(instance.clone(), (now + START_FAILURE_PAUSE, START_FAILURE_PAUSE));
+    }
+
     fn record_failure(&mut self, instance: &InstanceName, now: Instant) {
-        let pause = self
-            .0
-            .get(instance)
-            .map_or(FIRST_FAILURE_PAUSE, |(_, last)| (*last * 2).min(MAX_FAILURE_PAUSE));
+        let pause = self.0.get(instance).map_or(FIRST_FAILURE_PAUSE, |(_, last)| {
+            (*last * 2).clamp(FIRST_FAILURE_PAUSE, MAX_FAILURE_PAUSE)
+        });
         self.0.insert(instance.clone(), (now + pause, pause));
     }
 }
@@ -155,6 +164,7 @@
     let mut pacer = Pacer::default();
     let mut holder_use = HolderUse::new(clock::now());
     let mut last_hub: Option<InstanceName> = None;
+    let start_end = Instant::now() + START_TIME;
     let mut is_retry = false;
     let mut claims = Claims::new();
     let (mut next_search, mut searched) = (Instant::now() + SEARCH_INTERVAL, 0);
@@ -214,6 +224,15 @@
                         // If a part of the fleet left a hub that is slow for a moment, no hub would have
                         // a majority. A substitute cannot grant the whole rates before the end of a
                         // second attempt anyway.
+                        let is_starting = contact.hub_time_ms == 0 && began < start_end;
+                        if is_starting {
+                            log::debug!(
+                                hub:% = hub, cause = failure.cause;
+                                "the hub does not answer yet after this node's start"
+                            );
+                            pauses.record_start_failure(&hub, Instant::now());
+                            continue;
+                        }
                         if failure.is_timeout && !is_retry {
                             is_retry = true;
                             continue;
@@ -282,7 +301,9 @@
     /// Whether the node should claim the hub number now.
     fn is_due<D: Dialect>(&mut self, node: &Node<D>, number: HubNumber, now: Instant) -> bool {
         let is_small = node.members.load().len() <= MAX_CLAIMED_INSTANCES;
-        if !is_small || !node.homes.lock().can_claim(clock::now(), number) {
+        // A node that knows no other may have read a list from before the others registered.
+        let is_alone = node.members.load().len() < 2;
+        if is_alone || !is_small || !node.homes.lock().can_claim(clock::now(), number) {
             self.pause = FIRST_CLAIM_PAUSE;
             return false;
         }
@@ -792,14 +813,23 @@
     let catalog = node.catalog.load_full();
     let mut homes = node.homes.lock();
     let home = homes.record_proven_contact(now, number, requester, proof, fleet_size);
-    let grants = wants.iter().map(|want| {
-        match catalog.as_ref().and_then(|catalog| catalog.organisation(&want.organisation)) {
-            Some(organisation) => home.grant_tokens(now, organisation, want.tokens, want.returned),
-            // The organisation is not in this node's configuration yet.
-            None => Grant { tokens: 0.0, retry_after: SYNC_INTERVAL },
-        }
-    });
-    grants.collect()
+    let grants: Vec<Grant> = wants
+        .iter()
+        .map(|want| {
+            match catalog.as_ref().and_then(|catalog| catalog.organisation(&want.organisation)) {
+                Some(organisation) => {
+                    home.grant_tokens(now, organisation, want.tokens, want.returned)
+                }
+                // The organisation is not in this node's configuration yet.
+                None => Grant { tokens: 0.0, retry_after: SYNC_INTERVAL },
+            }
+        })
+        .collect();
+    if *requester != node.settings.instance && homes.can_claim(now, number) {
+        // The node's own loop makes the claim.
+        node.sync_now.send_replace(());
+    }
+    grants
 }
 
 /// Number of tokens in a message of another node. A number that is none, infinite or negative would stay
--- a/src/peers/pool.rs
+++ b/src/peers/pool.rs
@@ -127,18 +127,21 @@
     }
 
     fn connect(&self, address: SocketAddr) -> PeerClient {
-        GeneratedClient::with_interceptor(channel(address), AddToken(self.token.clone()))
-            .max_decoding_message_size(MAX_MESSAGE_BYTES)
-            .max_encoding_message_size(MAX_MESSAGE_BYTES)
+        GeneratedClient::with_interceptor(
+            channel(address, CONNECT_TIMEOUT),
+            AddToken(self.token.clone()),
+        )
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
     }
 }
 
 /// Creates a channel to another node. It connects when it is first used, and detects a silent
 /// connection within about a second while calls wait for it.
-pub fn channel(address: SocketAddr) -> Channel {
+pub fn channel(address: SocketAddr, connect_timeout: Duration) -> Channel {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("an address makes a valid URI")
-        .connect_timeout(CONNECT_TIMEOUT)
+        .connect_timeout(connect_timeout)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
