Charge gRPC messages of other nodes to the memory budget

Cause: tonic collects a message of a call until it is complete, up to 80 MiB for each call and 200 calls a connection, and its decoded fields take a multiple of their bytes. Change: src/mesh/grpc wraps the generated service and the client's channel. Each part of a message is reserved before tonic gets it, by the memory that it needs once decoded; the reservation is tied to the body or ends with the call. Unfinished messages use a part of the budget, calls and streams are bounded, and calls that stop are refused. A refusal is RESOURCE_EXHAUSTED with metadata that only this layer sets, before the handler; the sender takes it for "not run" and any other status as before. Replies wait for memory until their caller gives them up.

--- a/src/http_server/intake/mod.rs
+++ b/src/http_server/intake/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::Notify;
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
@@ -115,8 +115,17 @@
 
     /// Registers an accepted connection.
     pub fn register(self: &Arc<Self>) -> Ticket {
+        self.insert(self.state.lock())
+    }
+
+    /// Registers a connection or a call if there is room for it.
+    pub fn try_register(self: &Arc<Self>) -> Option<Ticket> {
+        let state = self.state.lock();
+        (state.table.len() < self.max_connections).then(|| self.insert(state))
+    }
+
+    fn insert(self: &Arc<Self>, mut state: MutexGuard<'_, State>) -> Ticket {
         let evicted = CancellationToken::new();
-        let mut state = self.state.lock();
         let id = state.table.insert(clock::now());
         state.tokens.insert(id, evicted.clone());
         drop(state);
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -12,9 +12,10 @@
     admission::PaceReport,
     call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched},
     clock,
-    memory::Reservation,
+    memory::{self, Reservation},
     mesh::{
         Call, Dialect, GuardResult, LoadReport, Member, Node, ServiceUse, Usage,
+        grpc::{self, ReplyHold},
         guard::ANSWER_GRACE,
         link::LinkFailure,
         proto,
@@ -145,10 +146,27 @@
 ) -> Result<proto::ForwardReply, LinkFailure> {
     let mut peer = node.peer(member.record.address.peer_address);
     match peer.forward(message).await {
-        Ok(reply) => Ok(reply.into_inner()),
+        Ok(mut reply) => {
+            let hold: Option<ReplyHold> = reply.extensions_mut().remove();
+            let mut reply = reply.into_inner();
+            if let Some(reserved) = hold.and_then(|it| it.0.take()) {
+                reply.body = memory::reserved_bytes(reply.body, reserved);
+            }
+            Ok(reply)
+        }
         Err(status) if peers::is_connect_failure(&status) => {
             Err(LinkFailure::NotSent(status.message().to_owned()))
         }
+        // The call has not reached the other node's handler, much less its upstream.
+        Err(status) if grpc::is_refusal(&status) => {
+            let mut reply = proto::ForwardReply {
+                reason: Reason::Overload.as_str().to_owned(),
+                detail: status.message().to_owned(),
+                ..proto::ForwardReply::default()
+            };
+            reply.set_outcome(proto::Outcome::NotRun);
+            Ok(reply)
+        }
         Err(status) => Err(LinkFailure::Lost(status.message().to_owned())),
     }
 }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 mod entry;
 pub mod evacuation;
 mod forward;
+pub mod grpc;
 mod guard;
 mod leaving;
 pub mod link;
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -27,18 +27,19 @@
         RetryBudget, ReturnPromises, RootAdmission, RootFloor, RouteUsage, ServiceRefusals,
         TokenStock, Upstream, UpstreamRecord, UpstreamTracker,
         evacuation::Evacuations,
+        grpc::{self, ReservingChannel},
         link::Links,
         pace::{self, PacedRoots},
         proto::mesh_client::MeshClient,
         request::BufferedRequest,
     },
     names::{Incarnation, InstanceName, ServiceName},
-    peers::{self, MAX_MESSAGE_BYTES},
+    peers::MAX_MESSAGE_BYTES,
     store::{ObjectVersion, StoreEra},
 };
 
 /// gRPC client of another node.
-pub type Peer = MeshClient<tonic::transport::Channel>;
+pub type Peer = MeshClient<ReservingChannel>;
 
 /// A node that has not acted as the first hub for this long is no longer treated as the first hub.
 const FIRST_HUB_LIFETIME_MS: u64 = 1_000;
@@ -224,7 +225,7 @@
     pub fn peer(&self, address: SocketAddr) -> Peer {
         let mut peers = self.peers.lock();
         let peer = peers.entry(address).or_insert_with(|| {
-            MeshClient::new(peers::channel(address))
+            MeshClient::new(grpc::channel(address, self.memory.clone()))
                 .max_decoding_message_size(MAX_MESSAGE_BYTES)
                 .max_encoding_message_size(MAX_MESSAGE_BYTES)
         });
--- a/src/mesh/peer_service.rs
+++ b/src/mesh/peer_service.rs
@@ -12,7 +12,7 @@
 };
 use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
-use tonic::{Request, Response, Status, transport::Server};
+use tonic::{Request, Response, Status};
 
 use crate::{
     call::{Outcome, Reason, Undispatched},
@@ -21,8 +21,11 @@
         accept_within,
         intake::{Intake, Ticket},
     },
+    memory,
     mesh::{
-        Call, Dialect, GuardResult, Node, Rank, RetryReservation, Usage, link, pace,
+        Call, Dialect, GuardResult, Node, Rank, RetryReservation, Usage,
+        grpc::{self, BoundedCalls, CallBounds, CallHold},
+        link, pace,
         peer_stream::PeerStream,
         proto::{
             self,
@@ -104,11 +107,13 @@
     incoming: mpsc::Receiver<io::Result<PeerStream>>,
     shutdown: CancellationToken,
 ) {
+    let bounds = CallBounds::new(node.memory.clone(), node.misuse.clone());
+    let max_message_bytes = bounds.max_message_bytes();
     let service = MeshServer::new(PeerService { node })
-        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_decoding_message_size(max_message_bytes)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let server = Server::builder()
-        .add_service(service)
+    let server = grpc::bounded_server()
+        .add_service(BoundedCalls::new(service, bounds))
         .serve_with_incoming_shutdown(ReceiverStream::new(incoming), shutdown.cancelled_owned());
     if let Err(error) = server.await {
         log::error!(
@@ -128,15 +133,29 @@
         &self,
         request: Request<proto::ForwardRequest>,
     ) -> Result<Response<proto::ForwardReply>, Status> {
-        Ok(Response::new(answer_forwarded(&self.node, request.into_inner()).await))
+        let (hold, mut message) = begin_call(request);
+        if let Some(reserved) = hold.as_ref().and_then(|it| it.memory.take()) {
+            message.body = memory::reserved_bytes(message.body, reserved);
+        }
+        Ok(Response::new(answer_forwarded(&self.node, message).await))
     }
 
     async fn sync(
         &self,
         request: Request<proto::SyncRequest>,
     ) -> Result<Response<proto::SyncReply>, Status> {
-        Ok(Response::new(sync::answer_exchange(&self.node, request.into_inner())))
+        let (_hold, message) = begin_call(request);
+        Ok(Response::new(sync::answer_exchange(&self.node, message)))
+    }
+}
+
+/// Takes the place and the memory of a call from its request; they are returned when the hold is dropped.
+fn begin_call<T>(mut request: Request<T>) -> (Option<CallHold>, T) {
+    let hold: Option<CallHold> = request.extensions_mut().remove();
+    if let Some(hold) = &hold {
+        hold.begin();
     }
+    (hold, request.into_inner())
 }
 
 /// Runs a request that another node has forwarded at the local upstream.
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -328,8 +328,9 @@
         hub_time_ms: contact.hub_time_ms,
     };
     let mut peer = node.peer(address.peer_address);
-    let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
-        Ok(Ok(reply)) => reply.into_inner(),
+    // The memory of the reply is returned with its extensions.
+    let (_, mut reply, _extensions) = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
+        Ok(Ok(reply)) => reply.into_parts(),
         Ok(Err(status)) => return Err(status.message().to_owned()),
         Err(_) => return Err(format!("no answer within {SYNC_TIMEOUT:?}")),
     };
--- a/src/peers/pool.rs
+++ b/src/peers/pool.rs
@@ -136,13 +136,17 @@
 /// Creates a channel to another node. It connects when it is first used, and detects a silent
 /// connection within about a second while calls wait for it.
 pub fn channel(address: SocketAddr) -> Channel {
+    endpoint(address).connect_lazy()
+}
+
+/// Creates the settings of a [`channel`].
+pub fn endpoint(address: SocketAddr) -> Endpoint {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("an address makes a valid URI")
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
         .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .connect_lazy()
 }
 
 /// Returns whether a call failed because no connection could be made, so that nothing was sent.
--- a/tests/crowds_world/node.rs
+++ b/tests/crowds_world/node.rs
@@ -99,16 +99,26 @@
         network: u8,
         services: &[&str],
         limits: WorldLimits,
+    ) -> anyhow::Result<Self> {
+        let nodes: Vec<_> = services.iter().map(|service| (*service, limits)).collect();
+        Self::start_nodes(folder, network, &nodes).await
+    }
+
+    /// The same with limits for each node; the configuration has those of the first one.
+    pub async fn start_nodes(
+        folder: &Path,
+        network: u8,
+        services: &[(&str, WorldLimits)],
     ) -> anyhow::Result<Self> {
         let stop = CancellationToken::new();
         let store_address = SocketAddr::new(loopback_address(network, 1), STORE_PORT);
         let (store, store_address) = Store::start(&store_address.to_string(), stop.clone()).await?;
-        let service = services.last().context("a service")?;
-        store.write("config", "main", configuration(service, limits));
+        let (service, _) = services.last().context("a service")?;
+        store.write("config", "main", configuration(service, services[0].1));
         let mut nodes = Vec::new();
-        for (index, service) in services.iter().enumerate() {
+        for (index, (service, limits)) in services.iter().enumerate() {
             let address = loopback_address(network, u8::try_from(index)? + 2);
-            nodes.push(Node::start(folder, address, service, store_address, limits).await?);
+            nodes.push(Node::start(folder, address, service, store_address, *limits).await?);
         }
         let world = Self { nodes, stop };
         world.wait_for_request().await.context("before the crowd")?;
--- a/tests/mesh_grpc_memory.rs
+++ b/tests/mesh_grpc_memory.rs
@@ -14,19 +14,26 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use anyhow::Context as _;
 use bytes::{BufMut as _, Bytes, BytesMut};
-use crowds_world::node::{HOST, ROUTED_PATH, World, WorldLimits};
+use crowds_world::node::{HOST, ROUTED_PATH, WAIT, World, WorldLimits};
 use futures::{StreamExt as _, stream};
-use hibiscusdoor::mesh::proto::ForwardRequest;
-use http::{Request, Version};
+use hibiscusdoor::{mesh::proto::ForwardRequest, standin};
+use http::{Method, Request, Version};
 use http_body_util::StreamBody;
 use hyper::{body::Frame, client::conn::http2};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use prost::Message as _;
-use tokio::{net::TcpStream, sync::Mutex, task::JoinSet, time::sleep};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    sync::Mutex,
+    task::JoinSet,
+    time::sleep,
+};
 
 /// Held by the running test.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
@@ -45,6 +52,8 @@
 /// Time without progress of any call after which the calls are not waited for any more.
 const STALL_TIME: Duration = Duration::from_secs(3);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Memory that a node without calls may have reserved, for connections.
+const MAX_IDLE_BYTES: f64 = 1048576.0;
 
 /// Calls of another node.
 #[derive(Clone)]
@@ -193,11 +202,60 @@
     let served = world.wait_for_request().await;
     let memory_kb = world.entry().peak_memory_kb()?;
     drop(connections);
+    wait_until_released(&world).await?;
     assert!(world.nodes[0].is_running(), "the process has ended");
     assert!(memory_kb < LIMITS.memory_mb << 10, "peak memory of {} MiB", memory_kb >> 10);
     served
 }
 
+/// Waits until the node has returned the memory of the calls, which have ended.
+async fn wait_until_released(world: &World) -> anyhow::Result<()> {
+    let url = format!("http://{}/metrics", world.entry().addresses.operators);
+    let deadline = Instant::now() + WAIT;
+    loop {
+        let client = standin::new_client();
+        let reply = standin::http_call(&client, Method::GET, &url, &[], "").await?;
+        let text = String::from_utf8_lossy(&reply.body);
+        let used = text.lines().find_map(|it| it.strip_prefix("hibiscusdoor_memory_used_bytes "));
+        let used_bytes: f64 = used.context("no metric")?.trim().parse()?;
+        if used_bytes < MAX_IDLE_BYTES {
+            return Ok(());
+        }
+        anyhow::ensure!(Instant::now() < deadline, "{used_bytes} bytes are still reserved");
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Guards against a body that runs twice or is reported as possibly run, 502, because the node that it was
+/// forwarded to has no memory for it: that node refuses it before its upstream receives anything.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_the_other_node_cannot_hold_has_not_run() -> anyhow::Result<()> {
+    let _lock = ONE_AT_A_TIME.lock().await;
+    let folder = tempfile::tempdir()?;
+    let entry = WorldLimits { max_body_bytes: 24 << 20, route_timeout_s: 30, ..LIMITS };
+    // Five eighths of three quarters of 32 MiB hold no body of 20 MiB.
+    let guard = WorldLimits { memory_mb: 32, ..entry };
+    let nodes = [("front", entry), ("orders", guard)];
+    let world = World::start_nodes(folder.path(), 160, &nodes).await?;
+    let runs = || world.nodes[1].runs.load(Ordering::Relaxed);
+    let runs_before = runs();
+    let head = format!(
+        "POST {ROUTED_PATH} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: large\r\n\
+         x-deadline-ms: 30000\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        20 << 20
+    );
+    let mut stream = TcpStream::connect(world.entry().addresses.callers).await?;
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'x'; 20 << 20]).await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await?;
+    let answer = String::from_utf8_lossy(&answer);
+    println!("body of 20 MiB: {answer}");
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert_eq!(runs(), runs_before);
+    world.wait_for_request().await
+}
+
 macro_rules! calls {
     ($($name:ident($network:expr, $path:expr, $message:expr, $ends:expr, $connections:expr, $calls:expr)),+ $(,)?) => {
         $(
