--- a/src/mesh/grpc/calls.rs
+++ b/src/mesh/grpc/calls.rs
@@ -129,10 +129,12 @@
     fn reserve_unfinished(&self, received_bytes: usize, bytes: usize) -> Option<[Reservation; 2]> {
         let memory = &self.intake.memory;
         let limit_bytes = memory.limit_bytes();
-        let (unfinished_eighths, used_eighths) = match received_bytes {
-            ..=TINY_MESSAGE_BYTES => (TINY_UNFINISHED_EIGHTHS, 8),
-            ..=SMALL_MESSAGE_BYTES => (UNFINISHED_EIGHTHS, SMALL_MESSAGE_EIGHTHS),
-            _ => (UNFINISHED_EIGHTHS, LARGE_MESSAGE_EIGHTHS),
+        let (unfinished_eighths, used_eighths) = if received_bytes <= TINY_MESSAGE_BYTES {
+            (TINY_UNFINISHED_EIGHTHS, 8)
+        } else if received_bytes <= SMALL_MESSAGE_BYTES {
+            (UNFINISHED_EIGHTHS, SMALL_MESSAGE_EIGHTHS)
+        } else {
+            (UNFINISHED_EIGHTHS, LARGE_MESSAGE_EIGHTHS)
         };
         let unfinished =
             self.unfinished.reserve_up_to(bytes, limit_bytes / 8 * unfinished_eighths)?;
