--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -519,8 +519,9 @@
         claimed: false,
     };
     let mut peer = node.peer(address.peer_address);
-    let mut reply = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
-        Ok(Ok(reply)) => reply.into_inner(),
+    // The memory of the reply is returned with its extensions.
+    let (_, mut reply, _extensions) = match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
+        Ok(Ok(reply)) => reply.into_parts(),
         Ok(Err(status)) => {
             return Err(ExchangeFailure { cause: status.message().to_owned(), is_timeout: false });
         }
