Use one record of recent decisions, and refund the charges of a root request in one place

The three places that returned the charges of a refused root request are one. Notices about a hub number share their message, a comment stands at the decision that it explains, and the channel that only the peer pool still used is no longer public. Behaviour and tests are meant to be unchanged.

--- a/src/mesh/chains/mod.rs
+++ b/src/mesh/chains/mod.rs
@@ -13,6 +13,7 @@
 
 mod admission;
 mod organisation_shares;
+mod recent_decisions;
 mod refusal_meter;
 mod retry_rank;
 mod returns;
@@ -20,6 +21,7 @@
 
 pub use admission::{ChainAdmission, ChainVerdict, RetryReservation};
 pub use organisation_shares::OrganisationShares;
+pub use recent_decisions::RecentDecisions;
 pub use refusal_meter::RefusalMeter;
 pub use retry_rank::retry_rank;
 pub use returns::{ReturnAdvice, ReturnPromises};
--- a/src/mesh/chains/organisation_shares.rs
+++ b/src/mesh/chains/organisation_shares.rs
@@ -6,11 +6,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::{clock::Timestamp, names::OrganisationName};
+use crate::{clock::Timestamp, mesh::chains::RecentDecisions, names::OrganisationName};
 
-/// Time constant with which demand and use decay. An entry node sees a few requests of an organisation
-/// each second.
-const TIME_CONSTANT: Duration = Duration::from_secs(3);
 /// Time after which the level is computed again.
 const LEVEL_LIFETIME: Duration = Duration::from_millis(50);
 /// Fraction of the demand that is admitted from which no organisation is limited to a share.
@@ -20,28 +17,11 @@
 /// Number of organisations above which those without recent requests are dropped.
 const EVICTION_THRESHOLD: usize = 512;
 
-/// Slot time that requests of an organisation asked for and were admitted to, with exponential decay.
-#[derive(Debug, Clone, Copy, Default)]
-struct Use {
-    demanded: f64,
-    admitted: f64,
-    updated_at: Timestamp,
-}
-
-impl Use {
-    fn advance_to(&mut self, now: Timestamp) {
-        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
-        let factor = (-elapsed_s / TIME_CONSTANT.as_secs_f64()).exp();
-        self.demanded *= factor;
-        self.admitted *= factor;
-        self.updated_at = self.updated_at.max(now);
-    }
-}
-
 /// Max-min fair shares of organisations in the slot time that is admitted.
 #[derive(Debug, Default)]
 pub struct OrganisationShares {
-    organisations: HashMap<Option<OrganisationName>, Use>,
+    /// Slot time that the requests of each organisation asked for and were admitted to.
+    organisations: HashMap<Option<OrganisationName>, RecentDecisions>,
     /// Largest share of an organisation; `None` while nearly all that is demanded is admitted.
     level: Option<f64>,
     level_at: Timestamp,
@@ -57,14 +37,10 @@
         is_admitted: bool,
     ) {
         if self.organisations.len() > EVICTION_THRESHOLD {
-            self.organisations.retain(|_, it| now < it.updated_at + TIME_CONSTANT);
+            self.organisations.retain(|_, it| it.is_recent(now));
         }
         let used = self.organisations.entry(organisation.cloned()).or_default();
-        used.advance_to(now);
-        used.demanded += held_s;
-        if is_admitted {
-            used.admitted += held_s;
-        }
+        used.record(now, held_s, is_admitted);
     }
 
     /// Whether an organisation has received less than its share while requests were refused.
@@ -89,9 +65,9 @@
         let (mut demanded, mut admitted) = (0.0, 0.0);
         for used in self.organisations.values_mut() {
             used.advance_to(now);
-            demanded += used.demanded;
+            demanded += used.requested;
             admitted += used.admitted;
-            demands.push(used.demanded);
+            demands.push(used.requested);
         }
         if demands.len() < 2 || admitted >= SATISFIED_FRACTION * demanded {
             return None;
--- a/src/mesh/chains/returns.rs
+++ b/src/mesh/chains/returns.rs
@@ -13,10 +13,8 @@
     time::Duration,
 };
 
-use crate::{clock::Timestamp, names::OrganisationName};
+use crate::{clock::Timestamp, mesh::chains::RecentDecisions, names::OrganisationName};
 
-/// Time constant with which counts decay.
-const TIME_CONSTANT: Duration = Duration::from_secs(3);
 /// Recent requests below which nothing is known about what is admitted.
 const MIN_REQUESTS: f64 = 4.0;
 /// Fraction of the admitted requests that is promised; the rest is for new requests.
@@ -45,10 +43,7 @@
 /// Requests of one route and organisation.
 #[derive(Debug, Default)]
 struct Line {
-    /// Recent requests and the admitted ones among them, with exponential decay.
-    requests: f64,
-    admitted: f64,
-    updated_at: Timestamp,
+    decisions: RecentDecisions,
     /// Time from which nothing is promised yet.
     free_from: Timestamp,
     /// Promised returns that are not due or have just become due, in order, with the time that their
@@ -58,11 +53,7 @@
 
 impl Line {
     fn advance_to(&mut self, now: Timestamp) {
-        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
-        let factor = (-elapsed_s / TIME_CONSTANT.as_secs_f64()).exp();
-        self.requests *= factor;
-        self.admitted *= factor;
-        self.updated_at = self.updated_at.max(now);
+        self.decisions.advance_to(now);
         while self.due.front().is_some_and(|(due, _)| *due + LATE < now) {
             self.due.pop_front();
         }
@@ -85,12 +76,11 @@
         is_admitted: bool,
     ) {
         if self.lines.len() > EVICTION_THRESHOLD {
-            self.lines.retain(|_, it| now < it.updated_at + TIME_CONSTANT || !it.due.is_empty());
+            self.lines.retain(|_, it| it.decisions.is_recent(now) || !it.due.is_empty());
         }
         let line = self.lines.entry((route.clone(), organisation.cloned())).or_default();
         line.advance_to(now);
-        line.requests += 1.0;
-        line.admitted += f64::from(u8::from(is_admitted));
+        line.decisions.record(now, 1.0, is_admitted);
     }
 
     /// Promises the first free time to a refused caller, at least `earliest` from now and within the part
@@ -107,13 +97,14 @@
             return ReturnAdvice::Unknown;
         };
         line.advance_to(now);
-        let promised = PROMISED_FRACTION * line.admitted;
+        let RecentDecisions { requested, admitted, .. } = line.decisions;
+        let promised = PROMISED_FRACTION * admitted;
         // Of a few requests, half of those admitted may be less than one.
-        let is_small = promised < 1.0 && line.admitted * 2.0 > line.requests;
-        if line.requests < MIN_REQUESTS || is_small {
+        let is_small = promised < 1.0 && admitted * 2.0 > requested;
+        if requested < MIN_REQUESTS || is_small {
             return ReturnAdvice::Unknown;
         }
-        let promised_per_s = promised / TIME_CONSTANT.as_secs_f64();
+        let promised_per_s = promised / RecentDecisions::TIME_CONSTANT.as_secs_f64();
         let latest = deadline.saturating_sub(now) / USABLE_TIME_DIVISOR;
         let at = line.free_from.max(now + earliest);
         if at > now + latest || promised < 1.0 {
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -110,6 +110,16 @@
     paced: PacedCharge,
 }
 
+impl Charges {
+    /// Returns the charges of a request that did not begin.
+    fn refund<D: Dialect>(self, node: &Node<D>) {
+        self.paced.refund(node);
+        if let Some(charge) = self.rate {
+            charge.refund(node);
+        }
+    }
+}
+
 /// Answers a request of a caller or of the local upstream.
 async fn answer_request<D: Dialect>(
     node: Arc<Node<D>>,
@@ -335,7 +345,7 @@
     node: &Arc<Node<D>>,
     admitted: &mut Admitted,
 ) -> Result<Charges, EntryRefusal> {
-    let route = admitted.route.clone();
+    let route = &admitted.route;
     let charge = match &admitted.organisation {
         None => None,
         Some(organisation) => charge::charge(node, organisation, route.answer_within)
@@ -348,30 +358,34 @@
                 }
                 ChargeRefusal::HomeTimeout => {
                     let detail = format!("no token of {} came in time", organisation.name);
-                    let retry_after = Some(retry_after(&route));
+                    let retry_after = Some(retry_after(route));
                     EntryRefusal { reason: Reason::Overload, detail, retry_after }
                 }
             })?,
     };
+    let mut charges = Charges { rate: charge, ..Charges::default() };
     if admitted.call.depth > 0 {
-        return Ok(Charges { rate: charge, paced: PacedCharge::default() });
+        return Ok(charges);
     }
-    let paced = match admit_by_pace(node, admitted) {
-        Ok(paced) => paced,
+    match admit_root(node, admitted, &mut charges).await {
+        Ok(()) => Ok(charges),
         Err(refusal) => {
-            if let Some(charge) = charge {
-                charge.refund(node);
-            }
-            return Err(refusal);
+            charges.refund(node);
+            Err(refusal)
         }
-    };
+    }
+}
+
+/// Decides whether a root request begins, and adds what it is charged for besides its rate.
+async fn admit_root<D: Dialect>(
+    node: &Arc<Node<D>>,
+    admitted: &mut Admitted,
+    charges: &mut Charges,
+) -> Result<(), EntryRefusal> {
+    charges.paced = admit_by_pace(node, admitted)?;
     match begin_chain(node, &admitted.call) {
         ChainVerdict::Begin(reservation) => admitted.call.reservation = reservation,
         ChainVerdict::Refuse { service, refused_share } => {
-            paced.refund(node);
-            if let Some(charge) = charge {
-                charge.refund(node);
-            }
             return Err(EntryRefusal {
                 reason: Reason::Overload,
                 detail: format!(
@@ -379,20 +393,16 @@
                      on retries leaves none for the chain",
                     refused_share * 100.0
                 ),
-                retry_after: Some(retry_after(&route)),
+                retry_after: Some(retry_after(&admitted.route)),
             });
         }
     }
     match wait_for_root_admission(node, admitted).await {
-        RootVerdict::Admit => Ok(Charges { rate: charge, paced }),
+        RootVerdict::Admit => Ok(()),
         RootVerdict::Refuse { service, load } => {
-            paced.refund(node);
             if let Some(reservation) = &admitted.call.reservation {
                 node.chain_admission.lock().refund(reservation);
             }
-            if let Some(charge) = charge {
-                charge.refund(node);
-            }
             Err(EntryRefusal {
                 reason: Reason::Overload,
                 detail: format!("the service {service} of the chain is full, load {load:.2}"),
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -221,9 +221,6 @@
                     }
                     Err(failure) => {
                         node.stock.lock().restore_returned(&wants);
-                        // If a part of the fleet left a hub that is slow for a moment, no hub would have
-                        // a majority. A substitute cannot grant the whole rates before the end of a
-                        // second attempt anyway.
                         let is_starting = contact.hub_time_ms == 0 && began < start_end;
                         if is_starting {
                             log::debug!(
@@ -233,6 +230,9 @@
                             pauses.record_start_failure(&hub, Instant::now());
                             continue;
                         }
+                        // If a part of the fleet left a hub that is slow for a moment, no hub would have
+                        // a majority. A substitute cannot grant the whole rates before the end of a
+                        // second attempt anyway.
                         if failure.is_timeout && !is_retry {
                             is_retry = true;
                             continue;
@@ -322,14 +322,7 @@
             });
             others.map(|(_, address)| node.peer(address.peer_address)).collect()
         };
-        let request = proto::SyncRequest {
-            instance: node.settings.instance.to_string(),
-            hub: hub_field(number),
-            // Earlier builds take this for an exchange that proves nothing.
-            exclusive_ms: Some(0),
-            claimed: true,
-            ..Default::default()
-        };
+        let request = proto::SyncRequest { claimed: true, ..hub_notice(node, number) };
         let answers = asked.into_iter().map(|mut peer| {
             let request = request.clone();
             async move {
@@ -353,6 +346,17 @@
     }
 }
 
+/// A message about a hub number without an exchange; earlier builds take it for an exchange that proves
+/// nothing.
+fn hub_notice<D: Dialect>(node: &Node<D>, number: HubNumber) -> proto::SyncRequest {
+    proto::SyncRequest {
+        instance: node.settings.instance.to_string(),
+        hub: hub_field(number),
+        exclusive_ms: Some(0),
+        ..Default::default()
+    }
+}
+
 fn hub_field(number: HubNumber) -> u32 {
     u32::try_from(number + 1).unwrap_or(u32::MAX)
 }
@@ -372,14 +376,7 @@
         return true;
     }
     let Some(address) = node.members.load().addresses().get(hub).cloned() else { return false };
-    let request = proto::SyncRequest {
-        instance: node.settings.instance.to_string(),
-        hub: hub_field(number),
-        // Earlier builds take this for an exchange that proves nothing.
-        exclusive_ms: Some(0),
-        released: true,
-        ..Default::default()
-    };
+    let request = proto::SyncRequest { released: true, ..hub_notice(node, number) };
     let mut peer = node.peer(address.peer_address);
     match timeout(SYNC_TIMEOUT, peer.sync(request)).await {
         Ok(Ok(reply)) => reply.into_inner().released,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,5 +5,5 @@
 pub mod proto;
 
 pub use pool::{
-    MAX_MESSAGE_BYTES, PeerClient, PeerPool, TOKEN_HEADER, channel, endpoint, is_connect_failure,
+    MAX_MESSAGE_BYTES, PeerClient, PeerPool, TOKEN_HEADER, endpoint, is_connect_failure,
 };
--- a/src/peers/pool.rs
+++ b/src/peers/pool.rs
@@ -127,19 +127,17 @@
     }
 
     fn connect(&self, address: SocketAddr) -> PeerClient {
-        GeneratedClient::with_interceptor(channel(address), AddToken(self.token.clone()))
-            .max_decoding_message_size(MAX_MESSAGE_BYTES)
-            .max_encoding_message_size(MAX_MESSAGE_BYTES)
+        GeneratedClient::with_interceptor(
+            endpoint(address).connect_lazy(),
+            AddToken(self.token.clone()),
+        )
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
     }
 }
 
-/// Creates a channel to another node. It connects when it is first used, and detects a silent
-/// connection within about a second while calls wait for it.
-pub fn channel(address: SocketAddr) -> Channel {
-    endpoint(address).connect_lazy()
-}
-
-/// Creates the settings of a [`channel`].
+/// Settings of a channel to another node, which detects a silent connection within about a second while
+/// calls wait for it.
 pub fn endpoint(address: SocketAddr) -> Endpoint {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("an address makes a valid URI")
