Wait in a test until the configuration is current after an outage of the store

After the outage, the proof of the configuration and the evacuations are read independently, each with pauses of up to a second. A node that knew both evacuations still had a proof of more than 5 s, and refused the key, as it promises.

The test also waits for a young proof at each node; its assertions are unchanged.

--- a/tests/mesh_evacuation.rs
+++ b/tests/mesh_evacuation.rs
@@ -220,6 +220,12 @@
         state["evacuated_zones"] == json!(["zone-0", "zone-1"])
     })
     .await?;
+    // Keys are refused until the proof of the configuration is younger than 5 s again. It is read
+    // independently of the evacuations, up to a second later.
+    wait_for_states(&world, "the configuration is current", |_, state| {
+        state["proof_age_ms"].as_u64().is_some_and(|age_ms| age_ms < 4_000)
+    })
+    .await?;
     let url = format!("http://{}{}", world.callers(1), services()[0].prefix);
     let headers = [("host", HOST), ("x-attempt-id", "test-1"), ("x-deadline-ms", "2000")];
     let key = world.key(ORGANISATIONS[1]);
