Report the resident memory of a node beside its memory budget

Metrics and the state dump had the reserved bytes and their limit only.

Change: resident memory and its peak, and the peak of the budget, in /metrics and /state. Read from /proc/self/status when asked, so it costs nothing else.

--- a/src/memory/machine.rs
+++ b/src/memory/machine.rs
@@ -8,6 +8,7 @@
 /// Descriptors that are assumed where the process has no limit.
 const FALLBACK_DESCRIPTORS: usize = 4_096;
 const MEMORY_FILE: &str = "/proc/meminfo";
+const PROCESS_FILE: &str = "/proc/self/status";
 
 /// Memory of the machine: `stated` by the settings, or `MemTotal` of `/proc/meminfo`, up to that of a small
 /// machine.
@@ -28,7 +29,36 @@
 
 /// `MemTotal` in the text of `/proc/meminfo`, in bytes.
 pub fn parse_memory_total(text: &str) -> Option<usize> {
-    let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"))?;
+    parse_field(text, "MemTotal:")
+}
+
+/// Resident memory of this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResidentMemory {
+    /// Memory that is resident now.
+    pub current_bytes: usize,
+    /// Most memory that was resident since the start of the process.
+    pub peak_bytes: usize,
+}
+
+impl ResidentMemory {
+    /// Reads the memory of this process; `None` where the system does not report it.
+    pub fn read() -> Option<Self> {
+        Self::parse(&std::fs::read_to_string(PROCESS_FILE).ok()?)
+    }
+
+    /// Reads `VmRSS` and `VmHWM` from the text of `/proc/self/status`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let current_bytes = parse_field(text, "VmRSS:")?;
+        // The kernel updates the peak later than the current value.
+        let peak_bytes = parse_field(text, "VmHWM:")?.max(current_bytes);
+        Some(Self { current_bytes, peak_bytes })
+    }
+}
+
+/// Value of a field like `MemTotal:  512 kB`, in bytes.
+fn parse_field(text: &str, name: &str) -> Option<usize> {
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
     let kib: usize = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
     kib.checked_mul(1024)
 }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -13,19 +13,22 @@
 
 use bytes::Bytes;
 
-pub use machine::{budget_bytes, machine_memory_bytes, max_descriptors, parse_memory_total};
+pub use machine::{
+    ResidentMemory, budget_bytes, machine_memory_bytes, max_descriptors, parse_memory_total,
+};
 
 /// Memory that may be reserved in total.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit_bytes: usize,
     used_bytes: AtomicUsize,
+    peak_bytes: AtomicUsize,
 }
 
 impl MemoryBudget {
     /// Creates a budget of this size.
     pub fn new(limit_bytes: usize) -> Self {
-        Self { limit_bytes, used_bytes: AtomicUsize::new(0) }
+        Self { limit_bytes, used_bytes: AtomicUsize::new(0), peak_bytes: AtomicUsize::new(0) }
     }
 
     /// Size of the budget.
@@ -38,6 +41,11 @@
         self.used_bytes.load(Ordering::Relaxed)
     }
 
+    /// Most bytes that were reserved at a time.
+    pub fn peak_bytes(&self) -> usize {
+        self.peak_bytes.load(Ordering::Relaxed)
+    }
+
     /// Reserves memory if no more than `max_used_bytes` of the budget are in use afterwards; a use of
     /// the budget that may be refused passes less than the whole budget, and leaves the rest to others.
     pub fn reserve_up_to(
@@ -50,13 +58,19 @@
             self.used_bytes.try_update(Ordering::Relaxed, Ordering::Relaxed, |used_bytes| {
                 used_bytes.checked_add(bytes).filter(|used_bytes| *used_bytes <= max_used_bytes)
             });
-        reserved.ok().map(|_| Reservation { budget: self.clone(), bytes })
+        let used_before_bytes = reserved.ok()?;
+        Some(self.make_reservation(used_before_bytes, bytes))
     }
 
     /// Reserves memory that is in use already or must be used, beyond the limit if need be: such a use is
     /// not refused, but leaves less to the uses that may be.
     pub fn reserve_always(self: &Arc<Self>, bytes: usize) -> Reservation {
-        self.used_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let used_before_bytes = self.used_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.make_reservation(used_before_bytes, bytes)
+    }
+
+    fn make_reservation(self: &Arc<Self>, used_before_bytes: usize, bytes: usize) -> Reservation {
+        self.peak_bytes.fetch_max(used_before_bytes + bytes, Ordering::Relaxed);
         Reservation { budget: self.clone(), bytes }
     }
 
--- a/src/mesh/operators.rs
+++ b/src/mesh/operators.rs
@@ -24,6 +24,7 @@
     call::Outcome,
     clock::{self, Timestamp},
     http_server,
+    memory::ResidentMemory,
     mesh::{Dialect, Node, ReturnAdvice},
     names::{InstanceName, Revision, ServiceName, ZoneName},
     store::{ObjectApi as _, ObjectVersion, StoreEra},
@@ -224,9 +225,14 @@
     /// Number of quarantined requests, which have crashed upstreams and are refused.
     quarantined: usize,
     dropped_log_lines: u64,
-    /// Bytes held for others, and their limit.
+    /// Bytes held for others, the most that were held at a time, and their limit.
     memory_used_bytes: usize,
+    memory_peak_bytes: usize,
     memory_limit_bytes: usize,
+    /// Resident memory of the process, which also holds what the budget does not count; `None` where the
+    /// system does not report it.
+    resident_bytes: Option<usize>,
+    resident_peak_bytes: Option<usize>,
 }
 
 fn paced_roots<D: Dialect>(node: &Node<D>, now: Timestamp) -> Vec<PacedService> {
@@ -245,6 +251,7 @@
         let out_of_use = members.with_record().filter(|member| member.ready_upstream().is_none());
         let loads = node.root_admission.lock().service_loads().into_iter();
         let refusals = node.refusals.lock();
+        let resident = ResidentMemory::read();
         Self {
             format: STATE_FORMAT,
             instance: node.settings.instance.clone(),
@@ -286,6 +293,9 @@
             quarantined: node.guard.crashes.lock().quarantined_count(now),
             dropped_log_lines: telemetry::dropped_lines(),
             memory_used_bytes: node.memory.used_bytes(),
+            memory_peak_bytes: node.memory.peak_bytes(),
+            resident_bytes: resident.map(|it| it.current_bytes),
+            resident_peak_bytes: resident.map(|it| it.peak_bytes),
             memory_limit_bytes: node.memory.limit_bytes(),
         }
     }
@@ -329,7 +339,22 @@
             "Memory reserved for requests, answers and connections of others",
             self.memory_used_bytes as f64,
         );
+        gauge(
+            "memory_peak_bytes",
+            "Most of that memory that was reserved at a time since the start",
+            self.memory_peak_bytes as f64,
+        );
         gauge("memory_limit_bytes", "Limit of that memory", self.memory_limit_bytes as f64);
+        gauge(
+            "resident_bytes",
+            "Resident memory of the process; -1 if unknown",
+            self.resident_bytes.map_or(-1.0, |bytes| bytes as f64),
+        );
+        gauge(
+            "resident_peak_bytes",
+            "Most memory of the process that was resident since the start; -1 if unknown",
+            self.resident_peak_bytes.map_or(-1.0, |bytes| bytes as f64),
+        );
         if let Some(gate) = &self.gate {
             gauge(
                 "upstream_running",
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -4,7 +4,7 @@
 
 use hibiscusdoor::{
     http_server::intake::{Activity, ConnectionId, ConnectionTable, Misuse, MisuseCounters},
-    memory::{MemoryBudget, budget_bytes, parse_memory_total, reserved_bytes},
+    memory::{MemoryBudget, ResidentMemory, budget_bytes, parse_memory_total, reserved_bytes},
     mesh::ListenerBounds,
 };
 
@@ -121,7 +121,9 @@
     assert_eq!((memory.used_bytes(), memory.reserve(60).is_none()), (60, true));
     drop(part);
     assert_eq!(memory.used_bytes(), 0);
+    assert_eq!(memory.peak_bytes(), 60);
     let forced = memory.reserve_always(150);
+    assert_eq!(memory.peak_bytes(), 150);
     assert!(memory.reserve(1).is_none());
     drop(forced);
     assert_eq!(memory.used_bytes(), 0);
@@ -137,6 +139,17 @@
     assert_eq!(budget_bytes(160 << 20), 120 << 20);
 }
 
+/// Guards against memory that the budget does not count and that no figure shows.
+#[test]
+fn the_resident_memory_is_read() {
+    let text = "VmPeak:\t 900 kB\nVmHWM:\t    30 kB\nVmRSS:\t    20 kB\n";
+    let resident = ResidentMemory { current_bytes: 20 << 10, peak_bytes: 30 << 10 };
+    assert_eq!(ResidentMemory::parse(text), Some(resident));
+    assert_eq!(ResidentMemory::parse("VmRSS:\t    20 kB\n"), None);
+    let own = ResidentMemory::read().expect("the memory of this process");
+    assert!(own.current_bytes > 0 && own.peak_bytes >= own.current_bytes, "{own:?}");
+}
+
 /// Guards against listeners that together use all descriptors.
 #[test]
 fn the_listeners_leave_descriptors_to_the_upstream() {
