Read the objects of the store one by one, so that an odd one hides no others

Report of other operators: one odd entry among those of the targets, and the machines that read the list ended or stopped following it. Here no process ended, but no node followed the list or registered while the entry stood, and a fleet without seeds served nothing.

Cause: the client parsed a page of the list with the contents of all objects at once, so a number out of range or values nested too deep made the page unreadable; the same in watches, single objects and answers to conflicts. Ruled out: a port out of range and values of another type (ignored one by one before), heartbeats (400), records in exchanges between nodes (ignored one by one).

Change: the frame, each object and its content are parsed in turn; an unreadable content is null, which names no address. Each is logged once with kind and name.

The new cases of tests/store_answers.rs were not run on the code before.

--- a/src/mesh/configuration.rs
+++ b/src/mesh/configuration.rs
@@ -157,6 +157,9 @@
         );
         return Ok(StoreRead::Found);
     };
+    if value.is_null() {
+        return Err(StoreError::NoAnswer("the configuration cannot be read".to_owned()));
+    }
     let position = Position {
         revision: D::revision(&value).unwrap_or_default(),
         era: object.era,
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -45,10 +45,11 @@
     let mut reads: Option<usize> = None;
     let mut era = node.era.subscribe();
     let mut may_be_lost = false;
+    let mut invalid = InvalidInstances::new();
     loop {
         let registration = match may_be_lost {
             true => restore_registration(&node).await,
-            false => read_and_register(&node, reads).await,
+            false => read_and_register(&node, reads, &mut invalid).await,
         };
         let pause = match registration {
             Ok(registration) => {
@@ -150,6 +151,9 @@
     Ok(())
 }
 
+/// Instances with an invalid address in the last list, with the versions of their objects.
+type InvalidInstances = BTreeMap<InstanceName, ObjectVersion>;
+
 /// Whether the store already had the node's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Registration {
@@ -167,6 +171,7 @@
 async fn read_and_register<D: Dialect>(
     node: &Node<D>,
     reads: Option<usize>,
+    invalid: &mut InvalidInstances,
 ) -> Result<Registration, StoreError> {
     let is_alone = reads == Some(0) && node.members.load().len() <= 1;
     let listing = match is_alone {
@@ -177,18 +182,26 @@
     let own = node.own_record().address;
     let mut version: ObjectVersion = 0;
     let mut addresses: BTreeMap<InstanceName, InstanceAddress> = BTreeMap::new();
+    let reported = std::mem::take(invalid);
     for object in listing.objects {
         let Some(value) = object.value else { continue };
         if object.name == *own_name {
             version = object.version;
         }
+        // The client of the store has logged a value that it cannot read.
+        if value.is_null() {
+            continue;
+        }
         match serde_json::from_value(value) {
             Ok(address) => drop(addresses.insert(object.name, address)),
             Err(error) => {
-                log::warn!(
-                    instance:% = object.name, cause:% = error;
-                    "ignored an instance in the store with an invalid address"
-                );
+                if reported.get(&object.name) != Some(&object.version) {
+                    log::warn!(
+                        kind = KIND_INSTANCES, instance:% = object.name, cause:% = error;
+                        "ignored an instance in the store with an invalid address"
+                    );
+                }
+                invalid.insert(object.name, object.version);
             }
         }
     }
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's object store.
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     sync::{
         Arc,
@@ -11,12 +12,13 @@
 
 use bytes::Bytes;
 use http::{HeaderName, Method, StatusCode};
+use parking_lot::Mutex;
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::{Value, json, value::RawValue};
 
 use crate::store::{
     HttpExchange, Listing, Object, ObjectApi, ObjectVersion, ParseBudget, StoreEra, StoreError,
-    parse_json, status_error,
+    parse_json, shorten, status_error,
 };
 
 /// Era of the store in all its answers; it rises by one when the store comes back from a copy.
@@ -25,6 +27,9 @@
 /// Maximum number of pages that one call of `list` reads.
 const MAX_PAGES: usize = 64;
 
+/// Unreadable objects that are remembered, so that each is logged once.
+const MAX_REPORTED: usize = 1024;
+
 /// The platform's object store.
 #[derive(Debug, Clone)]
 pub struct PlatformStore {
@@ -32,13 +37,22 @@
     timeout: Duration,
     /// Highest era that an answer has named.
     era: Arc<AtomicU64>,
+    /// Texts about unreadable objects that have been logged.
+    reported: Arc<Mutex<HashSet<String>>>,
 }
 
+/// An object whose content is left as text, since another writer may have written what cannot be read.
 #[derive(Deserialize)]
-struct WireObject {
+struct WireObject<'a> {
+    metadata: Metadata,
+    #[serde(borrow, default)]
+    spec: Option<&'a RawValue>,
+}
+
+/// An object of which only the version is of interest.
+#[derive(Deserialize)]
+struct WireVersion {
     metadata: Metadata,
-    #[serde(default)]
-    spec: Value,
 }
 
 #[derive(Deserialize)]
@@ -54,8 +68,9 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Page {
-    items: Vec<WireObject>,
+struct Page<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     /// Whether further pages follow.
     #[serde(default)]
     more: bool,
@@ -65,16 +80,17 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Events {
-    #[serde(default)]
-    events: Vec<Event>,
+struct Events<'a> {
+    #[serde(borrow, default)]
+    events: Vec<&'a RawValue>,
     /// Version of the store.
     store_revision: ObjectVersion,
 }
 
 #[derive(Deserialize)]
-struct Event {
-    object: WireObject,
+struct Event<'a> {
+    #[serde(borrow)]
+    object: &'a RawValue,
     #[serde(default)]
     deleted: bool,
 }
@@ -87,22 +103,11 @@
     era: StoreEra,
 }
 
-impl WireObject {
-    fn into_object(self, kind: &str, era: StoreEra, deleted: bool) -> Object {
-        Object {
-            kind: kind.into(),
-            name: self.metadata.name,
-            version: self.metadata.revision,
-            era,
-            value: (!deleted && !self.metadata.deleting).then_some(self.spec),
-        }
-    }
-}
-
 impl PlatformStore {
     /// Makes a client; it connects when it is first used.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Self { exchange: HttpExchange::new(address, timeout), timeout, era: Arc::default() }
+        let exchange = HttpExchange::new(address, timeout);
+        Self { exchange, timeout, era: Arc::default(), reported: Arc::default() }
     }
 
     /// The underlying HTTP exchange, which counts the calls.
@@ -146,42 +151,94 @@
         kind: &str,
         after: Option<&str>,
         freshness: Freshness,
-        budget: &mut ParseBudget,
-    ) -> Result<(Page, StoreEra), StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let path = match (freshness, after) {
             (Freshness::Current, None) => format!("/objects/{kind}"),
             (Freshness::Current, Some(name)) => format!("/objects/{kind}?after={name}"),
             (Freshness::Stale, None) => format!("/objects/{kind}?staleOk=1"),
             (Freshness::Stale, Some(name)) => format!("/objects/{kind}?staleOk=1&after={name}"),
         };
-        let StoreAnswer { status, body, era } = self.get_path(&path, self.timeout).await?;
-        match status {
-            StatusCode::OK => Ok((budget.parse_json(&body)?, era)),
-            _ => Err(status_error(status, &body)),
+        let answer = self.get_path(&path, self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => Ok(answer),
+            status => Err(status_error(status, &answer.body)),
         }
     }
 
     async fn list_pages(&self, kind: &str, freshness: Freshness) -> Result<Listing, StoreError> {
         let mut listing = Listing::default();
         let mut after: Option<Arc<str>> = None;
-        let mut budget = ParseBudget::default();
+        let mut budget = ParseBudget::for_listing();
         for _ in 0..MAX_PAGES {
-            let (page, era) =
-                self.fetch_page(kind, after.as_deref(), freshness, &mut budget).await?;
+            let StoreAnswer { body, era, .. } =
+                self.fetch_page(kind, after.as_deref(), freshness).await?;
+            let text = String::from_utf8_lossy(&body);
+            let page: Page<'_> = budget.parse_frame(&text)?;
             // A watch from the first page's version also reports changes made between the pages.
             if after.is_none() {
                 listing.version = page.store_revision;
             }
-            after = page.items.last().map(|item| item.metadata.name.clone());
-            listing
-                .objects
-                .extend(page.items.into_iter().map(|it| it.into_object(kind, era, false)));
+            after = None;
+            for item in page.items {
+                let Some(object) = self.read_object(kind, item, era, false, &mut budget)? else {
+                    continue;
+                };
+                after = Some(object.name.clone());
+                listing.objects.push(object);
+            }
             if !page.more || after.is_none() {
                 return Ok(listing);
             }
         }
         Err(StoreError::Refused(format!("the kind {kind} has more than {MAX_PAGES} pages")))
     }
+
+    /// Reads one object of a listing. Its value is `null` if only the value is unreadable; `None` if the
+    /// object cannot even be named.
+    fn read_object(
+        &self,
+        kind: &str,
+        object: &RawValue,
+        era: StoreEra,
+        is_deleted: bool,
+        budget: &mut ParseBudget,
+    ) -> Result<Option<Object>, StoreError> {
+        let wire: WireObject<'_> = match serde_json::from_str(object.get()) {
+            Ok(wire) => wire,
+            Err(error) => {
+                self.report_unreadable(kind, &shorten(object.get()), &error.to_string());
+                return Ok(None);
+            }
+        };
+        let Metadata { name, revision, deleting } = wire.metadata;
+        let value = match wire.spec {
+            _ if is_deleted || deleting => None,
+            None => Some(Value::Null),
+            Some(spec) => match budget.parse_value(spec.get())? {
+                Ok(value) => Some(value),
+                Err(cause) => {
+                    self.report_unreadable(kind, &name, &cause);
+                    Some(Value::Null)
+                }
+            },
+        };
+        Ok(Some(Object { kind: kind.into(), name, version: revision, era, value }))
+    }
+
+    /// Logs an object that cannot be read, once for each cause.
+    fn report_unreadable(&self, kind: &str, name: &str, cause: &str) {
+        let cause = shorten(cause);
+        let mut reported = self.reported.lock();
+        if reported.len() >= MAX_REPORTED {
+            reported.clear();
+        }
+        if reported.insert(format!("{kind}/{name}: {cause}")) {
+            log::warn!(
+                kind = kind, name = name, cause = cause;
+                "ignored an object in the store that cannot be read; the others of its kind are used"
+            );
+        }
+    }
 }
 
 /// Whether a read may return an earlier state of the store, which the platform charges a tenth for.
@@ -205,7 +262,12 @@
             self.get_path(&format!("/objects/{kind}/{name}"), self.timeout).await?;
         match status {
             StatusCode::OK => {
-                Ok(Some(parse_json::<WireObject>(&body)?.into_object(kind, era, false)))
+                let text = String::from_utf8_lossy(&body);
+                let mut budget = ParseBudget::default();
+                let object: &RawValue = budget.parse_frame(&text)?;
+                let read = self.read_object(kind, object, era, false, &mut budget)?;
+                let unreadable = || StoreError::NoAnswer("unreadable answer: no object".to_owned());
+                read.map(Some).ok_or_else(unreadable)
             }
             StatusCode::NOT_FOUND => Ok(None),
             _ => Err(status_error(status, &body)),
@@ -240,10 +302,10 @@
             self.call(method, &path, Some(body), self.timeout).await?;
         match status {
             StatusCode::OK | StatusCode::CREATED => {
-                Ok(parse_json::<WireObject>(&body)?.metadata.revision)
+                Ok(parse_json::<WireVersion>(&body)?.metadata.revision)
             }
             StatusCode::CONFLICT => Err(StoreError::Conflict {
-                current: parse_json::<WireObject>(&body)?.metadata.revision,
+                current: parse_json::<WireVersion>(&body)?.metadata.revision,
             }),
             StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: 0 }),
             _ => Err(status_error(status, &body)),
@@ -261,7 +323,7 @@
             self.call(Method::DELETE, &path, None, self.timeout).await?;
         match status {
             StatusCode::CONFLICT => Err(StoreError::Conflict {
-                current: parse_json::<WireObject>(&body)?.metadata.revision,
+                current: parse_json::<WireVersion>(&body)?.metadata.revision,
             }),
             StatusCode::NOT_FOUND => Ok(()),
             _ if status.is_success() => Ok(()),
@@ -280,11 +342,21 @@
         if status != StatusCode::OK {
             return Err(status_error(status, &body));
         }
-        let events: Events = parse_json(&body)?;
-        let object = |event: Event| event.object.into_object(kind, era, event.deleted);
-        Ok(Listing {
-            version: events.store_revision,
-            objects: events.events.into_iter().map(object).collect(),
-        })
+        let text = String::from_utf8_lossy(&body);
+        let mut budget = ParseBudget::default();
+        let page: Events<'_> = budget.parse_frame(&text)?;
+        let mut listing = Listing { version: page.store_revision, objects: Vec::new() };
+        for event in page.events {
+            match serde_json::from_str::<Event<'_>>(event.get()) {
+                Ok(Event { object, deleted }) => {
+                    let object = self.read_object(kind, object, era, deleted, &mut budget)?;
+                    listing.objects.extend(object);
+                }
+                Err(error) => {
+                    self.report_unreadable(kind, &shorten(event.get()), &error.to_string());
+                }
+            }
+        }
+        Ok(listing)
     }
 }
--- a/src/store/exchange.rs
+++ b/src/store/exchange.rs
@@ -10,7 +10,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use prometheus_client::metrics::counter::Counter;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::Value;
 use tokio::time::timeout;
 
@@ -21,6 +21,11 @@
 /// Memory that the parsed values of one call may need. An element takes 2 bytes of an answer and 32 bytes of
 /// memory: an answer of 8 MiB took 278 MiB, the pages of a listing 5.8 GiB.
 const MAX_PARSED_BYTES: usize = 64 << 20;
+/// The same for the value of one listed object, so that a single one does not use up what the others need.
+const MAX_LISTED_VALUE_BYTES: usize = MAX_PARSED_BYTES / 16;
+/// Depth down to which the frame of an answer is parsed: that of a list of objects, which are parsed one by
+/// one.
+const FRAME_DEPTH: usize = 2;
 /// Memory of a value of JSON beside the text of a string.
 const VALUE_BYTES: usize = 32;
 /// Memory of a field of an object beside its value and the text of its name.
@@ -92,53 +97,91 @@
 #[derive(Debug)]
 pub struct ParseBudget {
     left_bytes: usize,
+    /// The same for the value of one object.
+    max_value_bytes: usize,
 }
 
 impl Default for ParseBudget {
     fn default() -> Self {
-        Self { left_bytes: MAX_PARSED_BYTES }
+        Self { left_bytes: MAX_PARSED_BYTES, max_value_bytes: MAX_PARSED_BYTES }
     }
 }
 
 impl ParseBudget {
+    /// Budget of a call that lists objects.
+    pub fn for_listing() -> Self {
+        Self { max_value_bytes: MAX_LISTED_VALUE_BYTES, ..Self::default() }
+    }
+
     /// Parses the JSON body of a further answer.
     pub fn parse_json<T: DeserializeOwned>(&mut self, body: &[u8]) -> Result<T, StoreError> {
-        let parsed_bytes = estimate_parsed_bytes(body);
+        self.use_bytes(estimate_parsed_bytes(body, usize::MAX))?;
+        serde_json::from_slice(body).map_err(unreadable_error)
+    }
+
+    /// Parses an answer whose objects, or their values, are left as texts.
+    pub fn parse_frame<'a, T: Deserialize<'a>>(&mut self, text: &'a str) -> Result<T, StoreError> {
+        self.use_bytes(estimate_parsed_bytes(text.as_bytes(), FRAME_DEPTH))?;
+        serde_json::from_str(text).map_err(unreadable_error)
+    }
+
+    /// Parses the value of one object; the inner error concerns this object only.
+    pub fn parse_value(&mut self, text: &str) -> Result<Result<Value, String>, StoreError> {
+        let parsed_bytes = estimate_parsed_bytes(text.as_bytes(), usize::MAX);
+        if parsed_bytes > self.max_value_bytes {
+            let max_bytes = self.max_value_bytes;
+            return Ok(Err(format!("the values exceed the limit of {max_bytes} bytes of memory")));
+        }
+        self.use_bytes(parsed_bytes)?;
+        Ok(serde_json::from_str(text).map_err(|error| shorten(&error.to_string())))
+    }
+
+    fn use_bytes(&mut self, parsed_bytes: usize) -> Result<(), StoreError> {
         self.left_bytes = self.left_bytes.checked_sub(parsed_bytes).ok_or_else(|| {
             StoreError::NoAnswer(format!(
                 "the values of the answer exceed the limit of {MAX_PARSED_BYTES} bytes of memory"
             ))
         })?;
-        serde_json::from_slice(body).map_err(|error| {
-            // The message of a value of another type repeats the value.
-            StoreError::NoAnswer(format!("unreadable answer: {}", shorten(&error.to_string())))
-        })
+        Ok(())
     }
 }
 
+fn unreadable_error(error: serde_json::Error) -> StoreError {
+    // The message of a value of another type repeats the value.
+    StoreError::NoAnswer(format!("unreadable answer: {}", shorten(&error.to_string())))
+}
+
 /// Parses the JSON body of an answer.
 pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
     ParseBudget::default().parse_json(body)
 }
 
-/// Memory that the values of a JSON text need at most, without the growth of their buffers.
-fn estimate_parsed_bytes(body: &[u8]) -> usize {
+/// Memory that the values of a JSON text down to `max_depth` need at most, without the growth of their
+/// buffers.
+fn estimate_parsed_bytes(body: &[u8], max_depth: usize) -> usize {
     let (mut bytes, mut in_string, mut is_escaped) = (body.len(), false, false);
+    let mut depth = 0_usize;
     for byte in body {
         match byte {
             _ if is_escaped => is_escaped = false,
             b'\\' if in_string => is_escaped = true,
             b'"' => in_string = !in_string,
-            b',' | b'[' | b'{' if !in_string => bytes += VALUE_BYTES,
-            b':' if !in_string => bytes += FIELD_BYTES,
+            _ if in_string => {}
+            b'[' | b'{' => {
+                depth += 1;
+                bytes += if depth <= max_depth { VALUE_BYTES } else { 0 };
+            }
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            b',' if depth <= max_depth => bytes += VALUE_BYTES,
+            b':' if depth <= max_depth => bytes += FIELD_BYTES,
             _ => {}
         }
     }
     bytes
 }
 
-/// The start of a text, up to [`MAX_ERROR_TEXT_BYTES`].
-fn shorten(text: &str) -> String {
+/// The start of a text, for a message of bounded size.
+pub fn shorten(text: &str) -> String {
     match text.len() <= MAX_ERROR_TEXT_BYTES {
         true => text.to_owned(),
         false => {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,7 +14,7 @@
 use serde_json::Value;
 
 pub use client::HttpStore;
-pub use exchange::{HttpExchange, ParseBudget, parse_json, status_error};
+pub use exchange::{HttpExchange, ParseBudget, parse_json, shorten, status_error};
 pub use memory::MemoryStore;
 pub use server::{ObjectService, serve_objects};
 
@@ -50,7 +50,8 @@
     /// Era of the store when the object was read.
     #[serde(default)]
     pub era: StoreEra,
-    /// Content; none in the result of a watch if the object was deleted.
+    /// Content; none in the result of a watch if the object was deleted. `null` if the store has a content
+    /// that cannot be read, since another writer may have written it.
     pub value: Option<Value>,
 }
 
--- a/tests/crowds_world/node.rs
+++ b/tests/crowds_world/node.rs
@@ -52,6 +52,15 @@
     pub route_timeout_s: u64,
 }
 
+/// Troubles that exist before the nodes start.
+#[derive(Debug, Default)]
+pub struct Setup {
+    /// Answer of the upstream of the last node to requests for `upstream::TROUBLED_PATH`.
+    pub troubled: Option<TroubledAnswer>,
+    /// Objects of the store that another writer has written: kind, name and content.
+    pub objects: Vec<(&'static str, &'static str, Value)>,
+}
+
 /// Addresses of a node's listeners.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -111,21 +120,24 @@
         network: u8,
         services: &[(&str, WorldLimits)],
     ) -> anyhow::Result<Self> {
-        Self::start_upstreams(folder, network, services, None).await
+        Self::start_with(folder, network, services, Setup::default()).await
     }
 
-    /// The same, where the upstream of the last node is in trouble if there is an answer for it.
-    pub async fn start_upstreams(
+    /// The same with troubles from the start.
+    pub async fn start_with(
         folder: &Path,
         network: u8,
         services: &[(&str, WorldLimits)],
-        mut troubled: Option<TroubledAnswer>,
+        Setup { mut troubled, objects }: Setup,
     ) -> anyhow::Result<Self> {
         let stop = CancellationToken::new();
         let store_address = SocketAddr::new(loopback_address(network, 1), STORE_PORT);
         let (store, store_address) = Store::start(&store_address.to_string(), stop.clone()).await?;
         let (service, _) = services.last().context("a service")?;
         store.write("config", "main", configuration(service, services[0].1));
+        for (kind, name, spec) in objects {
+            store.write(kind, name, spec);
+        }
         let mut nodes = Vec::new();
         for (index, (service, limits)) in services.iter().enumerate() {
             let address = loopback_address(network, u8::try_from(index)? + 2);
--- a/tests/store_answers.rs
+++ b/tests/store_answers.rs
@@ -8,7 +8,7 @@
 
 use hibiscusdoor::{
     platform::PlatformStore,
-    store::{HttpStore, ObjectApi, StoreError},
+    store::{HttpStore, Listing, ObjectApi, StoreError},
 };
 use parking_lot::Mutex;
 use proptest::{collection::vec, prelude::*};
@@ -296,6 +296,96 @@
     }
 }
 
+/// Values that another writer may have left, and that cannot be read as JSON values.
+fn unreadable_values() -> Vec<(&'static str, Vec<u8>)> {
+    vec![
+        ("a number out of range", b"{\"port\":1e400}".to_vec()),
+        ("an integer of 400 digits", [b"-".as_slice(), &[b'7'; 400], b".5e999"].concat()),
+        ("deep nesting", [vec![b'['; 100_000], vec![b']'; 100_000]].concat()),
+        ("half of a surrogate pair", b"\"\\ud800\"".to_vec()),
+        ("values beyond the memory", [b"[".as_slice(), &b"0,".repeat(200_000), b"0]"].concat()),
+    ]
+}
+
+/// An object of the store with this text as its content.
+fn object_text(name: &str, version: u64, spec: &[u8]) -> Vec<u8> {
+    let head = format!(r#"{{"metadata":{{"name":"{name}","revision":{version}}},"spec":"#);
+    [head.as_bytes(), spec, b"}"].concat()
+}
+
+/// Checks that the objects `a` and `c` are listed, and the odd one without a value that was made up.
+fn check_others(cause: &str, listing: Listing, has_name: bool) {
+    let names: Vec<&str> = listing.objects.iter().map(|it| &*it.name).collect();
+    let expected: &[&str] = if has_name { &["a", "b", "c"] } else { &["a", "c"] };
+    assert_eq!(names, expected, "{cause}");
+    assert_eq!(listing.version, 9, "{cause}");
+    for object in listing.objects {
+        let value = object.value.expect("an object that exists");
+        match &*object.name {
+            "b" => assert!(!value.is_object(), "{cause}: {value}"),
+            _ => assert_eq!(value, json!({ "port": 1 }), "{cause}"),
+        }
+    }
+}
+
+/// Guards against a node that cannot replace what another writer has left under its name.
+#[test]
+fn unreadable_objects_have_a_version() {
+    let _lock = ONE_AT_A_TIME.lock();
+    let standin = Standin::start();
+    let store = PlatformStore::new(standin.address, CALL_TIMEOUT);
+    for (cause, spec) in unreadable_values() {
+        let object = object_text("b", 5, &spec);
+        *standin.answer.lock() = Answer::new(200, &object);
+        let read = standin.runtime.block_on(store.get("kind", "b")).expect(cause);
+        let read = read.expect("an object that exists");
+        assert_eq!((&*read.name, read.version), ("b", 5), "{cause}");
+        let written = standin.runtime.block_on(store.put("kind", "b", json!(1), 4));
+        assert_eq!(written, Ok(5), "{cause}");
+        *standin.answer.lock() = Answer::new(409, &object);
+        let conflict = standin.runtime.block_on(store.put("kind", "b", json!(1), 4));
+        assert_eq!(conflict, Err(StoreError::Conflict { current: 5 }), "{cause}");
+        let conflict = standin.runtime.block_on(store.delete("kind", "b", 4));
+        assert_eq!(conflict, Err(StoreError::Conflict { current: 5 }), "{cause}");
+    }
+}
+
+/// Guards against a list or a watch that fails as a whole for one object that cannot be read, so that no
+/// node follows the others.
+#[test]
+fn unreadable_objects_leave_the_others() {
+    let _lock = ONE_AT_A_TIME.lock();
+    let standin = Standin::start();
+    let store = PlatformStore::new(standin.address, CALL_TIMEOUT);
+    let good = |name, version| object_text(name, version, b"{\"port\":1}");
+    let mut odd_items: Vec<_> = unreadable_values()
+        .into_iter()
+        .map(|(cause, spec)| (cause, object_text("b", 2, &spec), true))
+        .collect();
+    odd_items.push(("bytes that are no text", object_text("b", 2, b"\"\xff\""), true));
+    odd_items.push(("no metadata", b"{\"spec\":1}".to_vec(), false));
+    let no_version = br#"{"metadata":{"name":"b","revision":1e400},"spec":{}}"#;
+    odd_items.push(("a version out of range", no_version.to_vec(), false));
+    for (cause, odd, has_name) in odd_items {
+        let items = [good("a", 1), odd.clone(), good("c", 3)].join(b",".as_slice());
+        let list =
+            [b"{\"items\":[".as_slice(), &items, b"],\"more\":false,\"storeRevision\":9}"].concat();
+        *standin.answer.lock() = Answer::new(200, list);
+        for listing in standin
+            .runtime
+            .block_on(async { [store.list("kind").await, store.list_stale("kind").await] })
+        {
+            check_others(cause, listing.expect(cause), has_name);
+        }
+        let event = |object: &[u8]| [b"{\"object\":".as_slice(), object, b"}"].concat();
+        let events =
+            [event(&good("a", 1)), event(&odd), event(&good("c", 3))].join(b",".as_slice());
+        let events = [b"{\"events\":[".as_slice(), &events, b"],\"storeRevision\":9}"].concat();
+        *standin.answer.lock() = Answer::new(200, events);
+        let listing = standin.runtime.block_on(store.watch("kind", 7, Duration::ZERO));
+        check_others(cause, listing.expect(cause), has_name);
+    }
+}
 /// Guards against a test whose answers are unreadable for another reason than the one that it names.
 #[test]
 fn readable_answers_are_read() {
--- a/tests/upstream_answers.rs
+++ b/tests/upstream_answers.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crowds_world::{
-    node::{HOST, World, WorldLimits},
+    node::{HOST, Setup, World, WorldLimits},
     upstream::{TROUBLED_PATH, TroubledAnswer},
 };
 use tokio::{
@@ -68,8 +68,9 @@
 ) -> anyhow::Result<()> {
     let _lock = ONE_AT_A_TIME.lock().await;
     let folder = tempfile::tempdir()?;
+    let setup = Setup { troubled: Some(answer), ..Setup::default() };
     let nodes: Vec<_> = services.iter().map(|service| (*service, LIMITS)).collect();
-    let mut world = World::start_upstreams(folder.path(), network, &nodes, Some(answer)).await?;
+    let mut world = World::start_with(folder.path(), network, &nodes, setup).await?;
     let address = world.entry().addresses.callers;
     let mut tasks = JoinSet::new();
     for number in 0..callers {
