Queue large bodies on links without an unreserved copy

Cause: the queue of a link held an encoded copy of each reply, and the reservation of the answer ended with the copy. Ruled out: the answers themselves (41 of 56 MiB reserved).

Change: a body above 16 KiB is queued as it is, after the rest of its frame. It is encoded as a second occurrence of its message, which decoders of protocol buffers merge with the first, so the form on the wire is readable by earlier builds. Requests are queued in the same way.

--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -231,7 +231,7 @@
     fn drop(&mut self) {
         let is_pending = self.link.state.lock().calls.remove(&self.call).is_some();
         if is_pending {
-            self.link.outbox.push(&signal(self.call, Content::Cancel));
+            self.link.outbox.push(signal(self.call, Content::Cancel));
         }
     }
 }
@@ -268,7 +268,7 @@
             state.last_call += 1;
             let call = state.last_call;
             // Pushed under the lock, so that the numbers increase on the wire.
-            let position = self.outbox.push(&frame(call, Content::Request(request)));
+            let position = self.outbox.push(frame(call, Content::Request(request)));
             state.calls.insert(call, PendingCall { reply: sender, position, is_idempotent });
             call
         };
@@ -284,7 +284,7 @@
     async fn probe(&self) -> bool {
         let (sender, answered) = oneshot::channel();
         self.state.lock().probes.push(sender);
-        self.outbox.push(&signal(0, Content::Ping));
+        self.outbox.push(signal(0, Content::Ping));
         matches!(timeout(PROBE_TIMEOUT, answered).await, Ok(Ok(())))
     }
 
@@ -368,7 +368,7 @@
             if silence >= SILENT_AFTER {
                 self.give_up_idempotent_calls();
             } else if silence >= PING_AFTER {
-                self.outbox.push(&signal(0, Content::Ping));
+                self.outbox.push(signal(0, Content::Ping));
             }
             sleep(PING_AFTER / 2).await;
         }
--- a/src/mesh/link/mod.rs
+++ b/src/mesh/link/mod.rs
@@ -17,6 +17,7 @@
 
 pub use client::{Link, LinkFailure, Links};
 pub use frames::FrameDecoder;
+pub use outbox::EncodedFrames;
 pub use server::serve;
 
 use crate::mesh::proto::{LinkFrame, LinkSignal, link_frame::Content};
--- a/src/mesh/link/server.rs
+++ b/src/mesh/link/server.rs
@@ -124,7 +124,7 @@
                     task.abort();
                 }
             }
-            Some(Content::Ping(_)) => drop(self.outbox.push(&signal(call, Content::Pong))),
+            Some(Content::Ping(_)) => drop(self.outbox.push(signal(call, Content::Pong))),
             // Frames of the other direction, or of a later version.
             _ => {}
         }
@@ -135,7 +135,7 @@
         let (node, outbox) = (self.node.clone(), self.outbox.clone());
         let task = self.tasks.spawn(async move {
             let reply = peer_service::answer_forwarded(&node, request).await;
-            outbox.push(&frame(call, Content::Reply(reply)));
+            outbox.push(frame(call, Content::Reply(reply)));
             call
         });
         self.running.insert(call, task);
@@ -154,13 +154,13 @@
                 let outcome = Outcome::Unknown(Unknown { reason: Reason::PeerFailed, detail });
                 let result = GuardResult::from_outcome(outcome);
                 let reply = peer_service::to_reply(&self.node, "", result);
-                self.outbox.push(&frame(call, Content::Reply(reply)));
+                self.outbox.push(frame(call, Content::Reply(reply)));
             }
         }
     }
 
     fn begin_closing(&mut self) {
         self.is_closing = true;
-        self.outbox.push(&signal(self.last_call, Content::Closing));
+        self.outbox.push(signal(self.last_call, Content::Closing));
     }
 }
--- a/tests/mesh_link_frames.rs
+++ b/tests/mesh_link_frames.rs
@@ -6,7 +6,7 @@
 use hibiscusdoor::{
     memory::MemoryBudget,
     mesh::{
-        link::FrameDecoder,
+        link::{EncodedFrames, FrameDecoder},
         proto::{ForwardReply, ForwardRequest, LinkFrame, LinkSignal, link_frame::Content},
     },
 };
@@ -51,6 +51,18 @@
     bytes
 }
 
+/// The same as a link encodes them, without copies of large bodies.
+fn encode_for_link(frames: &[LinkFrame]) -> BytesMut {
+    let mut encoded = EncodedFrames::default();
+    let length: usize = frames.iter().map(|frame| encoded.push(frame.clone())).sum();
+    let mut bytes = BytesMut::new();
+    while let Some(part) = encoded.next_part() {
+        bytes.extend_from_slice(&part);
+    }
+    assert_eq!(bytes.len(), length);
+    bytes
+}
+
 /// Gives the bytes to a decoder in pieces of these lengths, in turn; returns the frames up to the first
 /// error.
 fn decode(memory: &Arc<MemoryBudget>, bytes: &[u8], pieces: &[usize]) -> Vec<LinkFrame> {
@@ -78,6 +90,17 @@
     }
 }
 
+/// Guards against a copy of a body that waits to be written, whose memory is not reserved.
+#[test]
+fn large_bodies_are_not_copied() {
+    let body = Bytes::from(vec![b'b'; 100_000]);
+    let reply = ForwardReply { body: body.clone(), ..ForwardReply::default() };
+    let mut encoded = EncodedFrames::default();
+    encoded.push(LinkFrame { call: 1, content: Some(Content::Reply(reply)) });
+    let parts: Vec<Bytes> = std::iter::from_fn(|| encoded.next_part()).collect();
+    assert!(parts.iter().any(|part| part.as_ptr() == body.as_ptr() && part.len() == body.len()));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
@@ -88,9 +111,10 @@
         pieces in proptest::collection::vec(1..70_000_usize, 1..5),
     ) {
         let memory = Arc::new(MemoryBudget::new(BUDGET_BYTES * 2));
-        let bytes = encode(&frames);
-        prop_assert_eq!(decode(&memory, &bytes, &pieces), frames);
-        prop_assert_eq!(memory.used_bytes(), 0);
+        for bytes in [encode(&frames), encode_for_link(&frames)] {
+            prop_assert_eq!(&decode(&memory, &bytes, &pieces), &frames);
+            prop_assert_eq!(memory.used_bytes(), 0);
+        }
     }
 
     /// Guards against a crash, or memory beyond the budget, by frames that were changed on their way.
--- a/tests/upstream_answers.rs
+++ b/tests/upstream_answers.rs
@@ -36,12 +36,22 @@
 /// Longest wait of a caller for the end of an answer.
 const ANSWER_TIME: Duration = Duration::from_secs(10);
 
+/// Time for which a caller that does not read keeps its connection open.
+const UNREAD_TIME: Duration = Duration::from_secs(2);
+
 /// Services of the nodes: the entry node, and the node beside the upstream in trouble.
 const ONE_NODE: &[&str] = &["orders"];
 const TWO_NODES: &[&str] = &["front", "orders"];
 
+/// What callers do with their answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    All,
+    Nothing,
+}
+
 /// Sends requests that get the answers of the upstream in trouble.
-async fn call(address: SocketAddr, number: usize) {
+async fn call(address: SocketAddr, number: usize, reading: Reading) {
     for round in 0..ROUNDS {
         let Ok(mut stream) = TcpStream::connect(address).await else { continue };
         let head = format!(
@@ -51,9 +61,14 @@
         if stream.write_all(head.as_bytes()).await.is_err() {
             continue;
         }
-        let mut answer = Vec::new();
-        // The connection may also be reset, or stay open.
-        let _ = timeout(ANSWER_TIME, stream.read_to_end(&mut answer)).await;
+        match reading {
+            Reading::All => {
+                let mut answer = Vec::new();
+                // The connection may also be reset, or stay open.
+                let _ = timeout(ANSWER_TIME, stream.read_to_end(&mut answer)).await;
+            }
+            Reading::Nothing => tokio::time::sleep(UNREAD_TIME).await,
+        }
     }
 }
 
@@ -65,6 +80,7 @@
     services: &[&str],
     answer: TroubledAnswer,
     callers: usize,
+    reading: Reading,
 ) -> anyhow::Result<()> {
     let _lock = ONE_AT_A_TIME.lock().await;
     let folder = tempfile::tempdir()?;
@@ -74,7 +90,7 @@
     let address = world.entry().addresses.callers;
     let mut tasks = JoinSet::new();
     for number in 0..callers {
-        tasks.spawn(call(address, number));
+        tasks.spawn(call(address, number, reading));
     }
     tasks.join_all().await;
     let served = world.wait_for_request().await;
@@ -94,12 +110,12 @@
 }
 
 macro_rules! answers {
-    ($($name:ident($network:expr, $services:expr, $answer:expr, $callers:expr)),+ $(,)?) => {
+    ($($name:ident($network:expr, $services:expr, $answer:expr, $callers:expr, $reading:expr)),+ $(,)?) => {
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() -> anyhow::Result<()> {
                 let (answer, callers) = ($answer, $callers);
-                check_answers(stringify!($name), $network, $services, answer, callers).await
+                check_answers(stringify!($name), $network, $services, answer, callers, $reading).await
             }
         )+
     };
@@ -128,19 +144,34 @@
     TroubledAnswer::endless("x-a: ", vec![b'z'; 64 << 10])
 }
 
+/// A complete answer of this size.
+fn large_body(length: usize) -> TroubledAnswer {
+    let fields = format!("content-length: {length}\r\n\r\n");
+    TroubledAnswer { repeat: 1, ..TroubledAnswer::endless(&fields, vec![b'z'; length]) }
+}
+
 // Guard against nodes that are killed for their memory while an upstream sends bytes without end. The
 // growing buffers of the answers left holes in the heap of the allocator, and the read buffers of their
 // connections were not counted: a node of 160 MB exceeded its memory with 200 callers.
 answers! {
-    endless_bodies(141, ONE_NODE, endless_body(64 << 10), 200),
-    endless_bodies_in_small_parts(142, ONE_NODE, endless_body(8 << 10), 200),
-    endless_bodies_in_large_parts(143, ONE_NODE, endless_body(1 << 20), 200),
-    endless_bodies_of_few_callers(144, ONE_NODE, endless_body(64 << 10), 30),
-    endless_bodies_for_many_callers(145, ONE_NODE, endless_body(64 << 10), 380),
-    endless_bodies_at_another_node(146, TWO_NODES, endless_body(64 << 10), 200),
-    endless_chunked_bodies(147, ONE_NODE, endless_chunks(16 << 10), 200),
-    endless_bodies_in_tiny_chunks(148, ONE_NODE, endless_chunks(64), 60),
-    unfinished_bodies(149, ONE_NODE, unfinished_body(16 << 20), 200),
-    unfinished_bodies_of_usual_size(150, ONE_NODE, unfinished_body(256 << 10), 200),
-    endless_heads(151, ONE_NODE, endless_head(), 200),
+    endless_bodies(141, ONE_NODE, endless_body(64 << 10), 200, Reading::All),
+    endless_bodies_in_small_parts(142, ONE_NODE, endless_body(8 << 10), 200, Reading::All),
+    endless_bodies_in_large_parts(143, ONE_NODE, endless_body(1 << 20), 200, Reading::All),
+    endless_bodies_of_few_callers(144, ONE_NODE, endless_body(64 << 10), 30, Reading::All),
+    endless_bodies_for_many_callers(145, ONE_NODE, endless_body(64 << 10), 380, Reading::All),
+    endless_bodies_at_another_node(146, TWO_NODES, endless_body(64 << 10), 200, Reading::All),
+    endless_chunked_bodies(147, ONE_NODE, endless_chunks(16 << 10), 200, Reading::All),
+    endless_bodies_in_tiny_chunks(148, ONE_NODE, endless_chunks(64), 60, Reading::All),
+    unfinished_bodies(149, ONE_NODE, unfinished_body(16 << 20), 200, Reading::All),
+    unfinished_bodies_of_usual_size(150, ONE_NODE, unfinished_body(256 << 10), 200, Reading::All),
+    endless_heads(151, ONE_NODE, endless_head(), 200, Reading::All),
+}
+
+// Guard against nodes that are killed for their memory by complete answers that callers of another node do
+// not read: the copies that waited for a link to be written were not reserved.
+answers! {
+    unread_answers(152, ONE_NODE, large_body(1 << 20), 150, Reading::Nothing),
+    unread_answers_of_another_node(153, TWO_NODES, large_body(1 << 20), 150, Reading::Nothing),
+    unread_large_answers_of_another_node(154, TWO_NODES, large_body(8 << 20), 40, Reading::Nothing),
+    large_answers_of_another_node(155, TWO_NODES, large_body(1 << 20), 150, Reading::All),
 }
