Repeat a read of the store on a new connection, and give up silent ones together

Cause: a call to the store waits for its limit of 1 s on a kept connection that is silent, then only that connection is closed, and the next call takes the next one. A node keeps three from its start, so a read succeeded at the fourth attempt, 4.2 s later. Ruled out: the store (a new connection had its answer at once) and the exchanges between nodes (no node had the change). Change: a read of one object is repeated on a new connection after 150 ms, and the first answer counts. When a call has had no answer, all connections that were open before are given up. Why it works: a read of the configuration at the latest age of its proof, 1.65 s, is repeated at 1.8 s, below the bound of 2 s, whatever number of connections is silent.

--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderName, Method, StatusCode};
+use http::{HeaderName, Method, Response, StatusCode};
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json, value::RawValue};
@@ -115,7 +115,7 @@
         &self.exchange
     }
 
-    /// Makes a call; an answer without an era belongs to the last known one.
+    /// Makes a call.
     async fn call(
         &self,
         method: Method,
@@ -123,7 +123,12 @@
         body: Option<Value>,
         limit: Duration,
     ) -> Result<StoreAnswer, StoreError> {
-        let (parts, body) = self.exchange.call(method, path, body, limit).await?.into_parts();
+        Ok(self.record_era(self.exchange.call(method, path, body, limit).await?))
+    }
+
+    /// Records the era that an answer names; one without an era belongs to the last known one.
+    fn record_era(&self, answer: Response<Bytes>) -> StoreAnswer {
+        let (parts, body) = answer.into_parts();
         let named =
             parts.headers.get(STORE_ERA).and_then(|value| value.to_str().ok()?.parse().ok());
         let era = match named {
@@ -139,7 +144,7 @@
             }
             None => self.era.load(Ordering::Acquire),
         };
-        Ok(StoreAnswer { status: parts.status, body, era })
+        StoreAnswer { status: parts.status, body, era }
     }
 
     async fn get_path(&self, path: &str, limit: Duration) -> Result<StoreAnswer, StoreError> {
@@ -262,8 +267,9 @@
     }
 
     async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
-        let StoreAnswer { status, body, era } =
-            self.get_path(&format!("/objects/{kind}/{name}"), self.timeout).await?;
+        let path = format!("/objects/{kind}/{name}");
+        let answer = self.exchange.read(&path, self.timeout).await?;
+        let StoreAnswer { status, body, era } = self.record_era(answer);
         match status {
             StatusCode::OK => {
                 let text = String::from_utf8_lossy(&body);
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -58,8 +58,7 @@
 
 impl ObjectApi for HttpStore {
     async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
-        let path = format!("/objects/{kind}/{name}");
-        let answer = self.exchange.call(Method::GET, &path, None, self.timeout).await?;
+        let answer = self.exchange.read(&format!("/objects/{kind}/{name}"), self.timeout).await?;
         let (status, body) = (answer.status(), answer.body());
         match status {
             StatusCode::OK => parse_json(body).map(Some),
--- a/src/store/exchange.rs
+++ b/src/store/exchange.rs
@@ -2,10 +2,12 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri, header::CONTENT_TYPE};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -16,7 +18,7 @@
 use prometheus_client::metrics::counter::Counter;
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::Value;
-use tokio::time::timeout;
+use tokio::{pin, time::timeout};
 use tower_service::Service;
 
 use crate::store::{MAX_VALUE_BYTES, StoreError};
@@ -39,14 +41,24 @@
 const MAX_ERROR_TEXT_BYTES: usize = 256;
 /// Idle connections are closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without an answer after which a read is repeated on a new connection. A read of the configuration
+/// that is repeated then still brings a change into force within its bound.
+const READ_REPEAT_DELAY: Duration = Duration::from_millis(150);
+
+/// A client with its kept connections.
+type PooledClient = Client<CountingConnector, Full<Bytes>>;
 
 /// Makes HTTP calls to the platform, for every client of the object store that uses HTTP.
+///
+/// A kept connection may have gone silent without an error, together with all others. When a call has had no
+/// answer, the connections that were open are not used again.
 #[derive(Debug, Clone)]
 pub struct HttpExchange {
-    client: Client<CountingConnector, Full<Bytes>>,
+    /// Replaced to give up its connections.
+    client: Arc<ArcSwap<PooledClient>>,
+    connector: CountingConnector,
     address: SocketAddr,
     calls: Counter,
-    connections: Counter,
 }
 
 /// Connector that counts the connections that it begins to open.
@@ -77,13 +89,9 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
-        let connections = Counter::default();
-        let connector = CountingConnector { connector, connections: connections.clone() };
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
-        Self { client, address, calls: Counter::default(), connections }
+        let connector = CountingConnector { connector, connections: Counter::default() };
+        let client = Arc::new(ArcSwap::new(pooled_client(&connector)));
+        Self { client, connector, address, calls: Counter::default() }
     }
 
     /// Counter of the calls made; a watch counts as one call.
@@ -93,7 +101,7 @@
 
     /// Number of connections opened since the start, with those that failed.
     pub fn connection_count(&self) -> u64 {
-        self.connections.get()
+        self.connector.connections.get()
     }
 
     /// Makes one call. If no complete answer is received within `limit`, the call fails and its
@@ -104,6 +112,60 @@
         path: &str,
         body: Option<Value>,
         limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let client = self.client.load_full();
+        let answer = self.call_with(&client, method, path, body, limit).await;
+        if answer.is_err() {
+            self.replace(&client, pooled_client(&self.connector));
+        }
+        answer
+    }
+
+    /// Reads `path`. Without an answer within [`READ_REPEAT_DELAY`], the read is repeated on a new connection,
+    /// and the first answer counts.
+    pub async fn read(&self, path: &str, limit: Duration) -> Result<Response<Bytes>, StoreError> {
+        let kept = self.client.load_full();
+        let first = self.call_with(&kept, Method::GET, path, None, limit);
+        pin!(first);
+        if let Ok(answer) = timeout(READ_REPEAT_DELAY, &mut first).await {
+            return answer;
+        }
+        let new = pooled_client(&self.connector);
+        let limit = limit.saturating_sub(READ_REPEAT_DELAY);
+        let second = self.call_with(&new, Method::GET, path, None, limit);
+        pin!(second);
+        let (answer, is_first) = tokio::select! {
+            answer = &mut first => match answer {
+                Ok(answer) => (Ok(answer), true),
+                Err(_) => (second.await, false),
+            },
+            answer = &mut second => match answer {
+                Ok(answer) => (Ok(answer), false),
+                Err(_) => (first.await, true),
+            },
+        };
+        if !is_first || answer.is_err() {
+            log::debug!(
+                path = path;
+                "a read of the store had no answer in time; its connections are not used again"
+            );
+            self.replace(&kept, new.clone());
+        }
+        answer
+    }
+
+    /// Uses another client from now on, unless another call has replaced this one already.
+    fn replace(&self, client: &Arc<PooledClient>, new: Arc<PooledClient>) {
+        self.client.compare_and_swap(client, new);
+    }
+
+    async fn call_with(
+        &self,
+        client: &PooledClient,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+        limit: Duration,
     ) -> Result<Response<Bytes>, StoreError> {
         self.calls.inc();
         let bytes = body.map_or_else(Bytes::new, |value| Bytes::from(value.to_string()));
@@ -115,7 +177,7 @@
             .map_err(|error| StoreError::Refused(error.to_string()))?;
         let exchange = async {
             let response =
-                self.client.request(request).await.map_err(|error| no_answer_error(&error))?;
+                client.request(request).await.map_err(|error| no_answer_error(&error))?;
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES);
             let body = body.collect().await.map_err(|error| no_answer_error(&*error))?;
@@ -128,6 +190,15 @@
     }
 }
 
+/// Makes a client without connections.
+fn pooled_client(connector: &CountingConnector) -> Arc<PooledClient> {
+    let client = Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .build(connector.clone());
+    Arc::new(client)
+}
+
 /// Memory that the parsed answers of one call may still need.
 #[derive(Debug)]
 pub struct ParseBudget {
