Let connections go silent for good in the soak

The open connections to a node, and from it to its upstream and the store, forward nothing any more; new ones work.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -133,6 +133,8 @@
     /// The store comes back from a copy that is older by this time; the operator writes the last
     /// configuration again.
     RestoreStore(Duration),
+    /// The open connections to the node, and from it to its upstream and the store, go silent for good.
+    SilenceConnections(usize),
 }
 
 /// Number of variants of `Fault`.
@@ -158,6 +160,11 @@
         let at = Duration::from_secs_f64(random.random_range(0.3..length.as_secs_f64()));
         faults.push((at, random_later_fault(&mut random)));
     }
+    // Drawn last for the same reason.
+    for _ in 0..random.random_range(0..3) {
+        let at = Duration::from_secs_f64(random.random_range(0.3..length.as_secs_f64()));
+        faults.push((at, Fault::SilenceConnections(random.random_range(0..64))));
+    }
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback TCP proxy that can delay or block bytes, in both directions or one, and reset its
+//! A loopback TCP proxy that can delay or block bytes, in both directions or one, and reset or silence its
 //! connections.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -37,6 +37,16 @@
     fault: Mutex<LinkFault>,
     /// Number of resets; a change makes all connections reset.
     resets: watch::Sender<u64>,
+    /// Number of silences; a change makes all connections silent.
+    silences: watch::Sender<u64>,
+}
+
+/// Why a connection is no longer forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Closed,
+    Reset,
+    Silenced,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,8 +63,11 @@
         stop: CancellationToken,
     ) -> anyhow::Result<Arc<Self>> {
         let listener = TcpListener::bind(address).await?;
-        let proxy =
-            Arc::new(Self { fault: Mutex::new(LinkFault::None), resets: watch::Sender::new(0) });
+        let proxy = Arc::new(Self {
+            fault: Mutex::new(LinkFault::None),
+            resets: watch::Sender::new(0),
+            silences: watch::Sender::new(0),
+        });
         tokio::spawn(accept(proxy.clone(), listener, target, stop));
         Ok(proxy)
     }
@@ -69,6 +82,11 @@
         self.resets.send_modify(|count| *count += 1);
     }
 
+    /// Forwards nothing any more on the open connections, which stay open; new ones work.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Waits until the present fault lets bytes in this direction pass.
     async fn wait_to_forward(&self, direction: Direction) {
         loop {
@@ -97,12 +115,18 @@
             },
             () = stop.cancelled() => return,
         };
-        tokio::spawn(forward(proxy.clone(), stream, target));
+        let (proxy, stop) = (proxy.clone(), stop.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = forward(proxy, stream, target) => {}
+                () = stop.cancelled() => {}
+            }
+        });
     }
 }
 
 async fn forward(proxy: Arc<Proxy>, stream: TcpStream, target: SocketAddr) {
-    let mut resets = proxy.resets.subscribe();
+    let (mut resets, mut silences) = (proxy.resets.subscribe(), proxy.silences.subscribe());
     proxy.wait_to_forward(Direction::Request).await;
     let Ok(target_stream) = TcpStream::connect(target).await else {
         // Without a listener, a port resets the connection, so the proxy does the same.
@@ -115,12 +139,17 @@
     let (mut from_caller, mut to_caller) = stream.into_split();
     let (mut from_target, mut to_target) = target_stream.into_split();
     // The end of one direction closes the other: the fleet does not need half-open connections.
-    let is_reset = tokio::select! {
-        () = copy(&proxy, Direction::Request, &mut from_caller, &mut to_target) => false,
-        () = copy(&proxy, Direction::Answer, &mut from_target, &mut to_caller) => false,
-        _ = resets.changed() => true,
+    let end = tokio::select! {
+        () = copy(&proxy, Direction::Request, &mut from_caller, &mut to_target) => End::Closed,
+        () = copy(&proxy, Direction::Answer, &mut from_target, &mut to_caller) => End::Closed,
+        _ = resets.changed() => End::Reset,
+        _ = silences.changed() => End::Silenced,
     };
-    if is_reset {
+    if end == End::Silenced {
+        // Not even the end of a side is passed on.
+        let _ = resets.changed().await;
+    }
+    if end == End::Reset {
         for socket in [from_caller.as_ref(), from_target.as_ref()] {
             let _ = socket.set_zero_linger();
         }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -371,6 +371,12 @@
                 hold_link_fault(&node(index).peers, LinkFault::NoAnswers, span).await;
             }
             Fault::ResetPeers(index) => node(index).peers.reset(),
+            Fault::SilenceConnections(index) => {
+                let node = node(index);
+                for proxy in [&node.peers, &node.to_upstream, &node.to_store] {
+                    proxy.silence_connections();
+                }
+            }
             Fault::CutFromStore(index, span) => {
                 hold_link_fault(&node(index).to_store, LinkFault::Silent, span).await;
             }
