Forward large bodies without a second copy of them

What callers saw: nothing yet; a node came to 98 MiB of 96 (192 slow callers beside 12 whole bodies of 32 MiB), and would be killed at its memory. Cause: the generated gRPC client copies a body into the message that it sends, and one such copy was permitted beyond the budget. The budget then holds two bodies of the largest size, 64 MiB reserved of 56. Ruled out as the cause of this part: memory that stays resident after it was freed; the peak falls by the size of the body as soon as the copy is gone. Change: the body is detached from the message, its length is added to the prefix, and it is sent behind the message as its last field. The permit and the wait for memory for a copy are gone. Messages with detached bodies arrive unchanged (tests/mesh_grpc_bounds.rs).

--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -3,16 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
-use tokio::{
-    sync::SemaphorePermit,
-    time::{sleep, timeout},
-};
+use tokio::time::timeout;
 
 use crate::{
     admission::PaceReport,
     call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched},
-    clock,
-    memory::{self, Reservation},
+    clock, memory,
     mesh::{
         Call, Dialect, GuardResult, LoadReport, Member, Node, ServiceUse, Usage,
         grpc::{self, ReplyHold},
@@ -33,8 +29,6 @@
 /// Largest body that is sent on a link. A larger one has a gRPC stream of its own, so that it does not
 /// delay the requests behind it.
 const MAX_LINK_BODY_BYTES: usize = 128 << 10;
-/// Time after which a request whose body must be copied checks again whether there is memory for it.
-const COPY_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Forwards a request to the node of an instance.
 pub async fn forward_request<D: Dialect>(
@@ -72,15 +66,6 @@
         }
     };
     let remaining = call.deadline.saturating_sub(clock::now());
-    let copy_memory = match (is_small, timeout(remaining, reserve_copy(node, &request)).await) {
-        (true, _) => None,
-        (false, Ok(memory)) => Some(memory),
-        (false, Err(_)) => {
-            let detail = "no memory to forward the body in time".to_owned();
-            return not_sent(undispatched, Reason::Overload, detail);
-        }
-    };
-    let remaining = call.deadline.saturating_sub(clock::now());
     let named_rate_per_s = node.placement.lock().named_rate_per_s(&member.record.instance);
     let message = proto::ForwardRequest {
         named_rate_per_s: named_rate_per_s.unwrap_or(0.0),
@@ -94,7 +79,6 @@
         }
     };
     let reply = timeout(remaining + REPLY_GRACE, exchange).await;
-    drop(copy_memory);
     match reply {
         Ok(Ok(reply)) => apply_reply(node, forwarding, reply),
         Ok(Err(LinkFailure::NotSent(detail))) => {
@@ -118,26 +102,6 @@
     }
 }
 
-/// Reserves memory for the copy of a body that a gRPC call makes.
-///
-/// Where the budget does not permit the copy, one body at a time is copied beyond it: that of the largest
-/// size does not fit into the budget of the smallest machines twice, but into their memory.
-async fn reserve_copy<'a, D: Dialect>(
-    node: &'a Node<D>,
-    request: &BufferedRequest,
-) -> (Reservation, Option<SemaphorePermit<'a>>) {
-    let bytes = request.body.len();
-    loop {
-        if let Some(reservation) = node.memory.reserve(bytes) {
-            return (reservation, None);
-        }
-        if let Ok(permit) = node.copy_beyond_budget.try_acquire() {
-            return (node.memory.reserve_always(bytes), Some(permit));
-        }
-        sleep(COPY_RETRY_INTERVAL).await;
-    }
-}
-
 /// Forwards a request in a gRPC call.
 async fn call_by_grpc<D: Dialect>(
     node: &Node<D>,
@@ -145,7 +109,7 @@
     message: proto::ForwardRequest,
 ) -> Result<proto::ForwardReply, LinkFailure> {
     let mut peer = node.peer(member.record.address.peer_address);
-    match peer.forward(message).await {
+    match peer.forward(grpc::detach_body(message)).await {
         Ok(mut reply) => {
             let hold: Option<ReplyHold> = reply.extensions_mut().remove();
             let mut reply = reply.into_inner();
--- a/src/mesh/grpc/body.rs
+++ b/src/mesh/grpc/body.rs
@@ -20,7 +20,7 @@
 /// Time between two attempts to reserve memory.
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Bytes before a message: a flag and the length.
-const PREFIX_BYTES: usize = 5;
+pub(super) const PREFIX_BYTES: usize = 5;
 /// Memory that a field of a decoded message may need beside its bytes: the largest repeated one is a record
 /// of an instance.
 const FIELD_BYTES: usize = 256;
--- a/src/mesh/grpc/mod.rs
+++ b/src/mesh/grpc/mod.rs
@@ -11,6 +11,7 @@
 mod calls;
 mod fields;
 mod replies;
+mod requests;
 
 use std::sync::Arc;
 
@@ -23,6 +24,7 @@
 pub use calls::{BoundedCalls, CallBounds, CallHold, CallPolicy, bounded_server};
 pub use fields::FieldCounter;
 pub use replies::{ReplyHold, ReplyPolicy, ReservingChannel, channel};
+pub use requests::detach_body;
 
 /// Metadata of a status that is given only before the call has reached its handler. The code alone does
 /// not say so: tonic also gives RESOURCE_EXHAUSTED for replies that cannot be sent.
--- a/src/mesh/grpc/replies.rs
+++ b/src/mesh/grpc/replies.rs
@@ -20,6 +20,7 @@
     memory::{MemoryBudget, Reservation},
     mesh::grpc::{
         CONNECTION_WINDOW_BYTES, MessageMemory, MessagePolicy, ReservedBody, STREAM_WINDOW_BYTES,
+        requests::attach_body,
     },
     peers::{self, MAX_MESSAGE_BYTES},
 };
@@ -58,7 +59,7 @@
     }
 
     fn call(&mut self, request: http::Request<Body>) -> ReplyFuture {
-        ReplyFuture { reply: self.channel.call(request), memory: self.memory.clone() }
+        ReplyFuture { reply: self.channel.call(attach_body(request)), memory: self.memory.clone() }
     }
 }
 
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::{
     admission::ColdRate,
@@ -62,8 +62,6 @@
     pub live_settings: ArcSwap<LiveSettings>,
     /// Memory for all bytes that the node holds for others.
     pub memory: Arc<MemoryBudget>,
-    /// Permits one copy of a body beyond `memory` at a time.
-    pub copy_beyond_budget: Semaphore,
     /// Counts what callers do beyond the bounds of the listeners.
     pub misuse: Arc<MisuseCounters>,
     /// The platform's object store.
@@ -172,7 +170,6 @@
         let links = Links::new(memory.clone());
         Self {
             memory,
-            copy_beyond_budget: Semaphore::new(1),
             misuse: Arc::default(),
             store: D::store(settings.store, settings.store_timeout),
             incarnation,
--- a/tests/mesh_grpc_bounds.rs
+++ b/tests/mesh_grpc_bounds.rs
@@ -47,6 +47,10 @@
         let message = request.into_inner();
         let reserved = hold.memory.take().expect("a reservation");
         assert!(reserved.bytes() >= message.body.len());
+        if message.path == "/echo" {
+            let body = message.encode_to_vec().into();
+            return Ok(Response::new(ForwardReply { body, ..ForwardReply::default() }));
+        }
         let _body = memory::reserved_bytes(message.body, reserved);
         self.permits.acquire().await.expect("a permit").forget();
         match message.path.as_str() {
@@ -299,3 +303,45 @@
     assert!(size_of::<Header>() <= FIELD_BYTES);
     assert!(size_of::<Want>() <= FIELD_BYTES);
 }
+
+/// Sends a message with a detached body, and compares it with what the peer has received.
+async fn check_detached_body(body_bytes: usize, header_bytes: usize) {
+    let world = World::start(64 * MIB, 64 * MIB, 0).await;
+    let body: Vec<u8> = (0..body_bytes).map(|index| (index % 251) as u8).collect();
+    let header = Header { name: "x-large".to_owned(), value: vec![b'z'; header_bytes].into() };
+    let message = ForwardRequest {
+        request_id: "detached".to_owned(),
+        path: "/echo".to_owned(),
+        headers: vec![header],
+        body: body.into(),
+        remaining_ms: 1_000,
+        reserved_retries_permille: 7,
+        ..ForwardRequest::default()
+    };
+    let mut client = world.client.clone();
+    let call = client.forward(grpc::detach_body(message.clone()));
+    let reply = timeout(WAIT, call).await.expect("an answer").expect("a reply").into_inner();
+    let received = ForwardRequest::decode(reply.body).expect("a message");
+    assert!(received == message, "the message has changed on its way");
+}
+
+macro_rules! detached_bodies {
+    ($($name:ident($body_bytes:expr, $header_bytes:expr)),+ $(,)?) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                check_detached_body($body_bytes, $header_bytes).await;
+            }
+        )+
+    };
+}
+
+// Guard against messages whose length does not cover the body that is sent behind them, or whose other
+// fields are lost with it.
+detached_bodies! {
+    a_detached_body_without_bytes(0, 10),
+    a_detached_body_of_one_byte(1, 10),
+    a_detached_body_behind_an_empty_header(200 << 10, 0),
+    a_large_detached_body(5 << 20, 100),
+    a_detached_body_behind_a_message_of_several_frames(5 << 20, 300 << 10),
+}
