Reserve the memory of a request that runs, beside its head and body

What callers saw: nothing yet; a node came to 100 MiB of 96 beside 72 callers that send 400 requests ahead, and would be killed at its memory. Cause: a running request holds some 30 KB (its task of 9 KB, its messages and buffers), of which 2 KiB were reserved. Up to 32 requests of a connection run at a time. Ruled out: the bodies, 37 MiB were reserved at that peak. Change: 32 KiB are reserved with the head of the first request of a connection, and when a request that was sent ahead starts beside others. Without memory, the first one waits like a body, and the others run one after the other.

--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -56,6 +56,9 @@
 /// Part of the budget, in eighths, up to which the bodies of others are read. At 160 MB it holds one body
 /// of 64 MiB.
 pub(crate) const LARGE_REQUEST_EIGHTHS: usize = 5;
+/// Memory of a running request beside its head and its body: its task, and its messages to other nodes and
+/// to the upstream.
+const RUNNING_REQUEST_BYTES: usize = 32 << 10;
 /// Part of the budget, in eighths, above which the requests of a connection run one after the other, since
 /// their answers would be held until those before them have been written.
 const SERIAL_EIGHTHS: usize = 4;
@@ -228,8 +231,9 @@
     arrived: Timestamp,
     must_close: bool,
     may_overlap: bool,
-    /// Memory of its head.
+    /// Memory of its head, and of running it if [`has_running_memory`](Self::has_running_memory).
     memory: Reservation,
+    has_running_memory: bool,
 }
 
 /// A request with a complete head that is being received.
@@ -239,6 +243,8 @@
     body: BytesMut,
     /// Memory of the head; none until there was enough in the budget.
     head_memory: Option<Reservation>,
+    /// Whether `head_memory` includes that of running the request.
+    has_running_memory: bool,
     /// Memory of the body.
     body_memory: Option<Reservation>,
     /// Start of the interval in which [`MIN_BODY_PROGRESS_BYTES`] must arrive, and bytes of the body at it.
@@ -602,22 +608,35 @@
             head,
             body: BytesMut::new(),
             head_memory: None,
+            has_running_memory: false,
             body_memory: None,
             interval_start: Instant::now(),
             interval_start_bytes: 0,
         }))
     }
 
+    /// Reserves the memory of a head. The first request of a connection is not read further until there is
+    /// memory for running it, too; those behind it wait for that before they start.
     fn reserve_head(&self, incoming: &mut IncomingRequest) -> bool {
         if incoming.head_memory.is_none() {
-            incoming.head_memory = self.reserve(incoming.head.held_bytes(), SMALL_REQUEST_EIGHTHS);
+            let is_first = self.unwritten_answers() == 0 && self.waiting.is_empty();
+            let running_bytes = if is_first { RUNNING_REQUEST_BYTES } else { 0 };
+            let bytes = incoming.head.held_bytes() + running_bytes;
+            incoming.head_memory = self.reserve(bytes, SMALL_REQUEST_EIGHTHS);
+            incoming.has_running_memory = is_first;
         }
         incoming.head_memory.is_some()
     }
 
+    /// Requests that are running, or whose answers have not been written.
+    fn unwritten_answers(&self) -> usize {
+        self.running.len() + self.finished.len()
+    }
+
     /// Queues a request that was received completely.
     fn finish(&mut self, incoming: IncomingRequest, arrived: Timestamp) {
-        let IncomingRequest { head, body, head_memory, body_memory, .. } = incoming;
+        let IncomingRequest { head, body, head_memory, has_running_memory, body_memory, .. } =
+            incoming;
         self.first_byte_at = None;
         self.has_read_last_request = head.must_close;
         let may_overlap = self.handler.may_overlap(&head.parts);
@@ -635,6 +654,7 @@
             must_close: head.must_close,
             may_overlap,
             memory,
+            has_running_memory,
         });
     }
 
@@ -666,7 +686,7 @@
     /// Starts the waiting requests that may run now, in their order.
     fn start_waiting(&mut self) {
         while let Some(next) = self.waiting.front() {
-            let unwritten = self.running.len() + self.finished.len();
+            let unwritten = self.unwritten_answers();
             let may_start = unwritten == 0
                 || (next.may_overlap
                     && !self.is_exclusive
@@ -674,7 +694,19 @@
             if !may_start {
                 return;
             }
-            let Some(pending) = self.waiting.pop_front() else { return };
+            let running_memory = match (next.has_running_memory, unwritten) {
+                (true, _) => None,
+                // The request takes the place of those before it on its connection.
+                (false, 0) => Some(self.intake.memory.reserve_always(RUNNING_REQUEST_BYTES)),
+                (false, _) => match self.reserve(RUNNING_REQUEST_BYTES, SMALL_REQUEST_EIGHTHS) {
+                    None => return,
+                    reserved => reserved,
+                },
+            };
+            let Some(mut pending) = self.waiting.pop_front() else { return };
+            if let Some(reserved) = running_memory {
+                pending.memory.merge(reserved);
+            }
             let is_head = pending.request.method() == http::Method::HEAD;
             let must_close = pending.must_close;
             self.is_exclusive = !pending.may_overlap;
