--- a/src/store/exchange.rs
+++ b/src/store/exchange.rs
@@ -121,7 +121,7 @@
         answer
     }
 
-    /// Reads `path`. Without an answer within [`READ_REPEAT_DELAY`], the read is repeated on a new connection,
+    /// Reads `path`. A read that has no answer after a short time is repeated on a new connection,
     /// and the first answer counts.
     pub async fn read(&self, path: &str, limit: Duration) -> Result<Response<Bytes>, StoreError> {
         let kept = self.client.load_full();
