--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -231,9 +231,9 @@
     arrived: Timestamp,
     must_close: bool,
     may_overlap: bool,
-    /// Memory of its head, and of running it if [`has_running_memory`](Self::has_running_memory).
+    /// Memory of its head, and of running it but for `unreserved_bytes`.
     memory: Reservation,
-    has_running_memory: bool,
+    unreserved_bytes: usize,
 }
 
 /// A request with a complete head that is being received.
@@ -243,8 +243,8 @@
     body: BytesMut,
     /// Memory of the head; none until there was enough in the budget.
     head_memory: Option<Reservation>,
-    /// Whether `head_memory` includes that of running the request.
-    has_running_memory: bool,
+    /// Memory of running the request that `head_memory` does not include.
+    unreserved_bytes: usize,
     /// Memory of the body.
     body_memory: Option<Reservation>,
     /// Start of the interval in which [`MIN_BODY_PROGRESS_BYTES`] must arrive, and bytes of the body at it.
@@ -608,7 +608,7 @@
             head,
             body: BytesMut::new(),
             head_memory: None,
-            has_running_memory: false,
+            unreserved_bytes: RUNNING_REQUEST_BYTES,
             body_memory: None,
             interval_start: Instant::now(),
             interval_start_bytes: 0,
@@ -619,11 +619,12 @@
     /// memory for running it, too; those behind it wait for that before they start.
     fn reserve_head(&self, incoming: &mut IncomingRequest) -> bool {
         if incoming.head_memory.is_none() {
-            let is_first = self.unwritten_answers() == 0 && self.waiting.is_empty();
-            let running_bytes = if is_first { RUNNING_REQUEST_BYTES } else { 0 };
+            if self.unwritten_answers() == 0 && self.waiting.is_empty() {
+                incoming.unreserved_bytes = 0;
+            }
+            let running_bytes = RUNNING_REQUEST_BYTES - incoming.unreserved_bytes;
             let bytes = incoming.head.held_bytes() + running_bytes;
             incoming.head_memory = self.reserve(bytes, SMALL_REQUEST_EIGHTHS);
-            incoming.has_running_memory = is_first;
         }
         incoming.head_memory.is_some()
     }
@@ -635,7 +636,7 @@
 
     /// Queues a request that was received completely.
     fn finish(&mut self, incoming: IncomingRequest, arrived: Timestamp) {
-        let IncomingRequest { head, body, head_memory, has_running_memory, body_memory, .. } =
+        let IncomingRequest { head, body, head_memory, unreserved_bytes, body_memory, .. } =
             incoming;
         self.first_byte_at = None;
         self.has_read_last_request = head.must_close;
@@ -654,7 +655,7 @@
             must_close: head.must_close,
             may_overlap,
             memory,
-            has_running_memory,
+            unreserved_bytes,
         });
     }
 
@@ -694,19 +695,14 @@
             if !may_start {
                 return;
             }
-            let running_memory = match (next.has_running_memory, unwritten) {
-                (true, _) => None,
+            let running_memory = match unwritten {
                 // The request takes the place of those before it on its connection.
-                (false, 0) => Some(self.intake.memory.reserve_always(RUNNING_REQUEST_BYTES)),
-                (false, _) => match self.reserve(RUNNING_REQUEST_BYTES, SMALL_REQUEST_EIGHTHS) {
-                    None => return,
-                    reserved => reserved,
-                },
+                0 => Some(self.intake.memory.reserve_always(next.unreserved_bytes)),
+                _ => self.reserve(next.unreserved_bytes, SMALL_REQUEST_EIGHTHS),
             };
+            let Some(running_memory) = running_memory else { return };
             let Some(mut pending) = self.waiting.pop_front() else { return };
-            if let Some(reserved) = running_memory {
-                pending.memory.merge(reserved);
-            }
+            pending.memory.merge(running_memory);
             let is_head = pending.request.method() == http::Method::HEAD;
             let must_close = pending.must_close;
             self.is_exclusive = !pending.may_overlap;
