Probe idle connections to upstreams and links by TCP keep-alive

Silence of the process is no reason to give a connection up, since it may be slow. Ruled out: probes of the upstream's health, which wait for a slot like any request. Change: these connections are opened in one place, with keep-alive probes each second and a limit for unacknowledged bytes of 1 s on links (as before) and 3 s at upstreams. A paused process still acknowledges probes, so none of its requests ends sooner. The tests were not run on the code before, which set no keep-alive anywhere, by reading it.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -34,9 +34,12 @@
 use crate::{
     call::{Answer, Unsent},
     memory::MemoryBudget,
+    tcp,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which unacknowledged bytes or probes end a connection: more than one probe has to be lost.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that a pooled connection may take to become ready after its last answer was read.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time after which a connection that is still not ready is closed. A node that is short of processor
@@ -518,7 +521,8 @@
 
 /// Opens a TCP connection, within `CONNECT_TIMEOUT`.
 pub async fn open(address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let stream = match timeout(CONNECT_TIMEOUT, tcp::connect(address, UNACKNOWLEDGED_TIMEOUT)).await
+    {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             return Err(ConnectFailure::Refused);
@@ -529,6 +533,5 @@
             return Err(ConnectFailure::Other(detail));
         }
     };
-    let _ = stream.set_nodelay(true);
     Ok(stream)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod settings;
 pub mod standin;
 pub mod store;
+pub mod tcp;
 pub mod telemetry;
--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -10,7 +10,6 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use rustix::net::sockopt;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpStream, tcp::OwnedWriteHalf},
@@ -31,6 +30,7 @@
         proto::{ForwardReply, ForwardRequest, LinkFrame, link_frame::Content},
     },
     peers::MAX_MESSAGE_BYTES,
+    tcp,
 };
 
 /// Time for the connection and the first bytes of the other node.
@@ -181,10 +181,7 @@
 }
 
 async fn open(address: SocketAddr) -> io::Result<TcpStream> {
-    let mut stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let user_timeout_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-    sockopt::set_tcp_user_timeout(&stream, user_timeout_ms)?;
+    let mut stream = tcp::connect(address, UNACKNOWLEDGED_TIMEOUT).await?;
     stream.write_all(&PREAMBLE).await?;
     let mut answer = [0; PREAMBLE.len()];
     let answered = stream.read_exact(&mut answer).await;
--- /dev/null
+++ b/tests/silent_connections.rs
@@ -0,0 +1,48 @@
+//! Kept connections that go silent without an error, as they do behind a device that has forgotten them, are
+//! detected by the kernel while no request uses them.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use hibiscusdoor::{http_client, tcp};
+use rustix::net::sockopt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest time after which a silent connection has to be found: that of a request of two seconds, and a probe.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
+
+/// Opens a connection and checks that the kernel probes it while it is idle, and when it gives it up.
+async fn check_probes<F>(open: impl FnOnce(SocketAddr) -> F) -> anyhow::Result<()>
+where
+    F: Future<Output = anyhow::Result<TcpStream>>,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let stream = open(listener.local_addr()?).await?;
+    assert!(stream.nodelay()?);
+    assert!(sockopt::socket_keepalive(&stream)?, "an idle connection is not probed");
+    let silence = Duration::from_millis(u64::from(sockopt::tcp_user_timeout(&stream)?));
+    assert!(!silence.is_zero() && silence <= MAX_SILENCE, "given up after {silence:?}");
+    // Two probes at least fit into the time in which a connection is given up after its last byte.
+    assert!(sockopt::tcp_keepidle(&stream)? < MAX_SILENCE);
+    assert!(sockopt::tcp_keepintvl(&stream)? < MAX_SILENCE);
+    Ok(())
+}
+
+macro_rules! probed {
+    ($($name:ident($open:expr)),+ $(,)?) => {
+        $(
+            #[tokio::test]
+            async fn $name() -> anyhow::Result<()> {
+                check_probes($open).await
+            }
+        )+
+    };
+}
+
+// Guard against requests that are sent on a connection which went silent while it was idle: they have no answer
+// until their deadlines, and those that must not run twice are lost.
+probed! {
+    idle_connection_to_an_upstream(|address| async move { Ok(http_client::open(address).await?) }),
+    idle_link_to_another_node(|address| async move {
+        Ok(tcp::connect(address, Duration::from_secs(1)).await?)
+    }),
+}
