Keep the read buffers of upstream connections small, and reserve them within the budget

Cause: the HTTP library doubles the read buffer of a connection up to 64 KiB whenever a read fills it. Three of them are in use for each body in several parts, and were reserved after the fact and beyond the limit of the budget: 37 MiB at 200 callers. Ruled out: the bodies, which stop at half of the budget (28 MiB), and requests in flight (12 MiB at 380 callers). Change: reads return less than the initial buffer of 8 KiB, so that it never grows. The buffers are reserved within the budget before the second part of a body is read; without memory for them, the body is given up as it is for its parts. Why it works: what is reserved stays within the budget, and what is in use before it is reserved is an eighth of what it was. Not run on x86-64.

--- a/src/http_client/body.rs
+++ b/src/http_client/body.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, sleep};
 
-use super::MAX_READ_BUFFER_BYTES;
+use super::short_reads::READ_BUFFER_BYTES;
 use crate::memory::{self, MemoryBudget, Reservation};
 
 /// Sizes of bodies, and the eighths of the budget up to which bodies of at most that size are read. Answers
@@ -20,7 +20,7 @@
 const TRUSTED_LENGTH_BYTES: usize = 1 << 20;
 /// Memory of the buffers of a connection while a body arrives on it in several parts: the one that is
 /// read into, and those that the waiting part and the part that is being appended refer to.
-const READ_BUFFERS_BYTES: usize = 3 * MAX_READ_BUFFER_BYTES;
+const READ_BUFFERS_BYTES: usize = 3 * READ_BUFFER_BYTES;
 /// Time for which reading stops while the budget is exhausted. Afterwards the body is given up, since
 /// bodies that wait for the memory of each other would all wait until their deadlines.
 const MEMORY_WAIT: Duration = Duration::from_millis(250);
@@ -43,8 +43,7 @@
         let reserved = reserve(memory, first.len(), 0).await?;
         return Ok(memory::reserved_bytes(first, reserved));
     }
-    // The buffers of the connection are in use already.
-    let _read_buffers = memory.reserve_always(READ_BUFFERS_BYTES);
+    let _read_buffers = reserve(memory, READ_BUFFERS_BYTES, 0).await?;
     let data = BytesMut::new();
     let mut buffer = Buffer { memory, max_bytes, stated_bytes, data, reserved: None };
     buffer.append(&first).await?;
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod opened;
+mod short_reads;
 
 use std::{
     collections::VecDeque,
@@ -29,8 +30,8 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
-use self::opened::OpenConnections;
 pub use self::opened::{OpenCounts, OpenLabels, OpenReason};
+use self::{opened::OpenConnections, short_reads::ShortReads};
 use crate::{
     call::{Answer, Unsent},
     memory::MemoryBudget,
@@ -310,7 +311,7 @@
         let to_connect_failure = |error: hyper::Error| ConnectFailure::Other(error.to_string());
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let handshake = builder.handshake(TokioIo::new(ShortReads::new(stream))).await;
         let (mut sender, connection) = handshake.map_err(to_connect_failure)?;
         let driver = AbortOnDropHandle::new(tokio::spawn(async move {
             if let Err(error) = connection.await {
