State the reasons of opened connections where a test of them fails

a_connection_that_is_not_ready_yet_is_kept (listed) had said only how many connections were accepted. With the reasons, runs of a process that is stopped and continued in turn show that the extra connection is opened since an idle one is not ready in time. The check is the same.

--- a/tests/http_client_connections.rs
+++ b/tests/http_client_connections.rs
@@ -271,7 +271,8 @@
     for answer in futures::future::join_all(both).await {
         answer.expect("an answer");
     }
-    assert_eq!(upstream.accepted.load(Ordering::Relaxed), 2);
+    let opened = OpenReason::ALL.map(|reason| (reason, pool.opened_for(reason)));
+    assert_eq!(upstream.accepted.load(Ordering::Relaxed), 2, "opened for {opened:?}");
 }
 
 /// Guards against responses of usual size that fail while other ones do not end: the limit on the sum of
