--- a/tests/once_fleet.rs
+++ b/tests/once_fleet.rs
@@ -406,7 +406,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn shutdown_ends_within_the_drain_timeout_whatever_is_silent() -> anyhow::Result<()> {
     let settings = json!({ "limits": { "drain_timeout_ms": 5000 } });
-    let (mut fleet, _folder) = start_configured_fleet(2, 0, settings).await?;
+    let (mut fleet, folder) = start_configured_fleet(2, 0, settings).await?;
     wait_for_keys(&fleet, &[0]).await?;
     let mut silent = TcpStream::connect(fleet.nodes[0].addresses.callers).await?;
     silent.write_all(b"POST /drops/1 HTTP/1.1\r\nhost: a\r\nauthorization: ").await?;
@@ -426,7 +426,14 @@
         let status = wait_for_exit(&mut fleet, index, Duration::from_secs(8)).await?;
         assert!(status.success(), "{status}");
     }
-    assert!(begun.elapsed() < Duration::from_millis(5500), "{:?}", begun.elapsed());
+    let elapsed = begun.elapsed();
+    if elapsed >= Duration::from_millis(5500) {
+        for node in &fleet.nodes {
+            let log = folder.path().join(format!("{}.log", node.instance));
+            println!("{}", std::fs::read_to_string(log)?);
+        }
+    }
+    assert!(elapsed < Duration::from_millis(5500), "{elapsed:?}");
     let _ = hanging.await?;
     Ok(())
 }
