Do not end connections to upstreams that read late

Cause: the limit for unacknowledged bytes (TCP_USER_TIMEOUT) also counts bytes that wait for a full window of the other end. A request that is sent on a connection within 3 s of its silence still waits until its deadline.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -39,8 +39,6 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which unacknowledged bytes or probes end a connection: more than one probe has to be lost.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that a pooled connection may take to become ready after its last answer was read.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time after which a connection that is still not ready is closed. A node that is short of processor
@@ -522,8 +520,7 @@
 
 /// Opens a TCP connection, within `CONNECT_TIMEOUT`.
 pub async fn open(address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
-    let stream = match timeout(CONNECT_TIMEOUT, tcp::connect(address, UNACKNOWLEDGED_TIMEOUT)).await
-    {
+    let stream = match timeout(CONNECT_TIMEOUT, tcp::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             return Err(ConnectFailure::Refused);
--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
+use rustix::net::sockopt;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpStream, tcp::OwnedWriteHalf},
@@ -181,7 +182,9 @@
 }
 
 async fn open(address: SocketAddr) -> io::Result<TcpStream> {
-    let mut stream = tcp::connect(address, UNACKNOWLEDGED_TIMEOUT).await?;
+    let mut stream = tcp::connect(address).await?;
+    let user_timeout_ms = u32::try_from(UNACKNOWLEDGED_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(&stream, user_timeout_ms)?;
     stream.write_all(&PREAMBLE).await?;
     let mut answer = [0; PREAMBLE.len()];
     let answered = stream.read_exact(&mut answer).await;
--- a/src/tcp/mod.rs
+++ b/src/tcp/mod.rs
@@ -12,19 +12,19 @@
 
 /// Time without a packet after which the other machine is probed, and time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of lost probes after which a connection ends.
+const MAX_LOST_PROBES: u32 = 2;
 
-/// Opens a connection that ends with an error once its bytes or its probes are unacknowledged for
-/// `unacknowledged_timeout`.
-pub async fn connect(
-    address: SocketAddr,
-    unacknowledged_timeout: Duration,
-) -> io::Result<TcpStream> {
+/// Opens a connection that the kernel probes while it is idle.
+///
+/// There is no limit for unacknowledged bytes: it would also end the connections of a process that does not
+/// read for a time.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let timeout_ms = u32::try_from(unacknowledged_timeout.as_millis()).unwrap_or(u32::MAX);
-    sockopt::set_tcp_user_timeout(&stream, timeout_ms)?;
     sockopt::set_socket_keepalive(&stream, true)?;
     sockopt::set_tcp_keepidle(&stream, PROBE_INTERVAL)?;
     sockopt::set_tcp_keepintvl(&stream, PROBE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(&stream, MAX_LOST_PROBES)?;
     Ok(stream)
 }
--- a/tests/http_client_connections.rs
+++ b/tests/http_client_connections.rs
@@ -32,11 +32,14 @@
 /// Body of a usual response, which arrives in several parts.
 const USUAL_BYTES: usize = 200 << 10;
 
-/// Body of a request that is answered before it is read; larger than the buffers of a connection.
+/// Body of a request that is answered before it is read, or read late; larger than the buffers of a connection.
 const EARLY_BODY_BYTES: usize = 16 << 20;
 /// Time after the answer until the upstream reads such a body.
 const EARLY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time for which an upstream reads nothing; longer than the kernel probes a silent connection.
+const UPSTREAM_PAUSE: Duration = Duration::from_secs(5);
+
 /// Upstream that answers by the id of the request, and counts connections.
 #[derive(Debug, Default)]
 struct Upstream {
@@ -78,6 +81,10 @@
     if id.starts_with("delayed") {
         sleep(Duration::from_millis(20)).await;
     }
+    if id.starts_with("paused") {
+        sleep(UPSTREAM_PAUSE).await;
+        stream.read_exact(&mut vec![0; EARLY_BODY_BYTES]).await?;
+    }
     let length = body.len();
     let text =
         format!("HTTP/1.1 {status}\r\nx-id: {id}\r\n{extra}content-length: {length}\r\n\r\n{body}");
@@ -275,6 +282,17 @@
     assert_eq!(upstream.accepted.load(Ordering::Relaxed), 2, "opened for {opened:?}");
 }
 
+/// Guards against requests that are given up while the process of the upstream is paused: a limit for
+/// unacknowledged bytes also ends a connection whose other end does not read.
+#[tokio::test]
+async fn a_body_that_a_paused_upstream_reads_late_is_answered() {
+    let (address, upstream) = start_upstream().await;
+    let pool = pool(IDLE_TIME);
+    let body = Bytes::from(vec![b'b'; EARLY_BODY_BYTES]);
+    send_body(&pool, address, "paused-a", Duration::MAX, body).await.expect("an answer");
+    assert_eq!(upstream.accepted.load(Ordering::Relaxed), 1);
+}
+
 /// Guards against responses of usual size that fail while other ones do not end: the limit on the sum of
 /// all bodies failed whichever body reached it.
 #[tokio::test]
