--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -37,7 +37,7 @@
 /// Time for the connection and the first bytes of the other node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which unacknowledged bytes end a connection. A process that is paused does not end it,
-/// since its machine still acknowledges them, unless a large frame fills the window (see KNOWN-RED.txt).
+/// since its machine still acknowledges them, unless a large frame has filled the window.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a frame, while replies are awaited, after which a link is pinged.
 const PING_AFTER: Duration = Duration::from_millis(400);
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -7,7 +7,7 @@
 use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Longest time after which a silent connection has to be found: that of a request of two seconds, and a probe.
+/// Longest time after which a silent connection has to be found.
 const MAX_SILENCE: Duration = Duration::from_secs(3);
 
 /// Opens a connection and checks that the kernel probes it while it is idle, and when it gives it up.
