--- a/review/10/case.py
+++ b/review/more-2/killed-fleet/case.py
@@ -4,7 +4,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "lib-2"))
 from world import START, Target, World, log, main, route, service
 
 DRAIN_S, STABLE_S = 2.0, 3.0
