review: case 7 waits for its answers only

Cause: without the stops, a client waited eight seconds for the end of its connection, and the script took 106 of the 120 seconds that it has.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -60,7 +60,9 @@
                 except OSError:
                     break
                 await asyncio.sleep(random.expovariate(1 / 0.25))
-            await asyncio.wait([reading], timeout=8)
+            until = time.monotonic() + 8
+            while self.ended is None and self.answered < len(self.sent) and time.monotonic() < until:
+                await asyncio.sleep(0.02)
         finally:
             reading.cancel()
             self.stream.close()
