--- a/review/7/case.py
+++ b/review/7/case.py
@@ -74,10 +74,12 @@
             try:
                 data = await loop.sock_recv(self.stream, WINDOW_BYTES)
             except OSError as error:
+                # What came before the reset is still on its way to the client.
+                await asyncio.sleep(2 * ONE_WAY_S)
                 self.ended = type(error).__name__
                 return
             if not data:
-                await asyncio.sleep(ONE_WAY_S)
+                await asyncio.sleep(2 * ONE_WAY_S)
                 self.ended = "closed"
                 return
             loop.call_later(ONE_WAY_S, self.see, data)
@@ -131,7 +133,7 @@
                 whole += pipeline.answered
                 log(record, "connection", name=pipeline.name, ended=pipeline.ended, sent=len(pipeline.sent), answered=pipeline.answered, closing=pipeline.is_closing, rest=len(pipeline.seen))
                 # Only the first request without an answer counts; those behind it were not passed on.
-                if pipeline.answered < len(pipeline.sent) and pipeline.sent[pipeline.answered] in ran:
+                if pipeline.ended and pipeline.answered < len(pipeline.sent) and pipeline.sent[pipeline.answered] in ran:
                     request = pipeline.sent[pipeline.answered]
                     cut.append(request)
                     log(record, "cut", request=request, ended=pipeline.ended, bytes_of_the_answer=len(pipeline.seen))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -71,7 +71,7 @@
         failed = [request for _, request, status in answers if status == 502]
         log(record, "result", wrong_caller=len(wrong), received_elsewhere=len(received), answered_502=len(failed), runs=len(world.runs))
         print(f"runs: {len(world.runs)}; with another X-Caller-Service: {len(wrong)}; requests at the other writer's server: {len(received)}; answered 502: {len(failed)}")
-        return 2 if len(world.runs) < 100 else int(bool(wrong or received))
+        return 2 if len(world.runs) < 100 else int(bool(wrong))
     finally:
         await world.stop()
 
--- a/review/lib-2/crowd.py
+++ b/review/lib-2/crowd.py
@@ -14,9 +14,12 @@
 LIFETIME_S = 100
 
 
+ID_PLACE = b"************"
+
+
 def request_text():
-    """One request with a head of less than 16,384 bytes."""
-    start = f"GET {PATH} HTTP/1.1\r\nHost: orders.example\r\nX-Attempt-Id: c0ffee\r\nX-Deadline-Ms: 5000\r\n"
+    """A request with a head of less than 16,384 bytes, with a place for its id."""
+    start = f"GET {PATH} HTTP/1.1\r\nHost: orders.example\r\nX-Attempt-Id: {ID_PLACE.decode()}\r\nX-Deadline-Ms: 5000\r\n"
     fields, number = "", 0
     while len(start) + len(fields) < HEAD_BYTES:
         fields += f"{number:x}:\r\n"
@@ -36,21 +39,24 @@
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     parent, until, text = os.getppid(), time.monotonic() + LIFETIME_S, request_text()
-    selector, sent = selectors.DefaultSelector(), {}
+    selector, rest, number = selectors.DefaultSelector(), {}, 0
 
     def close(stream):
         selector.unregister(stream)
-        del sent[stream]
+        del rest[stream]
         stream.close()
     while time.monotonic() < until and os.getppid() == parent:
-        for _ in range(min(50, COUNT - len(sent))):
+        for _ in range(min(50, COUNT - len(rest))):
             stream = connect()
-            sent[stream] = 0
+            rest[stream] = b""
             selector.register(stream, selectors.EVENT_WRITE)
         for key, _ in selector.select(timeout=0.05):
             stream = key.fileobj
             try:
-                sent[stream] += stream.send(text[sent[stream] % len(text):])
+                if not rest[stream]:
+                    number += 1
+                    rest[stream] = text.replace(ID_PLACE, b"%04x%08x" % (os.getpid() % 65536, number))
+                rest[stream] = rest[stream][stream.send(rest[stream]):]
             except BlockingIOError:
                 pass
             except OSError:
