review: case 6, clients that come again

On arm64 the script held: after the first end of each process the clients, which kept their connections, held answers that they did not read and sent nothing more. The clients now close their connections every six seconds and open new ones. A form with connections that end one by one gave four and two ends, and held, too.

--- a/review/lib-2/crowd.py
+++ b/review/lib-2/crowd.py
@@ -1,6 +1,7 @@
 """A crowd of clients: requests of legal size with very many short fields, sent ahead without reading the answers.
 
-crowd.py HOST PORT CONNECTIONS PATH: keeps this number of connections open until it is ended, or for 100 s.
+crowd.py HOST PORT CONNECTIONS PATH: keeps this number of connections open until it is ended, or for 100 s. After each WAVE_S
+all are closed, and new ones opened.
 """
 import os
 import resource
@@ -12,6 +13,7 @@
 HOST, PORT, COUNT, PATH = sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), sys.argv[4]
 HEAD_BYTES = 16000
 LIFETIME_S = 100
+WAVE_S = 6
 
 
 ID_PLACE = b"************"
@@ -40,12 +42,17 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     parent, until, text = os.getppid(), time.monotonic() + LIFETIME_S, request_text()
     selector, rest, number = selectors.DefaultSelector(), {}, 0
+    wave_until = time.monotonic() + WAVE_S
 
     def close(stream):
         selector.unregister(stream)
         del rest[stream]
         stream.close()
     while time.monotonic() < until and os.getppid() == parent:
+        if time.monotonic() >= wave_until:
+            wave_until += WAVE_S
+            for stream in list(rest):
+                close(stream)
         for _ in range(min(50, COUNT - len(rest))):
             stream = connect()
             rest[stream] = b""
