--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,77 +1,80 @@
-"""A heartbeat of another writer, without the field `version`, reaches a node beside a target that lives."""
+"""A target leaves and is acknowledged; its node is stopped and started; a heartbeat of before arrives late."""
 import asyncio
-import json
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
-from world import PORTS, Target, World, encode_answer, http_call, log, main, route, serve_http, service
+from world import START, Target, World, log, main, route, service
 
-OTHER_PORT = 8550
-OTHER_ID = "i-0ther"
+DRAIN_S, STABLE_S = 2.0, 3.0
+BEAT_LATE_S = 4.5
+SERVES_ON_S = 8.0
+GRACE_S = 6.0
 
 
 async def case(record, trouble):
     world = World(record)
-    caller_of, wrong = {}, []
+    sent_at = {}
     try:
-        for name, zone in (("orders", "a"), ("orders", "b"), ("stock", "a"), ("stock", "b")):
+        for name, zone in (("orders", "a"), ("orders", "b"), ("orders", "c"), ("stock", "a"), ("stock", "b")):
             world.add_machine(name, zone)
-        routes = [("r-orders", route("orders")), ("r-stock", route("stock", kind="unsafe"))]
-        world.write_manifest(routes, [("orders", service()), ("stock", service())])
+        world.write_manifest([("r-orders", route("orders"))], [("orders", service()), ("stock", service())])
         await world.start()
         for machine in world.machines:
             machine.start_node()
-        targets = [await Target(world, machine, machine.service, 36, 0.05).start() for machine in world.machines]
+        targets = [await Target(world, machine, machine.service, 36, 0.1).start() for machine in world.machines]
         if not await world.wait_ready():
             return 2
-
-        def on_run(target, request, message):
-            stated = message.headers.get("x-caller-service")
-            log(record, "run", request=request, target=target.id, caller=stated)
-            world.runs.append((time.monotonic(), target, request))
-            if stated != caller_of[request]:
-                wrong.append(request)
-        world.on_run = on_run
-        received = []
-
-        async def other_server(message):
-            """The server of the other writer, which is no target of this deployment."""
-            received.append(message.headers.get("x-attempt-id"))
-            log(record, "received by the other writer's server", request=received[-1], method=message.first[0])
-            return encode_answer(404, [])
-        first = world.machines[0]
-        await serve_http((first.ip, OTHER_PORT), other_server)
-        stop, answers = asyncio.Event(), []
+        stop = asyncio.Event()
 
         async def client(machine, number):
             count = 0
             while not stop.is_set():
                 count += 1
                 request = f"c{number}x{count:06x}"
-                caller_of[request] = machine.service
-                method, path = (("GET", "/orders/"), ("POST", "/stock/"))[count % 2]
-                answers.append((time.monotonic(), request, await world.request(machine, method, "orders.example", f"{path}{count}", request, 3000)))
+                sent_at[request] = time.monotonic()
+                await world.request(machine, "GET", "orders.example", f"/orders/{count}", request, 5000)
                 await asyncio.sleep(0.05)
         clients = [asyncio.create_task(client(machine, number)) for number, machine in enumerate(world.machines)]
         await asyncio.sleep(4)
+        leaving = targets[0]
+        # The network holds up this heartbeat. It was sent before the target leaves.
+        late_beat = leaving.beat()
+        status = await leaving.leave()
+        acked_at = time.monotonic()
+        log(record, "leave", target=leaving.id, status=status)
+        if status != 200:
+            return 2
+        started_at = START
         if trouble:
-            beat = {
-                "address": f"{first.ip}:{OTHER_PORT}", "born": int(time.time() * 1000),
-                "info": {"service": "stock", "zone": "a", "slots": 36},
-                "status": {"state": "ready", "sequence": 1, "coldRemaining": "0ms"},
-            }
-            headers = [("Content-Type", "application/json")]
-            answer = await http_call((first.ip, PORTS["control"]), "PUT", f"/instances/{OTHER_ID}", headers, json.dumps(beat).encode())
-            log(record, "heartbeat of another writer", machine=first.name, status=answer.first[1])
-        await asyncio.sleep(8)
+            await asyncio.sleep(0.1)
+            machine = world.machines[0]
+            machine.send(signal.SIGTERM)
+            log(record, "SIGTERM", machine=machine.name)
+            while machine.process.poll() is None:
+                if time.monotonic() > acked_at + GRACE_S:
+                    return 2
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.3)
+            machine.start_node()
+            started_at = time.monotonic()
+            log(record, "started again", machine=machine.name)
+        await asyncio.sleep(acked_at + BEAT_LATE_S - time.monotonic())
+        status = await leaving.send_beat(late_beat)
+        log(record, "late heartbeat", target=leaving.id, status=status)
+        await asyncio.sleep(acked_at + SERVES_ON_S - time.monotonic())
         stop.set()
         await asyncio.gather(*clients)
-        failed = [request for _, request, status in answers if status == 502]
-        log(record, "result", wrong_caller=len(wrong), received_elsewhere=len(received), answered_502=len(failed), runs=len(world.runs))
-        print(f"runs: {len(world.runs)}; with another X-Caller-Service: {len(wrong)}; requests at the other writer's server: {len(received)}; answered 502: {len(failed)}")
-        return 2 if len(world.runs) < 100 else int(bool(wrong))
+        in_touch_from = max(acked_at + DRAIN_S, started_at + STABLE_S)
+        late = [r for at, target, r in world.runs if target is leaving and sent_at[r] > in_touch_from]
+        served = sum(1 for at, target, r in world.runs if at > in_touch_from)
+        log(record, "result", late=late, served=served)
+        print(f"requests at the target that were sent later than {DRAIN_S} s after the ack: {len(late)}; all runs then: {served}")
+        for target in targets:
+            await target.stop()
+        return 2 if served == 0 else int(bool(late))
     finally:
         await world.stop()
 
