Do not take the upstream or the caller's service from another writer's heartbeat

Cause: fields had defaults, the later start replaced the known upstream, and the service of the node came from the last heartbeat. Ruled out: records of other nodes and entries of the store, which the case does not touch.

Change: all fields of a heartbeat are required. The settings decide the address and the service. A heartbeat that names another instance than the known one is checked by the health check at the upstream's address, which no heartbeat can change. Heartbeats of the mesh_fleet_state tests had an address that is not that of the settings; they have the upstream's now. The heartbeat of tests/decoders.rs gets its version, so that its mutations start from a valid one.

--- a/src/mesh/catalog.rs
+++ b/src/mesh/catalog.rs
@@ -125,12 +125,6 @@
 }
 
 impl Catalog {
-    /// Whether the configuration names this service, itself or as the destination of a route.
-    pub fn names_service(&self, service: &str) -> bool {
-        let mut destinations = self.routes.values().flatten().flat_map(|route| &route.destinations);
-        self.services.contains_key(service) || destinations.any(|it| *it.service == *service)
-    }
-
     /// Whether requests of routes that are not open need the key of an organisation.
     pub fn needs_keys(&self) -> bool {
         !self.organisations.is_empty()
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -54,6 +54,7 @@
 mod stop;
 pub mod supervise;
 mod sync;
+mod upstream_messages;
 
 pub use bounds::Bounds;
 pub use call::{Call, RouteUsage, ServiceUse, Usage};
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -46,6 +46,9 @@
 /// Time without contact to other nodes after which the registration is checked; a hub removes it after
 /// some 8 s.
 const MAX_UNCHECKED_SILENCE: Duration = Duration::from_secs(5);
+/// Shortest time between two checks of which instance runs at the address of the upstream. Another writer
+/// could otherwise fill the upstream with health requests.
+const MIN_INSTANCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Safety margin below [`Bounds::revoke`], since the freshness check and the use of the key are not
 /// simultaneous.
 const REVOKE_MARGIN: Duration = Duration::from_millis(150);
@@ -133,6 +136,8 @@
     /// Milliseconds since boot of the last exchange with another node; 0 without one.
     last_contact_ms: AtomicU64,
     started_at: Timestamp,
+    /// When the next check of the instance at the address of the upstream may begin.
+    next_instance_check: Mutex<Timestamp>,
     /// Whether another node has stated no later configuration than the one in force here.
     is_compared: AtomicBool,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
@@ -207,6 +212,7 @@
             confirmed_sequence: AtomicU64::new(0),
             last_contact_ms: AtomicU64::new(0),
             started_at: clock::now(),
+            next_instance_check: Mutex::default(),
             is_compared: AtomicBool::new(false),
             peers: Mutex::default(),
             own_record: Mutex::new(own),
@@ -360,15 +366,14 @@
         let tracker = self.upstream_tracker.lock();
         let upstream = tracker.current();
         let is_state_known = self.is_state_known();
-        let service = match upstream {
-            Some(upstream) => upstream.heartbeat.service.clone(),
-            None => self.live_settings.load().service.clone(),
-        };
+        // A heartbeat may come from another writer, so it does not decide the service.
+        let service = self.live_settings.load().service.clone();
         // When the node stops after its upstream has left, the record without an upstream removes the
         // instance from the fleet.
         let announced = upstream
             .filter(|_| !(self.is_leaving() && tracker.has_left(clock::now())))
-            .filter(|it| is_state_known || !it.is_ready());
+            .filter(|it| is_state_known || !it.is_ready())
+            .filter(|it| it.heartbeat.service == service);
         let left_before = tracker.leaving_record().filter(|_| !self.is_leaving());
         let upstream = announced.map(|it| UpstreamRecord {
             id: it.heartbeat.upstream.clone(),
@@ -503,6 +508,16 @@
         }
     }
 
+    /// Whether a check of the instance at the address of the upstream may begin now.
+    pub fn begin_instance_check(&self, now: Timestamp) -> bool {
+        let mut next = self.next_instance_check.lock();
+        let may_begin = now >= *next;
+        if may_begin {
+            *next = now + MIN_INSTANCE_CHECK_INTERVAL;
+        }
+        may_begin
+    }
+
     /// Whether another node or the store has been asked for the state of the upstream that an earlier
     /// process of this node has published.
     pub fn is_state_known(&self) -> bool {
--- a/src/mesh/probe.rs
+++ b/src/mesh/probe.rs
@@ -15,8 +15,10 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
+    call::Answer,
     clock,
     mesh::{Dialect, HealthHead, Heartbeat, Node, UpstreamState},
+    names::InstanceName,
 };
 
 /// Time between two health requests, and between two checks for a configuration, which contains the
@@ -62,19 +64,50 @@
     }
 }
 
+/// Which instance the health check at the address of the upstream names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NamedInstance {
+    /// The configuration has no health check for the service, or has not been read yet.
+    NoCheck,
+    /// No usable answer.
+    Unknown,
+    /// The instance of this id.
+    Id(InstanceName),
+}
+
+/// Asks which instance answers at the address of the upstream. The answer also counts if it says that the
+/// instance is not healthy.
+pub async fn query_instance<D: Dialect>(node: &Node<D>) -> NamedInstance {
+    let Some(path) = health_path(node) else { return NamedInstance::NoCheck };
+    let cause = match timeout(PROBE_TIMEOUT, send_health_request(node, &path)).await {
+        Ok(Ok(answer)) => match D::health_head(&answer.headers) {
+            Some(head) => return NamedInstance::Id(head.upstream),
+            None => format!("status {} without an instance id", answer.status),
+        },
+        Ok(Err(cause)) => cause,
+        Err(_) => format!("no answer within {PROBE_TIMEOUT:?}"),
+    };
+    log::debug!(cause = cause; "the health check did not name the instance beside this node");
+    NamedInstance::Unknown
+}
+
 fn health_path<D: Dialect>(node: &Node<D>) -> Option<Arc<str>> {
     let catalog = node.catalog.load_full()?;
     let service = catalog.service(&node.own_service())?;
     (!service.health_path.is_empty()).then(|| service.health_path.clone())
 }
 
-async fn query_health<D: Dialect>(node: &Node<D>, path: &str) -> Result<HealthHead, String> {
+async fn send_health_request<D: Dialect>(node: &Node<D>, path: &str) -> Result<Answer, String> {
     let address = node.settings.upstream;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().map_err(|error| format!("unusable path: {error}"))?;
     let host = HeaderValue::from_str(&address.to_string()).map_err(|error| error.to_string())?;
     request.headers_mut().insert(header::HOST, host);
-    let answer = node.guard.query_upstream(address, request).await?;
+    node.guard.query_upstream(address, request).await
+}
+
+async fn query_health<D: Dialect>(node: &Node<D>, path: &str) -> Result<HealthHead, String> {
+    let answer = send_health_request(node, path).await?;
     if answer.status != StatusCode::OK {
         return Err(format!("the health check answered status {}, expected 200", answer.status));
     }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -20,6 +20,8 @@
 const STEPPED_CLOCK_TIME: Duration = Duration::from_secs(6);
 /// Number of such heartbeats.
 const STEPPED_CLOCK_HEARTBEATS: u32 = 4;
+/// Time without a heartbeat after which the known upstream no longer counts as running.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
 /// The node's local upstream.
 #[derive(Debug, Clone, PartialEq)]
@@ -50,6 +52,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamTracker {
     current: Option<Upstream>,
+    /// When the last heartbeat of the current upstream arrived.
+    heard_at: Timestamp,
     /// Id and start of the upstream that left last.
     departed: Option<(InstanceName, DepartedStart)>,
     /// The newest upstream record that an earlier process of this node published.
@@ -137,6 +141,33 @@
         if changed { MessageEffect::Changed } else { MessageEffect::Unchanged }
     }
 
+    /// Whether a heartbeat names another upstream than the known one, which has not left.
+    pub fn names_other(&self, now: Timestamp, heartbeat: &Heartbeat) -> bool {
+        let current = self.current.as_ref().filter(|_| !self.has_left(now));
+        current.is_some_and(|known| known.heartbeat.upstream != heartbeat.upstream)
+            && !self.has_departed(now, heartbeat)
+    }
+
+    /// Whether the known upstream has sent a heartbeat recently.
+    pub fn is_heard(&self, now: Timestamp) -> bool {
+        self.current.is_some() && now < self.heard_at + SILENCE_LIMIT
+    }
+
+    /// Applies a heartbeat of an upstream that is proved to be the one beside the node, whatever the order
+    /// of the times at which it and the known one have started.
+    pub fn apply_proved_heartbeat(
+        &mut self,
+        now: Timestamp,
+        heartbeat: Heartbeat,
+    ) -> MessageEffect {
+        if self.has_departed(now, &heartbeat) || self.precedes_earlier_record(&heartbeat) {
+            return self.apply_heartbeat(now, heartbeat);
+        }
+        self.rival = None;
+        self.set_current(now, heartbeat);
+        MessageEffect::Replaced
+    }
+
     /// Applies a heartbeat that appears to come from an earlier start than the known one. It is a late one,
     /// unless heartbeats of that start go on while the known one sends none: then the clock has stepped
     /// back between two starts, and an order by time would ignore the upstream for good.
@@ -265,6 +296,7 @@
             }
         };
         let cold_until = now + heartbeat.cold;
+        self.heard_at = now;
         self.current = Some(Upstream { heartbeat, cold_until, leaving_since });
     }
 }
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use futures::{FutureExt as _, future::BoxFuture};
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::{
     net::TcpListener,
@@ -21,18 +21,13 @@
     http_server::{self, intake::Intake, pipelined},
     memory,
     mesh::{
-        Dialect, ListenerBounds, MeshSettings, MessageEffect, Node, PlannedStop, ProcessorLimit,
-        Upstream, UpstreamMessage, UpstreamState, configuration, control, entry::CallerHandler,
-        evacuation, leaving, operators, peer_service, probe, processor::MEASUREMENT_INTERVAL,
-        reload, supervise::supervise, sync,
+        Dialect, ListenerBounds, MeshSettings, Node, PlannedStop, ProcessorLimit, configuration,
+        control, entry::CallerHandler, evacuation, leaving, operators, peer_service, probe,
+        processor::MEASUREMENT_INTERVAL, reload, supervise::supervise, sync, upstream_messages,
     },
-    names::ServiceName,
     store::ObjectApi as _,
 };
 
-const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
-/// Time for the body of a message of the upstream, which has some hundred bytes.
-const HEARTBEAT_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Part of the grace period that is reserved for joining tasks; with 500 ms, nodes on slowed machines
 /// were killed. The platform does not count requests that are cut off in the last second.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
@@ -144,7 +139,7 @@
     let heartbeats = (listeners.heartbeats, intake("heartbeats", bounds.auxiliary));
     let readiness = (listeners.readiness, intake("readiness", bounds.auxiliary));
     let operators = (listeners.operators, intake("operators", bounds.auxiliary));
-    auxiliary.spawn(serve_with(&node, heartbeats, stops, handle_upstream_message));
+    auxiliary.spawn(serve_with(&node, heartbeats, stops, upstream_messages::answer));
     auxiliary.spawn(serve_with(&node, readiness, stops, answer_readiness));
     auxiliary.spawn(serve_with(&node, operators, stops, operators::answer_request));
     log::info!(
@@ -273,92 +268,3 @@
         false => http_server::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
     }
 }
-
-/// Checks that the service in a heartbeat is that of the settings or one that the configuration names.
-fn check_service<D: Dialect>(
-    node: &Node<D>,
-    service: &ServiceName,
-) -> Result<(), (StatusCode, &'static str)> {
-    if *service == node.live_settings.load().service {
-        return Ok(());
-    }
-    match node.catalog.load().as_ref() {
-        Some(catalog) if catalog.names_service(service) => Ok(()),
-        Some(_) => Err((StatusCode::BAD_REQUEST, "the configuration names no such service")),
-        None => Err((StatusCode::SERVICE_UNAVAILABLE, "no configuration was read yet")),
-    }
-}
-
-async fn handle_upstream_message<D: Dialect>(
-    node: Arc<Node<D>>,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    let method: Method = request.method().clone();
-    let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES).collect();
-    let body = match timeout(HEARTBEAT_BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return http_server::text(StatusCode::BAD_REQUEST, &error.to_string()),
-        Err(_) => return http_server::text(StatusCode::REQUEST_TIMEOUT, "the body is incomplete"),
-    };
-    let message = match D::upstream_message(&method, &path, &body) {
-        Ok(message) => message,
-        Err(cause) => {
-            log::warn!(
-                path = path, cause = cause;
-                "rejected an invalid message of the upstream with status 400"
-            );
-            return http_server::text(StatusCode::BAD_REQUEST, &cause);
-        }
-    };
-    if let UpstreamMessage::Heartbeat(heartbeat) = &message
-        && let Err((status, cause)) = check_service(&node, &heartbeat.service)
-    {
-        log::warn!(
-            upstream:% = heartbeat.upstream, service:% = heartbeat.service, status = status.as_u16(),
-            cause = cause;
-            "ignored the heartbeat of an upstream; the known one stays"
-        );
-        return http_server::text(status, cause);
-    }
-    let now = clock::now();
-    let (effect, upstream): (MessageEffect, Option<Upstream>) = {
-        let mut tracker = node.upstream_tracker.lock();
-        let effect = match &message {
-            UpstreamMessage::Heartbeat(heartbeat) => {
-                tracker.apply_heartbeat(now, heartbeat.clone())
-            }
-            UpstreamMessage::Leave { upstream } => tracker.apply_leave(now, upstream),
-        };
-        (effect, tracker.current().cloned())
-    };
-    let heard_cold =
-        matches!(message, UpstreamMessage::Heartbeat(_)) && effect != MessageEffect::Late;
-    let cold_until = upstream.as_ref().map(|upstream| upstream.cold_until);
-    if effect != MessageEffect::Unchanged {
-        log::info!(heard:? = effect, received:? = message; "message of the upstream received");
-    }
-    if matches!(effect, MessageEffect::Replaced | MessageEffect::Changed)
-        && let Some(upstream) = upstream
-    {
-        node.use_upstream(upstream);
-        node.update_record();
-    }
-    if let Some(cold_until) = cold_until.filter(|_| heard_cold) {
-        node.guard.record_cold_heartbeat(cold_until.saturating_sub(now));
-        node.update_record();
-    }
-    let is_leaving = match &message {
-        UpstreamMessage::Heartbeat(heartbeat) => heartbeat.state == UpstreamState::Draining,
-        UpstreamMessage::Leave { .. } => true,
-    };
-    if is_leaving {
-        // Publishes also the departure of an upstream of which no heartbeat has arrived.
-        node.update_record();
-        if !leaving::confirm(&node).await {
-            let cause = "the state could not be made known beyond this process";
-            return http_server::text(StatusCode::SERVICE_UNAVAILABLE, cause);
-        }
-    }
-    http_server::json(StatusCode::OK, &serde_json::json!({}))
-}
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -25,7 +25,7 @@
     /// Availability zone of the instance.
     #[schemars(length(min = 1, max = 63))]
     pub zone: String,
-    /// Service of the node's local upstream, used until a heartbeat names it.
+    /// Service of the node's local upstream. Heartbeats that name another one are ignored.
     #[schemars(length(min = 1, max = 63))]
     pub service: String,
     /// Address of the node's local upstream.
@@ -125,7 +125,7 @@
     pub instance: InstanceName,
     /// Availability zone.
     pub zone: ZoneName,
-    /// Service of the node's local upstream, used until a heartbeat names it.
+    /// Service of the node's local upstream. Heartbeats that name another one are ignored.
     pub service: ServiceName,
     /// Address of the node's local upstream.
     pub upstream: SocketAddr,
@@ -163,7 +163,7 @@
 /// Settings that may change while the node runs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LiveSettings {
-    /// Service of the node's local upstream, used until a heartbeat names it.
+    /// Service of the node's local upstream. Heartbeats that name another one are ignored.
     pub service: ServiceName,
     /// Nodes from which the records of the fleet are requested while the store is unavailable.
     pub seeds: Vec<SocketAddr>,
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Messages from the node's local upstream: heartbeats and leave messages.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, num::NonZeroU32, time::Duration};
 
 use http::Method;
 use serde::Deserialize;
@@ -10,11 +10,12 @@
 
 const PATH_PREFIX: &str = "/instances/";
 
+/// Upstreams send all of these fields. A message without one of them comes from another writer, and a
+/// default would let it pass for a whole one.
 #[derive(Deserialize)]
 struct Message {
     address: SocketAddr,
     /// Unix time at which the upstream started, in milliseconds.
-    #[serde(default)]
     born: u64,
     info: Info,
     status: Status,
@@ -24,8 +25,11 @@
 struct Info {
     service: String,
     zone: String,
+    /// Version of the upstream's software.
+    #[serde(rename = "version")]
+    _version: String,
     /// Requests that the upstream can run at once.
-    slots: u32,
+    slots: NonZeroU32,
 }
 
 #[derive(Deserialize)]
@@ -34,8 +38,8 @@
     /// Increases with each heartbeat since the upstream started.
     sequence: u64,
     /// Time for which the upstream is still slow after its start.
-    #[serde(default, rename = "coldRemaining", deserialize_with = "text::deserialize_option")]
-    cold: Option<Duration>,
+    #[serde(rename = "coldRemaining", deserialize_with = "text::deserialize")]
+    cold: Duration,
 }
 
 #[derive(Deserialize)]
@@ -64,13 +68,13 @@
         address: message.address,
         service: message.info.service.into(),
         zone: message.info.zone.into(),
-        slots: message.info.slots,
+        slots: message.info.slots.get(),
         state: match message.status.state {
             State::Ready => UpstreamState::Ready,
             State::Draining => UpstreamState::Draining,
         },
         sequence: message.status.sequence,
         started_unix_ms: message.born,
-        cold: message.status.cold.unwrap_or(Duration::ZERO),
+        cold: message.status.cold,
     })
 }
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -21,8 +21,8 @@
 const MAX_BODY_INPUT_BYTES: usize = 8 << 10;
 const HEAD: &str = "POST /orders/7?x=1 HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: 17\r\n\
                     content-length: 12\r\nx-long: 0123456789abcdef0123456789abcdef\r\n\r\n";
-const HEARTBEAT: &str = r#"{"address":"127.0.0.1:80","born":7,"info":{"service":"orders","zone":"a",
-    "slots":8},"status":{"state":"ready","sequence":3,"coldRemaining":"1500ms"}}"#;
+const HEARTBEAT: &str = r#"{"address":"127.0.0.1:80","born":7,"info":{"service":"orders","version":"v1",
+    "zone":"a","slots":8},"status":{"state":"ready","sequence":3,"coldRemaining":"1500ms"}}"#;
 
 /// Replaces, inserts or removes bytes.
 fn mutate(mut bytes: Vec<u8>, changes: &[(u16, u8, u8)]) -> Vec<u8> {
--- a/tests/mesh_fleet_state.rs
+++ b/tests/mesh_fleet_state.rs
@@ -13,18 +13,23 @@
 };
 
 use fleet::store::{Store, StoreFault};
-use hibiscusdoor::standin::{HttpReply, http_call, new_client};
-use http::Method;
+use hibiscusdoor::{
+    http_server,
+    standin::{HttpReply, http_call, new_client},
+};
+use http::{Method, StatusCode};
+use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::time::sleep;
+use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Timeout for the fleet to reach an expected state.
 const WAIT: Duration = Duration::from_secs(40);
 const POLL: Duration = Duration::from_millis(50);
 const KIND: &str = "hibiscusdoor-instances";
+const UPSTREAM_PORT: u16 = 7006;
 
 struct Node {
     address: IpAddr,
@@ -125,9 +130,10 @@
     }
 }
 
-fn heartbeat(service: &str, born: u64, sequence: u64) -> Value {
+/// Heartbeat of the upstream beside a node.
+fn heartbeat(node: &Node, service: &str, born: u64, sequence: u64) -> Value {
     json!({
-        "address": "127.0.0.1:9", "born": born,
+        "address": SocketAddr::new(node.address, UPSTREAM_PORT).to_string(), "born": born,
         "info": { "service": service, "version": "v1", "zone": "zone-a", "slots": 5 },
         "status": { "state": "ready", "sequence": sequence, "coldRemaining": "0ms" },
     })
@@ -138,9 +144,11 @@
         json!({"resourceType": "routes", "metadata": {"name": "orders"}, "spec": {
             "host": "calls.example", "pathPrefix": "/", "kind": "unsafe", "timeout": "3000ms",
             "aim": "1000ms", "priority": 0, "service": "orders", "maxAttempts": 1, "public": false}}),
-        json!({"resourceType": "services", "metadata": {"name": "orders"}, "spec": {
-            "healthPath": "/health", "maxConnections": 40, "protocol": "h1", "tls": false}}),
     ];
+    for service in ["orders", "stock"] {
+        resources.push(json!({"resourceType": "services", "metadata": {"name": service}, "spec": {
+            "healthPath": "/health", "maxConnections": 40, "protocol": "h1", "tls": false}}));
+    }
     if with_organisations {
         resources.push(json!({"resourceType": "tenants", "metadata": {"name": "bars"}, "spec": {
             "apiKeys": ["key-of-bars-0123"], "priority": 1, "ratePerS": 100, "burst": 100}}));
@@ -165,7 +173,7 @@
             let seeds = seeds.map(|seed| SocketAddr::new(address(seed), 7004).to_string());
             let settings = json!({
                 "instance": format!("node-{index}"), "zone": "zone-a", "service": "orders",
-                "upstream": at(7006),
+                "upstream": at(UPSTREAM_PORT),
                 "listen": {
                     "callers": at(7001), "peers": at(7002), "readiness": at(7003),
                     "heartbeats": at(7004), "operators": at(7005),
@@ -188,7 +196,7 @@
                 state["earlier_state_known"] != false && state["configuration_version"] != 0
             })
             .await?;
-            node.beat(&format!("u-{index}"), heartbeat("orders", 1_000, 5)).await?;
+            node.beat(&format!("u-{index}"), heartbeat(node, "orders", 1_000, 5)).await?;
         }
         for node in &fleet.nodes {
             node.wait_for("all in use", |state| {
@@ -218,12 +226,12 @@
         state["earlier_state_known"] != false && state["instances"] == count
     })
     .await?;
-    assert_eq!(node.beat("u-0", heartbeat("orders", 1_000, 4)).await?, 200);
+    assert_eq!(node.beat("u-0", heartbeat(node, "orders", 1_000, 4)).await?, 200);
     let state = node.state().await?;
     let is_used = state["upstream"] == "u-0" && state["upstream_ready"] == true;
     assert!(!is_used, "the upstream that has left is in use again: {state}");
     // Another upstream takes the place.
-    node.beat("v-0", heartbeat("orders", 2_000, 1)).await?;
+    node.beat("v-0", heartbeat(node, "orders", 2_000, 1)).await?;
     node.wait_for("another upstream", |state| state["upstream"] == "v-0").await?;
     Ok(())
 }
@@ -284,21 +292,82 @@
     Ok(())
 }
 
-/// Guards against a heartbeat of another writer that takes the upstream of a node out of use.
+/// Answers the health checks at the address of a node's upstream, under an id that can be changed.
+async fn serve_health(node: &Node, stop: CancellationToken) -> anyhow::Result<Arc<Mutex<String>>> {
+    let id = Arc::new(Mutex::new("u-0".to_owned()));
+    let listener = TcpListener::bind(SocketAddr::new(node.address, UPSTREAM_PORT)).await?;
+    let named = id.clone();
+    tokio::spawn(http_server::serve(listener, stop, move |_| {
+        let mut response = http_server::text(StatusCode::OK, "");
+        for (name, text) in [("x-instance-id", named.lock().as_str()), ("x-instance-load", "0,0,5")]
+        {
+            response.headers_mut().insert(name, text.parse().expect("a header value"));
+        }
+        std::future::ready(response)
+    }));
+    Ok(id)
+}
+
+/// Guards against a heartbeat of another writer that replaces the upstream of a node or changes the service
+/// that the node names to other upstreams as the caller's.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn heartbeats_of_other_writers_are_ignored() -> anyhow::Result<()> {
     let fleet = Fleet::start(1, 6).await?;
     let node = &fleet.nodes[0];
-    let mut missing = heartbeat("orders", 9_000, 1);
-    missing["status"] = json!({});
-    let mut other_type = heartbeat("orders", 9_000, 1);
-    other_type["info"]["slots"] = json!("many");
-    for fields in [heartbeat("unheard", 9_000, 1), missing, other_type, json!("no heartbeat")] {
-        assert_eq!(node.beat("w-0", fields).await?, 400);
+    let named = serve_health(node, fleet.stop.clone()).await?;
+    let other = |pointer: &str, value: Value| {
+        let mut fields = heartbeat(node, "orders", 9_000, 1);
+        *fields.pointer_mut(pointer).expect("a field") = value;
+        fields
+    };
+    let without = |parent: &str, field: &str| {
+        let mut fields = heartbeat(node, "orders", 9_000, 1);
+        let parent = fields.pointer_mut(parent).and_then(Value::as_object_mut);
+        parent.expect("an object").remove(field).expect("a field");
+        fields
+    };
+    let unusable = [
+        heartbeat(node, "unheard", 9_000, 1),
+        heartbeat(node, "stock", 9_000, 1),
+        json!("no heartbeat"),
+        other("/address", json!("127.0.0.1:9")),
+        other("/status", json!({})),
+        other("/info/slots", json!("many")),
+        other("/info/slots", json!(0)),
+        other("/info/version", json!(7)),
+        other("/info/zone", json!(["zone-a"])),
+        other("/status/state", json!("resting")),
+        without("", "born"),
+        without("/info", "version"),
+        without("/info", "zone"),
+        without("/status", "sequence"),
+        without("/status", "coldRemaining"),
+    ];
+    let check_unchanged = async |fields: &Value| {
         let state = node.state().await?;
-        assert_eq!((&state["upstream"], &state["service"]), (&json!("u-0"), &json!("orders")));
-        assert_eq!(state["upstream_ready"], true);
+        assert_eq!(
+            (&state["upstream"], &state["service"], &state["upstream_ready"]),
+            (&json!("u-0"), &json!("orders"), &json!(true)),
+            "after {fields}"
+        );
+        anyhow::Ok(())
+    };
+    for fields in unusable {
+        assert_eq!(node.beat("w-0", fields.clone()).await?, 400, "{fields}");
+        check_unchanged(&fields).await?;
     }
+    // Whole, but the instance at the address is another one.
+    let fields = heartbeat(node, "orders", 9_000, 1);
+    assert_eq!(node.beat("w-0", fields.clone()).await?, 409);
+    check_unchanged(&fields).await?;
+    // An instance that the address names is used, also after its clock has stepped back.
+    "v-0".clone_into(&mut named.lock());
+    let until = Instant::now() + WAIT;
+    while node.beat("v-0", heartbeat(node, "orders", 500, 1)).await? != 200 {
+        anyhow::ensure!(Instant::now() < until, "the new upstream is not used");
+        sleep(POLL).await;
+    }
+    node.wait_for("another upstream", |state| state["upstream"] == "v-0").await?;
     Ok(())
 }
 
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -202,3 +202,31 @@
         assert_eq!(effect, MessageEffect::Late);
     }
 }
+
+/// Guards against a departure, or an announcement that an earlier process of the node knew, that is undone by
+/// a heartbeat whose sender is proved to be the instance beside the node.
+fn a_proof_does_not_undo(record: UpstreamRecord, effect: MessageEffect) {
+    let mut tracker = UpstreamTracker::default();
+    tracker.apply_heartbeat(NOW, heartbeat("b", 50, 1, READY));
+    tracker.apply_earlier_record(NOW, &record);
+    let actual = tracker.apply_proved_heartbeat(NOW, heartbeat("a", 5, 7, READY));
+    assert_eq!(actual, effect);
+}
+
+crate::cases! { a_proof_does_not_undo:
+    the_departure_of_an_earlier_process(earlier(true, 5, 8), MessageEffect::Late),
+    the_announcement_of_an_earlier_process(earlier(false, 5, 8), MessageEffect::Late),
+}
+
+/// Guards against an instance that stays out of use since its clock stepped back, although it is proved to be
+/// the one beside the node.
+#[test]
+fn a_proved_start_with_an_earlier_time_is_used_at_once() {
+    let mut tracker = UpstreamTracker::default();
+    tracker.apply_heartbeat(NOW, heartbeat("b", 50, 1, READY));
+    assert!(tracker.names_other(NOW, &heartbeat("a", 5, 1, READY)));
+    assert!(!tracker.names_other(NOW, &heartbeat("b", 5, 1, READY)));
+    let actual = tracker.apply_proved_heartbeat(NOW, heartbeat("a", 5, 1, READY));
+    assert_eq!(actual, MessageEffect::Replaced);
+    assert_eq!(&*tracker.current().expect("an upstream").heartbeat.upstream, "a");
+}
