Keep an acknowledged departure in the store, apart from the registration

Cause: the acknowledgement rested on the memory of other processes. A node that stops after its upstream has left publishes a record without it and removes its registration, so nothing tells its successor. Ruled out: the order of start times; the late heartbeat is the first one that the new process hears.

Change: each instance has an object with its recent departures in the store, written before the acknowledgement. Where the store does not answer in 700 ms, another node's confirmation is enough, as the existing test with a silent store demands, and the write is repeated. A new process reads it; an answer of another node counts only if that node knows an earlier process of this one, and a health check with status 200 where there is neither. Leave messages of other ids do not overwrite a departure, an overtaken draining heartbeat is not acknowledged, and the departures are written again when the store returns from a copy. The first hub removes objects that are unchanged for a minute.

--- a/src/http_server/mod.rs
+++ b/src/http_server/mod.rs
@@ -1,7 +1,7 @@
 //! An HTTP/1.1 and HTTP/2 server that joins the tasks of all its connections before it returns.
 
 pub mod intake;
-pub mod linger;
+pub(crate) mod linger;
 pub mod pipelined;
 mod stalled;
 mod stream;
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -3,13 +3,13 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use futures::future::join_all;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize as _;
 use tokio::time::{sleep, timeout};
 
 use crate::{
     clock,
     mesh::{
-        Dialect, InstanceAddress, Node, UpstreamRecord,
+        Dialect, InstanceAddress, Node,
         pause::{Backoff, jittered},
         sync,
     },
@@ -18,11 +18,11 @@
 };
 
 /// Kind of the store objects that hold the instances' addresses.
-const KIND_INSTANCES: &str = "hibiscusdoor-instances";
+pub(super) const KIND_INSTANCES: &str = "hibiscusdoor-instances";
 /// Delay after a failed call to the store; it doubles with each further failure up to
 /// [`MAX_RETRY_DELAY`].
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(250);
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+pub(super) const FIRST_RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Jitter of all pauses, as a fraction of each.
 const PAUSE_JITTER: f64 = 0.2;
 /// Time between two reads of all addresses, which drop the instances that were removed permanently.
@@ -233,73 +233,15 @@
     Ok(Registration::New)
 }
 
-/// An instance as the store keeps it.
-#[derive(Debug, Serialize, Deserialize)]
-struct StoredInstance {
-    #[serde(flatten)]
-    address: InstanceAddress,
-    /// State of the node's upstream while it is leaving and no other node could be told; absent in
-    /// objects of earlier builds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    leaving: Option<StoredLeaving>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct StoredLeaving {
-    upstream: InstanceName,
-    left: bool,
-    started_unix_ms: u64,
-    sequence: u64,
-}
-
-fn registration<D: Dialect>(node: &Node<D>) -> Result<serde_json::Value, StoreError> {
-    let own = node.own_record();
-    let leaving = own.upstream.filter(|upstream| !upstream.ready).map(|upstream| StoredLeaving {
-        upstream: upstream.id,
-        left: upstream.has_left,
-        started_unix_ms: upstream.started_unix_ms,
-        sequence: upstream.sequence,
-    });
-    serde_json::to_value(StoredInstance { address: own.address, leaving })
-        .map_err(|error| StoreError::Refused(format!("the registration has no JSON form: {error}")))
-}
-
-/// Writes the node's registration with the state of its leaving upstream.
-pub async fn store_leaving<D: Dialect>(node: &Node<D>) -> Result<(), StoreError> {
-    write_address(node, 0).await
-}
-
-/// State of a leaving upstream that an earlier process of this node has written to the store.
-pub async fn stored_leaving<D: Dialect>(
-    node: &Node<D>,
-) -> Result<Option<UpstreamRecord>, StoreError> {
-    let object = node.store.get(KIND_INSTANCES, &node.settings.instance).await?;
-    let Some(value) = object.and_then(|object| object.value) else { return Ok(None) };
-    let stored = match StoredInstance::deserialize(value) {
-        Ok(stored) => stored,
-        Err(error) => {
-            log::warn!(cause:% = error; "ignored an invalid registration of this node");
-            return Ok(None);
-        }
-    };
-    Ok(stored.leaving.map(|leaving| UpstreamRecord {
-        pace_per_ks: 0,
-        id: leaving.upstream,
-        slots: 0,
-        ready: false,
-        has_left: leaving.left,
-        started_unix_ms: leaving.started_unix_ms,
-        sequence: leaving.sequence,
-    }))
-}
-
 /// Writes the node's address in place of the object with this version; 0 if there is none.
 async fn write_address<D: Dialect>(
     node: &Node<D>,
     version: ObjectVersion,
 ) -> Result<(), StoreError> {
     let own_name = &node.settings.instance;
-    let value = registration(node)?;
+    let value = serde_json::to_value(node.own_record().address).map_err(|error| {
+        StoreError::Refused(format!("the registration has no JSON form: {error}"))
+    })?;
     let written = match node.store.put(KIND_INSTANCES, own_name, value.clone(), version).await {
         Err(StoreError::Conflict { current }) if current != version => {
             node.store.put(KIND_INSTANCES, own_name, value, current).await?
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -28,6 +28,7 @@
         ServiceRefusals, TokenStock, Upstream, UpstreamRecord, UpstreamTracker,
         evacuation::Evacuations,
         grpc::{self, ReservingChannel},
+        leaving::DepartureLog,
         link::Links,
         pace::{self, PacedRoots},
         proto::mesh_client::MeshClient,
@@ -85,6 +86,8 @@
     pub guard: Arc<Guard<D>>,
     /// State of the local upstream, from its heartbeats and leave messages.
     pub upstream_tracker: Mutex<UpstreamTracker>,
+    /// What the store holds of the departures of local upstreams.
+    pub departures: DepartureLog,
     /// Loads and results of the instances that this node sends requests to.
     pub placement: Mutex<Placement>,
     /// Admission of root requests by the load of the services that their call chains use.
@@ -129,9 +132,11 @@
     /// Whether the addresses of the fleet have been received from the store or from another node.
     is_fleet_known: AtomicBool,
     is_state_known: AtomicBool,
+    /// Whether another node has sent a record of an earlier process of this node.
+    knows_predecessor: AtomicBool,
     /// Whether another node has answered this process as the first hub.
     has_heard_first_hub: AtomicBool,
-    /// Sequence number of this process's record that another node or the store is known to have.
+    /// Sequence number of this process's record that another node is known to have.
     confirmed_sequence: AtomicU64,
     /// Milliseconds since boot of the last exchange with another node; 0 without one.
     last_contact_ms: AtomicU64,
@@ -185,6 +190,7 @@
             directory: Mutex::new(directory),
             guard,
             upstream_tracker: Mutex::default(),
+            departures: DepartureLog::default(),
             placement: Mutex::new(Placement::new(rand::random())),
             root_admission: Mutex::default(),
             paced_roots: Mutex::new(PacedRoots::new(rand::random())),
@@ -208,6 +214,7 @@
             registration_check: Notify::new(),
             is_fleet_known: AtomicBool::new(false),
             is_state_known: AtomicBool::new(false),
+            knows_predecessor: AtomicBool::new(false),
             has_heard_first_hub: AtomicBool::new(false),
             confirmed_sequence: AtomicU64::new(0),
             last_contact_ms: AtomicU64::new(0),
@@ -476,6 +483,7 @@
         if record.incarnation == self.incarnation {
             return;
         }
+        self.knows_predecessor.store(true, Ordering::Release);
         if let Some(earlier) = &record.upstream {
             self.apply_earlier_upstream(earlier);
         }
@@ -508,6 +516,11 @@
         }
     }
 
+    /// Whether another node has sent a record of an earlier process of this node.
+    pub fn knows_predecessor(&self) -> bool {
+        self.knows_predecessor.load(Ordering::Acquire)
+    }
+
     /// Whether a check of the instance at the address of the upstream may begin now.
     pub fn begin_instance_check(&self, now: Timestamp) -> bool {
         let mut next = self.next_instance_check.lock();
@@ -534,12 +547,12 @@
         self.update_record();
     }
 
-    /// Whether another node or the store has this process's record up to this sequence number.
+    /// Whether another node has this process's record up to this sequence number.
     pub fn is_confirmed(&self, sequence: u64) -> bool {
         self.confirmed_sequence.load(Ordering::Acquire) >= sequence
     }
 
-    /// Records that another node or the store has this process's record up to this sequence number.
+    /// Records that another node has this process's record up to this sequence number.
     pub fn record_confirmation(&self, sequence: u64) {
         self.confirmed_sequence.fetch_max(sequence, Ordering::AcqRel);
     }
--- a/src/mesh/probe.rs
+++ b/src/mesh/probe.rs
@@ -64,6 +64,12 @@
     }
 }
 
+/// Whether the health check of the upstream says that it accepts requests, and so is not leaving.
+pub async fn is_healthy<D: Dialect>(node: &Node<D>) -> bool {
+    let Some(path) = health_path(node) else { return false };
+    matches!(timeout(PROBE_TIMEOUT, query_health(node, &path)).await, Ok(Ok(_)))
+}
+
 /// Which instance the health check at the address of the upstream names.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NamedInstance {
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -3,7 +3,7 @@
 //! Messages may arrive late, twice, or from an earlier start of the upstream, so heartbeats are ordered
 //! by the start time and the sequence number that they carry.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::{
     clock::Timestamp,
@@ -15,6 +15,12 @@
 /// its id are treated as late ones; messages may be delayed by seconds.
 const LATE_MESSAGE_WINDOW: Duration = Duration::from_secs(15);
 
+/// Time for which a departure is kept in the store; no message is delayed for as long.
+const DEPARTURE_LIFETIME: Duration = Duration::from_secs(60);
+/// Departures that are remembered. Upstreams that replace each other leave some seconds apart; more of them
+/// come from another writer.
+const MAX_DEPARTURES: usize = 8;
+
 /// Time for which heartbeats of an apparently earlier start must arrive in order, without one of the known
 /// start, before it replaces the known one; late heartbeats arrive within 5 s.
 const STEPPED_CLOCK_TIME: Duration = Duration::from_secs(6);
@@ -54,8 +60,10 @@
     current: Option<Upstream>,
     /// When the last heartbeat of the current upstream arrived.
     heard_at: Timestamp,
-    /// Id and start of the upstream that left last.
-    departed: Option<(InstanceName, DepartedStart)>,
+    /// Sequence number of the heartbeat from which on the current upstream is leaving.
+    leaving_sequence: u64,
+    /// The last upstreams that have left, in the order of their departures.
+    departures: VecDeque<Departure>,
     /// The newest upstream record that an earlier process of this node published.
     earlier: Option<UpstreamRecord>,
     /// Start that appears to be earlier than the known one and still sends heartbeats.
@@ -72,6 +80,31 @@
     first_at: Timestamp,
 }
 
+/// Departure of an upstream.
+#[derive(Debug)]
+struct Departure {
+    upstream: InstanceName,
+    start: DepartedStart,
+    at: Timestamp,
+}
+
+impl Departure {
+    fn to_record(&self) -> UpstreamRecord {
+        UpstreamRecord {
+            pace_per_ks: 0,
+            id: self.upstream.clone(),
+            slots: 0,
+            ready: false,
+            has_left: true,
+            started_unix_ms: match self.start {
+                DepartedStart::Known(started_unix_ms) => started_unix_ms,
+                DepartedStart::Unknown(_) => 0,
+            },
+            sequence: 0,
+        }
+    }
+}
+
 /// Start of an upstream that has left.
 #[derive(Debug, Clone, Copy)]
 enum DepartedStart {
@@ -93,19 +126,27 @@
         if self.current.is_some() {
             return None;
         }
-        let departed = self.departed.as_ref().map(|(id, start)| UpstreamRecord {
+        let departed = self.departures.back().map(Departure::to_record);
+        departed.or_else(|| self.earlier.clone().filter(|earlier| !earlier.ready))
+    }
+
+    /// What must be known to a process that starts after this one: the recent departures, and the upstream
+    /// that is leaving.
+    pub fn departures(&self, now: Timestamp) -> Vec<UpstreamRecord> {
+        let recent = self.departures.iter().filter(|it| now < it.at + DEPARTURE_LIFETIME);
+        let draining = self.current.as_ref().filter(|it| !it.is_ready() && !self.has_left(now));
+        let draining = draining.map(|it| UpstreamRecord {
             pace_per_ks: 0,
-            id: id.clone(),
+            id: it.heartbeat.upstream.clone(),
             slots: 0,
             ready: false,
-            has_left: true,
-            started_unix_ms: match start {
-                DepartedStart::Known(started_unix_ms) => *started_unix_ms,
-                DepartedStart::Unknown(_) => 0,
-            },
-            sequence: 0,
+            has_left: false,
+            started_unix_ms: it.heartbeat.started_unix_ms,
+            sequence: self.leaving_sequence,
         });
-        departed.or_else(|| self.earlier.clone().filter(|earlier| !earlier.ready))
+        let earlier = self.earlier.as_ref().filter(|it| !it.ready && draining.is_none());
+        let earlier = earlier.map(|it| UpstreamRecord { pace_per_ks: 0, slots: 0, ..it.clone() });
+        recent.map(Departure::to_record).chain(earlier).chain(draining).collect()
     }
 
     /// Applies a heartbeat, unless it is late.
@@ -203,12 +244,6 @@
 
     /// Applies a leave message; the upstream still serves for a short time.
     pub fn apply_leave(&mut self, now: Timestamp, upstream: &str) -> MessageEffect {
-        let is_current =
-            self.current.as_ref().is_some_and(|it| *it.heartbeat.upstream == *upstream);
-        if !is_current && self.has_left(now) {
-            // Only the last departure is stored; that of the current upstream must not be overwritten.
-            return MessageEffect::Late;
-        }
         let known = self.current.as_ref().filter(|it| *it.heartbeat.upstream == *upstream);
         let started_unix_ms = known.map_or(0, |known| known.heartbeat.started_unix_ms);
         self.record_departure(now, upstream, started_unix_ms)
@@ -225,11 +260,19 @@
             0 => DepartedStart::Unknown(now + LATE_MESSAGE_WINDOW),
             _ => DepartedStart::Known(started_unix_ms),
         };
-        self.departed = Some((upstream.into(), start));
-        if !self.has_left(now) {
-            return MessageEffect::Late;
+        let is_covered = |it: &Departure| match (it.start, start) {
+            (DepartedStart::Known(known), DepartedStart::Known(started)) => known <= started,
+            (DepartedStart::Unknown(known), DepartedStart::Unknown(until)) => known <= until,
+            _ => false,
+        };
+        self.departures.retain(|it| *it.upstream != *upstream || !is_covered(it));
+        self.departures.push_back(Departure { upstream: upstream.into(), start, at: now });
+        if self.departures.len() > MAX_DEPARTURES {
+            self.departures.pop_front();
         }
-        let Some(current) = &mut self.current else { return MessageEffect::Late };
+        let has_left = self.has_left(now);
+        let current = self.current.as_mut().filter(|it| *it.heartbeat.upstream == *upstream);
+        let Some(current) = current.filter(|_| has_left) else { return MessageEffect::Late };
         current.leaving_since.get_or_insert(now);
         MessageEffect::Changed
     }
@@ -241,7 +284,7 @@
         earlier: &UpstreamRecord,
     ) -> MessageEffect {
         if earlier.has_left {
-            return match self.has_left(now) {
+            return match self.is_departure_known(earlier) {
                 true => MessageEffect::Unchanged,
                 false => self.record_departure(now, &earlier.id, earlier.started_unix_ms),
             };
@@ -253,6 +296,7 @@
         match &mut self.current {
             Some(current) if !earlier.ready && precedes_record(&current.heartbeat, earlier) => {
                 current.leaving_since.get_or_insert(now);
+                self.leaving_sequence = earlier.sequence;
                 MessageEffect::Changed
             }
             _ => MessageEffect::Unchanged,
@@ -273,17 +317,24 @@
     }
 
     fn has_departed(&self, now: Timestamp, heartbeat: &Heartbeat) -> bool {
-        self.departed.as_ref().is_some_and(|(upstream, start)| {
-            *upstream == heartbeat.upstream
-                && match start {
+        self.departures.iter().any(|departure| {
+            departure.upstream == heartbeat.upstream
+                && match departure.start {
                     DepartedStart::Known(started_unix_ms) => {
-                        heartbeat.started_unix_ms <= *started_unix_ms
+                        heartbeat.started_unix_ms <= started_unix_ms
                     }
-                    DepartedStart::Unknown(until) => now < *until,
+                    DepartedStart::Unknown(until) => now < until,
                 }
         })
     }
 
+    fn is_departure_known(&self, record: &UpstreamRecord) -> bool {
+        self.departures
+            .iter()
+            .map(Departure::to_record)
+            .any(|known| known.id == record.id && known.started_unix_ms >= record.started_unix_ms)
+    }
+
     fn set_current(&mut self, now: Timestamp, heartbeat: Heartbeat) {
         let known = self.current.as_ref().filter(|known| {
             known.heartbeat.upstream == heartbeat.upstream
@@ -295,6 +346,9 @@
                 Some(known.and_then(|known| known.leaving_since).unwrap_or(now))
             }
         };
+        if leaving_since.is_some() && known.is_none_or(Upstream::is_ready) {
+            self.leaving_sequence = heartbeat.sequence;
+        }
         let cold_until = now + heartbeat.cold;
         self.heard_at = now;
         self.current = Some(Upstream { heartbeat, cold_until, leaving_since });
--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -103,6 +103,8 @@
     spawn(&mut control_tasks, "registration", |node| control::register(node).boxed());
     spawn(&mut control_tasks, "removal", |node| control::remove_lost(node).boxed());
     spawn(&mut control_tasks, "earlier state", |node| leaving::learn_earlier_state(node).boxed());
+    spawn(&mut control_tasks, "departures", |node| leaving::write_departures(node).boxed());
+    spawn(&mut control_tasks, "expiry", |node| leaving::remove_expired(node).boxed());
     spawn(&mut control_tasks, "configuration", |node| configuration::run(node).boxed());
     spawn(&mut control_tasks, "probe", |node| probe::run(node).boxed());
     spawn(&mut control_tasks, "evacuation", |node| evacuation::run(node).boxed());
--- a/src/mesh/upstream_messages.rs
+++ b/src/mesh/upstream_messages.rs
@@ -147,14 +147,16 @@
         node.guard.record_cold_heartbeat(cold_until.saturating_sub(now));
         node.update_record();
     }
-    let is_leaving = match &message {
-        UpstreamMessage::Heartbeat(heartbeat) => heartbeat.state == UpstreamState::Draining,
-        UpstreamMessage::Leave { .. } => true,
+    let leaving = match &message {
+        UpstreamMessage::Heartbeat(heartbeat) => {
+            (heartbeat.state == UpstreamState::Draining).then_some(&heartbeat.upstream)
+        }
+        UpstreamMessage::Leave { upstream } => Some(upstream),
     };
-    if is_leaving {
+    if let Some(upstream) = leaving {
         // Publishes also the departure of an upstream of which no heartbeat has arrived.
         node.update_record();
-        if !leaving::confirm(&node).await {
+        if !leaving::confirm(&node, upstream).await {
             let cause = "the state could not be made known beyond this process";
             return http_server::text(StatusCode::SERVICE_UNAVAILABLE, cause);
         }
--- a/tests/mesh_fleet_state.rs
+++ b/tests/mesh_fleet_state.rs
@@ -29,6 +29,7 @@
 const WAIT: Duration = Duration::from_secs(40);
 const POLL: Duration = Duration::from_millis(50);
 const KIND: &str = "hibiscusdoor-instances";
+const DEPARTURES: &str = "hibiscusdoor-departures";
 const UPSTREAM_PORT: u16 = 7006;
 
 struct Node {
@@ -60,6 +61,18 @@
         Ok(())
     }
 
+    /// Waits until the process has ended.
+    async fn wait_for_end(&mut self) -> anyhow::Result<()> {
+        let until = Instant::now() + WAIT;
+        while let Some(child) = &mut self.process
+            && child.try_wait()?.is_none()
+        {
+            anyhow::ensure!(Instant::now() < until, "the process does not end");
+            sleep(POLL).await;
+        }
+        Ok(())
+    }
+
     fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         if let Some(child) = &self.process {
             kill_process(Pid::from_child(child), signal)?;
@@ -209,18 +222,52 @@
     }
 }
 
+/// How the processes end after the acknowledgement of a leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Killed,
+    /// A planned stop, in which the node removes its registration.
+    Stopped,
+    /// All processes of the fleet are killed.
+    AllKilled,
+    /// The store comes back from a copy of before the leaving, then the process is killed.
+    RestoredAndKilled,
+}
+
 /// Guards against an acknowledged leaving that is lost with the process: a late heartbeat makes the
 /// restarted node use the upstream again.
 async fn a_leaving_outlives_the_process(
     count: usize,
     case: u16,
     store_fault: StoreFault,
+    end: End,
 ) -> anyhow::Result<()> {
     let mut fleet = Fleet::start(count, case).await?;
     fleet.store.set_fault(store_fault);
+    let copy = fleet.store.copy();
     assert_eq!(fleet.nodes[0].leave("u-0").await?, 200);
-    fleet.nodes[0].kill()?;
-    fleet.nodes[0].start()?;
+    let ended = if end == End::AllKilled { 0..count } else { 0..1 };
+    match end {
+        End::Killed | End::AllKilled => {}
+        End::Stopped => {
+            fleet.nodes[0].signal(Signal::TERM)?;
+            fleet.nodes[0].wait_for_end().await?;
+        }
+        End::RestoredAndKilled => {
+            fleet.store.restore(copy);
+            let until = Instant::now() + WAIT;
+            while !fleet.store.contains(DEPARTURES, "node-0") {
+                anyhow::ensure!(Instant::now() < until, "the departure is not written again");
+                sleep(POLL).await;
+            }
+        }
+    }
+    for index in ended.clone() {
+        fleet.nodes[index].kill()?;
+    }
+    for index in ended {
+        fleet.nodes[index].start()?;
+    }
     let node = &fleet.nodes[0];
     node.wait_for("the restart", |state| {
         state["earlier_state_known"] != false && state["instances"] == count
@@ -236,19 +283,24 @@
     Ok(())
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_leaving_that_another_node_knows_outlives_the_process() -> anyhow::Result<()> {
-    a_leaving_outlives_the_process(3, 1, StoreFault::None).await
-}
-
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_leaving_without_a_store_outlives_the_process() -> anyhow::Result<()> {
-    a_leaving_outlives_the_process(3, 2, StoreFault::Silent).await
+macro_rules! leavings {
+    ($($name:ident($count:expr, $case:expr, $store_fault:expr, $end:expr)),+ $(,)?) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() -> anyhow::Result<()> {
+                a_leaving_outlives_the_process($count, $case, $store_fault, $end).await
+            }
+        )+
+    };
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_leaving_that_only_the_store_knows_outlives_the_process() -> anyhow::Result<()> {
-    a_leaving_outlives_the_process(1, 3, StoreFault::None).await
+leavings! {
+    a_leaving_that_another_node_knows_outlives_the_process(3, 1, StoreFault::None, End::Killed),
+    a_leaving_without_a_store_outlives_the_process(3, 2, StoreFault::Silent, End::Killed),
+    a_leaving_that_only_the_store_knows_outlives_the_process(1, 3, StoreFault::None, End::Killed),
+    a_leaving_outlives_a_planned_stop(3, 8, StoreFault::None, End::Stopped),
+    a_leaving_outlives_all_processes(3, 9, StoreFault::None, End::AllKilled),
+    a_leaving_outlives_a_restored_store(1, 10, StoreFault::None, End::RestoredAndKilled),
 }
 
 /// Guards against an acknowledgement of a leaving that nothing but the process knows.
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -230,3 +230,51 @@
     assert_eq!(actual, MessageEffect::Replaced);
     assert_eq!(&*tracker.current().expect("an upstream").heartbeat.upstream, "a");
 }
+
+/// Guards against a departure that is forgotten, since leave messages of other ids follow it: a late heartbeat
+/// of the upstream would make it ready again.
+#[test]
+fn leave_messages_of_other_ids_do_not_hide_a_departure() {
+    let mut tracker = UpstreamTracker::default();
+    tracker.apply_earlier_record(NOW, &earlier(true, 5, 8));
+    for other in ["b", "c", "d"] {
+        assert_eq!(tracker.apply_leave(NOW, other), MessageEffect::Late);
+    }
+    assert_eq!(tracker.apply_heartbeat(NOW, heartbeat("a", 5, 9, READY)), MessageEffect::Late);
+}
+
+/// Guards against departures that a later process of the node would not know: heartbeats and leave messages
+/// in turn, and what must be stored of each upstream as (id, start, sequence, has left).
+fn stores_departures(steps: &[Step], leaves: &[&str], stored: &[(&str, u64, u64, bool)]) {
+    let mut tracker = UpstreamTracker::default();
+    for (upstream, started, sequence, state, effect) in steps {
+        let actual = tracker.apply_heartbeat(NOW, heartbeat(upstream, *started, *sequence, *state));
+        assert_eq!(actual, *effect, "{upstream} {started} {sequence}");
+    }
+    for upstream in leaves {
+        tracker.apply_leave(NOW, upstream);
+    }
+    let departures = tracker.departures(NOW);
+    let actual: Vec<_> = departures
+        .iter()
+        .map(|it| (&*it.id, it.started_unix_ms, it.sequence, it.has_left))
+        .collect();
+    assert_eq!(actual, stored);
+}
+
+crate::cases! { stores_departures:
+    of_nobody(&[("a", 5, 1, READY, MessageEffect::Replaced)], &[], &[]),
+    of_an_upstream_that_has_left(
+        &[("a", 5, 1, READY, MessageEffect::Replaced)], &["a"], &[("a", 5, 0, true)]),
+    of_a_draining_upstream_from_its_first_message_on(
+        &[("a", 5, 1, READY, MessageEffect::Replaced), ("a", 5, 2, DRAINING, MessageEffect::Changed),
+          ("a", 5, 3, DRAINING, MessageEffect::Unchanged)], &[], &[("a", 5, 2, false)]),
+    of_a_draining_upstream_that_was_ready_again(
+        &[("a", 5, 1, DRAINING, MessageEffect::Replaced), ("a", 5, 2, READY, MessageEffect::Changed),
+          ("a", 5, 3, DRAINING, MessageEffect::Changed)], &[], &[("a", 5, 3, false)]),
+    of_an_upstream_and_the_one_before_it(
+        &[("a", 5, 1, READY, MessageEffect::Replaced), ("b", 9, 1, READY, MessageEffect::Replaced)],
+        &["a", "b"], &[("a", 0, 0, true), ("b", 9, 0, true)]),
+    but_not_of_a_late_announcement(
+        &[("a", 9, 1, READY, MessageEffect::Replaced), ("a", 5, 7, DRAINING, MessageEffect::Late)], &[], &[]),
+}
