Hand on no response with a status below 200 or above 599

What callers saw: an answer with status 101, 600 or 999 of an upstream in trouble, with its seal, as if it were the upstream's answer. After 101 the connection of the caller speaks another protocol.

Cause: the parser of the library accepts 100 to 999, and 101 ends the exchange there. Ruled out by tests that passed before: 000 and other forms that are no number from 100 to 999, and bodies behind 204 and 304.

Measured: 5 of 12 cases of a_status_is_no_answer failed before and pass (101 in three forms, 600, 999).

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -7,5 +7,5 @@
 pub use context::{CallContext, ContextError, ContextSigner};
 pub use outcome::{
     Answer, Dispatch, Forwarding, NotRun, Outcome, Reason, RefusalBody, Undispatched, Unknown,
-    Unsent, answer_digest,
+    Unsent, answer_digest, final_status,
 };
--- a/src/call/outcome.rs
+++ b/src/call/outcome.rs
@@ -232,6 +232,13 @@
     Unknown(Unknown),
 }
 
+/// Reads the status of a response that ends a request: 200 to 599. A response with another one is no answer:
+/// after 101 the connection speaks another protocol, and from 600 on no status is defined.
+pub fn final_status(status: u32) -> Option<StatusCode> {
+    let status = StatusCode::from_u16(u16::try_from(status).ok()?).ok()?;
+    matches!(status.as_u16(), 200..=599).then_some(status)
+}
+
 /// A complete response of an upstream.
 #[derive(Debug, Clone)]
 pub struct Answer {
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -33,7 +33,7 @@
 pub use self::opened::{OpenCounts, OpenLabels, OpenReason};
 use self::{opened::OpenConnections, short_reads::ShortReads};
 use crate::{
-    call::{Answer, Unsent},
+    call::{Answer, Unsent, final_status},
     memory::MemoryBudget,
     tcp,
 };
@@ -447,6 +447,11 @@
             }
         };
         let (parts, body) = response.into_parts();
+        if final_status(parts.status.as_u16().into()).is_none() {
+            connection.close(OpenReason::InvalidResponse);
+            let detail = format!("the status {} ends no request", parts.status.as_u16());
+            return Err(SendFailure::Incomplete(detail));
+        }
         let read = match check(&parts, is_head || body.is_end_stream()) {
             Ok(reuse) => {
                 let read = body::read(body, self.limits.max_body_bytes, &self.memory).await;
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -2,12 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::StatusCode;
 use tokio::time::timeout;
 
 use crate::{
     admission::PaceReport,
-    call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched},
+    call::{Answer, Forwarding, NotRun, Outcome, Reason, Undispatched, final_status},
     clock, memory,
     mesh::{
         Call, Dialect, GuardResult, LoadReport, Member, Node, ServiceUse, Usage,
@@ -232,17 +231,14 @@
 fn to_outcome(forwarding: Forwarding, reply: proto::ForwardReply) -> Outcome {
     let reason = Reason::from_name(&reply.reason).unwrap_or(Reason::PeerFailed);
     match reply.outcome() {
-        proto::Outcome::Whole => {
-            let status = u16::try_from(reply.status).ok();
-            match status.and_then(|status| StatusCode::from_u16(status).ok()) {
-                Some(status) => forwarding.answered(Answer {
-                    status,
-                    headers: headers_from_proto(reply.headers),
-                    body: reply.body,
-                }),
-                None => forwarding.unknown(Reason::PeerFailed, "the answer has no status"),
-            }
-        }
+        proto::Outcome::Whole => match final_status(reply.status) {
+            Some(status) => forwarding.answered(Answer {
+                status,
+                headers: headers_from_proto(reply.headers),
+                body: reply.body,
+            }),
+            None => forwarding.unknown(Reason::PeerFailed, "the answer has no valid status"),
+        },
         proto::Outcome::NotRun => {
             let not_run =
                 NotRun { reason, detail: reply.detail, retry_after: None, covers_request: true };
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -13,7 +13,7 @@
 use crate::{
     call::{
         Answer, CallContext, Forwarding, NotRun, Outcome, Reason, RefusalBody, Undispatched,
-        Unknown, answer_digest, headers,
+        Unknown, answer_digest, final_status, headers,
     },
     clock::{self, Timestamp},
     config::{Configuration, Importance, KeyCheck, Route},
@@ -648,8 +648,7 @@
         proto::Outcome::Whole => {
             let digest =
                 answer_digest(&reply.request_id, reply.status, &reply.headers, &reply.body);
-            let status = u16::try_from(reply.status).ok();
-            let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
+            let status = final_status(reply.status);
             let (Some(status), true) = (status, digest.as_bytes()[..] == reply.digest) else {
                 return forwarding.unknown(Reason::PeerFailed, "the answer is not whole");
             };
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -9,14 +9,15 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::{sync::RwLock, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use uuid::Uuid;
 
 use crate::{
-    call::{Answer, CallContext, NotRun, Outcome, Reason, Undispatched, Unknown, headers},
+    call::{
+        Answer, CallContext, NotRun, Outcome, Reason, Undispatched, Unknown, final_status, headers,
+    },
     clock::{self, Timestamp},
     membership::{Row, View},
     names::ServiceName,
@@ -498,7 +499,7 @@
     let outcome = match message.outcome() {
         proto::Outcome::Whole if message.status == 0 => RecordedOutcome::AnswerNotStored,
         proto::Outcome::Whole => RecordedOutcome::Answer(Arc::new(Answer {
-            status: StatusCode::from_u16(u16::try_from(message.status).ok()?).ok()?,
+            status: final_status(message.status)?,
             headers: headers::from_proto(&message.headers),
             body: message.body,
         })),
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -290,3 +290,90 @@
     upstream.await??;
     Ok(())
 }
+
+/// Starts an upstream that answers each request with this start of a response and a body of four bytes. A
+/// request with the id `good` gets a complete answer.
+async fn upstream_with_status(start: &'static str) -> anyhow::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while let Some(id) = read_request(&mut stream).await {
+                    let start = if id == "good" { "HTTP/1.1 200 OK" } else { start };
+                    let body = if id == "good" { "good" } else { "evil" };
+                    let answer =
+                        format!("{start}\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\n{body}");
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Guards against a response that is handed on as an answer although its status ends no request: a client gets
+/// a status that HTTP does not define, or takes what follows for another protocol. The next request gets its own
+/// answer.
+fn a_status_is_no_answer(start: &'static str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result: anyhow::Result<()> = runtime.expect("a runtime").block_on(async {
+        let address = upstream_with_status(start).await?;
+        let pool = pool();
+        let answer = send(&pool, address, "troubled").await;
+        anyhow::ensure!(answer.is_err(), "{answer:?}");
+        anyhow::ensure!(pool.idle_count() == 0, "the connection is used again");
+        anyhow::ensure!(send(&pool, address, "good").await.as_deref() == Ok(&b"good"[..]));
+        Ok(())
+    });
+    result.expect(start);
+}
+
+crate::cases! { a_status_is_no_answer:
+    of_zeros("HTTP/1.1 000 None"),
+    of_one_zero("HTTP/1.1 0 None"),
+    below_the_first_one("HTTP/1.1 099 None"),
+    of_four_digits("HTTP/1.1 1000 None"),
+    of_letters("HTTP/1.1 abc None"),
+    with_a_sign("HTTP/1.1 +200 OK"),
+    that_changes_the_protocol("HTTP/1.1 101 Switching Protocols"),
+    that_changes_the_protocol_to_a_named_one(
+        "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other"),
+    that_follows_an_interim_response("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 Switching Protocols"),
+    of_zeros_after_an_interim_response("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None"),
+    above_the_last_class("HTTP/1.1 600 None"),
+    of_nines("HTTP/1.1 999 None"),
+}
+
+/// Guards against a body that a status does not permit and that is taken for the answer to the next request.
+fn a_body_that_the_status_does_not_permit_is_no_answer(start: &'static str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result: anyhow::Result<()> = runtime.expect("a runtime").block_on(async {
+        let address = upstream_with_status(start).await?;
+        let pool = pool();
+        // The response itself may be an answer without a body.
+        let _ = send(&pool, address, "troubled").await;
+        anyhow::ensure!(send(&pool, address, "good").await.as_deref() == Ok(&b"good"[..]));
+        Ok(())
+    });
+    result.expect(start);
+}
+
+crate::cases! { a_body_that_the_status_does_not_permit_is_no_answer:
+    with_no_content("HTTP/1.1 204 No Content"),
+    with_not_modified("HTTP/1.1 304 Not Modified"),
+}
+
+/// Guards against a status in a message of another node that is handed on although it ends no request.
+#[test]
+fn statuses_of_other_nodes_are_checked() {
+    let is_final = |status| hibiscusdoor::call::final_status(status).is_some();
+    for status in [200, 204, 304, 404, 421, 500, 599] {
+        assert!(is_final(status), "{status}");
+    }
+    for status in [0, 1, 99, 100, 101, 199, 600, 999, 1000, 65_736, u32::MAX] {
+        assert!(!is_final(status), "{status}");
+    }
+}
