Check the registration after a pause before the first contact

What was seen: lost_instances_are_removed_and_come_back failed in 4 of 18 runs of its whole file, beside builds and other tests ('node-0 does not register again'), and never in 6 runs alone.

Cause, from the logs of one failure: the node was paused 0.8 s after its start, before its first exchange, and a hub removed its registration meanwhile. A node checks its registration when it is back in contact after 5 s of silence, but the silence only counted from an earlier contact. One further failure of the loop was not the node's: the kernel had continued the paused process, since the shell of the loop had ended.

Change: without an earlier contact, the silence counts from the start. The test of the end of a link and the new one share a node without listeners, so their file is now mesh_node.rs.

Measured: a_node_without_contact_since_its_start_checks_its_registration failed before and passes.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -619,10 +619,11 @@
     /// Records an exchange with another node. After a long time without one, the registration is checked,
     /// since a hub may have removed it.
     pub fn record_peer_contact(&self, now: Timestamp) {
-        let now_ms = clock::to_millis(now);
-        let last_ms = self.last_contact_ms.fetch_max(now_ms, Ordering::AcqRel);
-        let silence = Duration::from_millis(now_ms.saturating_sub(last_ms));
-        if last_ms > 0 && silence > MAX_UNCHECKED_SILENCE {
+        let last_ms = self.last_contact_ms.fetch_max(clock::to_millis(now), Ordering::AcqRel);
+        // A process may be paused before its first exchange.
+        let last = Duration::from_millis(last_ms).max(self.started_at);
+        let silence = now.saturating_sub(last);
+        if silence > MAX_UNCHECKED_SILENCE {
             log::info!(
                 silence_ms = clock::to_millis(silence);
                 "back in contact with other nodes; checking the registration in the store"
--- a/tests/mesh_link_close.rs
+++ b/tests/mesh_node.rs
@@ -1,9 +1,11 @@
-//! The end of a link at a node that is stopping, against another node that is played by the test.
+//! A node without listeners in the process of the test: the end of a link, and its contact to other nodes.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
+use futures::FutureExt as _;
 use hibiscusdoor::{
+    clock,
     http_server::{self, intake::Intake},
     memory::MemoryBudget,
     mesh::{
@@ -13,6 +15,7 @@
     },
     platform::OperatorsPlatform,
 };
+
 use http::{HeaderValue, StatusCode};
 use prost::Message as _;
 use serde_json::json;
@@ -138,3 +141,23 @@
     stop.cancel();
     Ok(())
 }
+
+/// Guards against a registration that stays removed: the node was paused before its first exchange with
+/// another node, and a hub took it for lost meanwhile.
+#[tokio::test]
+async fn a_node_without_contact_since_its_start_checks_its_registration() -> anyhow::Result<()> {
+    let stop = CancellationToken::new();
+    for (contacts, is_checked) in
+        [(&[1][..], false), (&[9], true), (&[1, 5], false), (&[1, 9], true)]
+    {
+        let node = start_node(stop.clone()).await?;
+        let started_at = clock::now();
+        for seconds in contacts {
+            node.record_peer_contact(started_at + Duration::from_secs(*seconds));
+        }
+        let check = node.registration_check.notified().now_or_never();
+        assert_eq!(check.is_some(), is_checked, "contacts after {contacts:?} s");
+    }
+    stop.cancel();
+    Ok(())
+}
