Reserve what running requests and a large program need beside the budget

What was seen: endless_bodies_for_many_callers (380 callers, 96 MB) failed in 3 of 3 runs on x86-64 in debug, with peaks of 97 to 99 MiB; with 55 MiB reserved.

Cause: the sum left out two parts. Some 70 KB are resident for each of the 380 requests beside their bodies, of which 32 KiB were reserved. And a debug build has 25 to 29 MB resident before the first request, so that of the 40 MiB for the program only some 12 were left for its growth under load.

Change: 64 KiB are reserved for a running request, and the budget leaves at least 24 MiB more than is resident at the start. A release build has some 15 MB then and keeps its 40 MiB; bound and crowd of the test are as they were.

--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -59,7 +59,7 @@
 pub(crate) const LARGE_REQUEST_EIGHTHS: usize = 5;
 /// Memory of a running request beside its head and its body: its task, and its messages to other nodes and
 /// to the upstream.
-const RUNNING_REQUEST_BYTES: usize = 32 << 10;
+const RUNNING_REQUEST_BYTES: usize = 64 << 10;
 /// Part of the budget, in eighths, above which the requests of a connection run one after the other, since
 /// their answers would be held until those before them have been written.
 const SERIAL_EIGHTHS: usize = 4;
--- a/src/memory/machine.rs
+++ b/src/memory/machine.rs
@@ -8,6 +8,8 @@
 /// Memory of the program without load, which has 15 to 25 MB, with the buffers of libraries and what the
 /// allocator retains under load.
 const PROGRAM_BYTES: usize = 40 << 20;
+/// Part of it that is not resident before the first request. A build whose program is larger leaves as much.
+const LOAD_OVERHEAD_BYTES: usize = 24 << 20;
 /// Descriptors that are assumed where the process has no limit.
 const FALLBACK_DESCRIPTORS: usize = 4_096;
 const MEMORY_FILE: &str = "/proc/meminfo";
@@ -76,6 +78,12 @@
 /// Part of a machine's memory that bytes held for others may use: three quarters, without the memory of
 /// the program itself. A quarter remains on a machine that is too small for both.
 pub fn budget_bytes(memory_bytes: usize) -> usize {
-    let left_bytes = memory_bytes.saturating_sub(PROGRAM_BYTES).max(memory_bytes / 4);
+    budget_bytes_beside(memory_bytes, 0)
+}
+
+/// The same beside a program of which this much is resident before the first request.
+pub fn budget_bytes_beside(memory_bytes: usize, resident_bytes: usize) -> usize {
+    let program_bytes = PROGRAM_BYTES.max(resident_bytes + LOAD_OVERHEAD_BYTES);
+    let left_bytes = memory_bytes.saturating_sub(program_bytes).max(memory_bytes / 4);
     left_bytes.min(memory_bytes / 4 * 3)
 }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -16,7 +16,8 @@
 
 pub use buffer::{grow, held_bytes};
 pub use machine::{
-    ResidentMemory, budget_bytes, machine_memory_bytes, max_descriptors, parse_memory_total,
+    ResidentMemory, budget_bytes, budget_bytes_beside, machine_memory_bytes, max_descriptors,
+    parse_memory_total,
 };
 
 /// Memory that may be reserved in total.
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -19,7 +19,7 @@
     call::Undispatched,
     clock::{self, Timestamp},
     http_server::intake::MisuseCounters,
-    memory::{self, MemoryBudget},
+    memory::{self, MemoryBudget, ResidentMemory},
     mesh::{
         Bounds, Call, Catalog, CatalogSource, ChainAdmission, Dialect, Directory, Guard,
         GuardResult, HubNumber, InstanceAddress, InstanceRecord, LiveSettings, Members,
@@ -175,7 +175,9 @@
         let mut directory = Directory::default();
         directory.merge(own.clone());
         let memory_bytes = memory::machine_memory_bytes(settings.limits.memory_bytes);
-        let memory = Arc::new(MemoryBudget::new(memory::budget_bytes(memory_bytes)));
+        let resident_bytes = ResidentMemory::read().map_or(0, |it| it.current_bytes);
+        let budget_bytes = memory::budget_bytes_beside(memory_bytes, resident_bytes);
+        let memory = Arc::new(MemoryBudget::new(budget_bytes));
         let guard = Arc::new(Guard::new(memory.clone()));
         let links = Links::new(memory.clone());
         Self {
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -4,7 +4,10 @@
 
 use hibiscusdoor::{
     http_server::intake::{Activity, ConnectionId, ConnectionTable, Misuse, MisuseCounters},
-    memory::{MemoryBudget, ResidentMemory, budget_bytes, parse_memory_total, reserved_bytes},
+    memory::{
+        MemoryBudget, ResidentMemory, budget_bytes, budget_bytes_beside, parse_memory_total,
+        reserved_bytes,
+    },
     mesh::ListenerBounds,
 };
 
@@ -141,6 +144,10 @@
     // The program itself needs the same memory on a smaller machine.
     assert_eq!(budget_bytes(96 << 20), 56 << 20);
     assert_eq!(budget_bytes(32 << 20), 8 << 20);
+    // A small program leaves the same budget, and a large one its growth under load.
+    assert_eq!(budget_bytes_beside(96 << 20, 15 << 20), 56 << 20);
+    assert_eq!(budget_bytes_beside(96 << 20, 30 << 20), 42 << 20);
+    assert_eq!(budget_bytes_beside(260 << 20, 30 << 20), 195 << 20);
 }
 
 /// Guards against memory that the budget does not count and that no figure shows.
