Test requests that run beyond a link which goes silent, one of them known to fail

Requests that may be repeated are sent again after a second and answered.

Cause: replies belong to their link. The other node would have to keep them, and a new link to ask for them.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -524,6 +524,11 @@
         self.nodes[index].upstream.lock().set_fault(UpstreamFault::Slow(extra));
     }
 
+    /// Makes the open connections of other nodes to a node go silent for good; new ones work.
+    pub fn silence_peers(&self, index: usize) {
+        self.nodes[index].peers.silence_connections();
+    }
+
     /// Returns the address of a node's listener for callers.
     pub fn callers(&self, index: usize) -> SocketAddr {
         SocketAddr::new(self.nodes[index].address, CALLERS_PORT)
