Check a leave message that may belong to an earlier start of the upstream

Cause: a leave message states no start, and got that of the known upstream.

Measured: a_late_leave_message_does_not_end_a_later_start failed without the check (200) and passes.

--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -60,6 +60,8 @@
     current: Option<Upstream>,
     /// When the last heartbeat of the current upstream arrived.
     heard_at: Timestamp,
+    /// When the current upstream was found to have started again under its id.
+    restarted_at: Option<Timestamp>,
     /// Sequence number of the heartbeat from which on the current upstream is leaving.
     leaving_sequence: u64,
     /// The last upstreams that have left, in the order of their departures.
@@ -242,6 +244,13 @@
         MessageEffect::Replaced
     }
 
+    /// Whether a leave message may be a late one of an earlier start under the same id, as it states no start.
+    pub fn may_be_late_leave(&self, now: Timestamp, upstream: &str) -> bool {
+        let current = self.current.as_ref().filter(|it| it.is_ready());
+        current.is_some_and(|it| *it.heartbeat.upstream == *upstream)
+            && self.restarted_at.is_some_and(|at| now < at + LATE_MESSAGE_WINDOW)
+    }
+
     /// Applies a leave message; the upstream still serves for a short time.
     pub fn apply_leave(&mut self, now: Timestamp, upstream: &str) -> MessageEffect {
         let known = self.current.as_ref().filter(|it| *it.heartbeat.upstream == *upstream);
@@ -340,6 +349,18 @@
             known.heartbeat.upstream == heartbeat.upstream
                 && known.heartbeat.started_unix_ms == heartbeat.started_unix_ms
         });
+        self.restarted_at = match &self.current {
+            Some(before) if before.heartbeat.upstream != heartbeat.upstream => None,
+            // The start of an upstream that was found by a health request is unknown.
+            Some(before)
+                if known.is_none()
+                    && before.heartbeat.started_unix_ms != 0
+                    && before.heartbeat.started_unix_ms != heartbeat.started_unix_ms =>
+            {
+                Some(now)
+            }
+            _ => self.restarted_at,
+        };
         let leaving_since = match heartbeat.state {
             UpstreamState::Ready => None,
             UpstreamState::Draining => {
--- a/src/mesh/upstream_messages.rs
+++ b/src/mesh/upstream_messages.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// Checks that a leave message is not a late one of an earlier start under the same id: the present start says
+/// in its health check whether it is leaving. A message that is not applied is not acknowledged either.
+async fn check_leave<D: Dialect>(node: &Node<D>, upstream: &str) -> Result<(), Rejection> {
+    if !node.upstream_tracker.lock().may_be_late_leave(clock::now(), upstream) {
+        return Ok(());
+    }
+    match probe::is_healthy(node).await {
+        true => Err((StatusCode::CONFLICT, "the present start does not leave".to_owned())),
+        false => Ok(()),
+    }
+}
+
 /// Applies a message of the upstream.
 pub async fn answer<D: Dialect>(
     node: Arc<Node<D>>,
@@ -100,24 +112,24 @@
             return http_server::text(StatusCode::BAD_REQUEST, &cause);
         }
     };
-    let proof = match &message {
-        UpstreamMessage::Heartbeat(heartbeat) => {
-            let checked = match check_place(&node, heartbeat) {
-                Ok(()) => check_instance(&node, heartbeat).await,
-                Err(rejection) => Err(rejection),
-            };
-            match checked {
-                Ok(proof) => proof,
-                Err((status, cause)) => {
-                    log::warn!(
-                        upstream:% = heartbeat.upstream, status = status.as_u16(), cause = cause;
-                        "ignored the heartbeat of an upstream; the known one stays"
-                    );
-                    return http_server::text(status, &cause);
-                }
-            }
+    let checked = match &message {
+        UpstreamMessage::Heartbeat(heartbeat) => match check_place(&node, heartbeat) {
+            Ok(()) => check_instance(&node, heartbeat).await,
+            Err(rejection) => Err(rejection),
+        },
+        UpstreamMessage::Leave { upstream } => {
+            check_leave(&node, upstream).await.map(|()| Proof::Unproved)
+        }
+    };
+    let proof = match checked {
+        Ok(proof) => proof,
+        Err((status, cause)) => {
+            log::warn!(
+                status = status.as_u16(), cause = cause, received:? = message;
+                "ignored a message of the upstream; the known state stays"
+            );
+            return http_server::text(status, &cause);
         }
-        UpstreamMessage::Leave { .. } => Proof::Unproved,
     };
     let now = clock::now();
     let (effect, upstream): (MessageEffect, Option<Upstream>) = {
--- a/tests/mesh_fleet_state.rs
+++ b/tests/mesh_fleet_state.rs
@@ -423,6 +423,28 @@
     Ok(())
 }
 
+/// Guards against a leave message of an earlier start that arrives late and takes the present start, under the same
+/// id, out of use for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_leave_message_does_not_end_a_later_start() -> anyhow::Result<()> {
+    let fleet = Fleet::start(1, 11).await?;
+    let node = &fleet.nodes[0];
+    let stop_health = CancellationToken::new();
+    serve_health(node, stop_health.clone()).await?;
+    assert_eq!(node.beat("u-0", heartbeat(node, "orders", 2_000, 1)).await?, 200);
+    assert_eq!(node.leave("u-0").await?, 409);
+    assert_eq!(node.state().await?["upstream_ready"], true);
+    // The present start leaves once its health check no longer says that it accepts requests.
+    stop_health.cancel();
+    let until = Instant::now() + WAIT;
+    while node.leave("u-0").await? != 200 {
+        anyhow::ensure!(Instant::now() < until, "the leaving is not acknowledged");
+        sleep(POLL).await;
+    }
+    assert_eq!(node.state().await?["upstream_ready"], false);
+    Ok(())
+}
+
 /// Guards against status 401 for all requests where the configuration has no organisations.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_organisations_no_request_needs_a_key() -> anyhow::Result<()> {
