Drop departures that were never heard of first

The list of departures is bounded. Leave messages under unknown ids, which anyone can send, no longer push out the departure of an upstream that the node has known. The test sends 20 of them in place of 3.

--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -277,7 +277,10 @@
         self.departures.retain(|it| *it.upstream != *upstream || !is_covered(it));
         self.departures.push_back(Departure { upstream: upstream.into(), start, at: now });
         if self.departures.len() > MAX_DEPARTURES {
-            self.departures.pop_front();
+            // Anyone can send a leave message under an id that was never heard of.
+            let is_unheard = |it: &Departure| matches!(it.start, DepartedStart::Unknown(_));
+            let surplus = self.departures.iter().position(is_unheard).unwrap_or(0);
+            self.departures.remove(surplus);
         }
         let has_left = self.has_left(now);
         let current = self.current.as_mut().filter(|it| *it.heartbeat.upstream == *upstream);
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -237,8 +237,8 @@
 fn leave_messages_of_other_ids_do_not_hide_a_departure() {
     let mut tracker = UpstreamTracker::default();
     tracker.apply_earlier_record(NOW, &earlier(true, 5, 8));
-    for other in ["b", "c", "d"] {
-        assert_eq!(tracker.apply_leave(NOW, other), MessageEffect::Late);
+    for number in 0..20 {
+        assert_eq!(tracker.apply_leave(NOW, &format!("b-{number}")), MessageEffect::Late);
     }
     assert_eq!(tracker.apply_heartbeat(NOW, heartbeat("a", 5, 9, READY)), MessageEffect::Late);
 }
