Reserve the memory of heads with many fields before they are parsed

Cause: a head was parsed before its memory was reserved, and waited in parsed form, which no reservation included, while its bytes were freed for the next connection.

--- a/src/http_server/pipelined/head.rs
+++ b/src/http_server/pipelined/head.rs
@@ -79,17 +79,23 @@
 pub struct HeadDecoder {
     /// Bytes of the input that have been searched for the end of the head.
     searched_bytes: usize,
+    /// Whether the end of the head was among them.
+    has_end: bool,
     /// Length of the input when it was last parsed.
     parsed_bytes: usize,
 }
 
 impl HeadDecoder {
-    /// Removes the head of a request from the input; none if the head is still incomplete.
-    pub fn decode(
-        &mut self,
-        input: &mut BytesMut,
-        max_bytes: usize,
-    ) -> Result<Option<ParsedHead>, HeadError> {
+    /// Estimate of the memory that the head at the start of the input will hold once it is parsed; none if it
+    /// is incomplete, or has no more than `USUAL_FIELDS`.
+    pub fn long_head_bytes(&mut self, input: &mut BytesMut) -> Option<usize> {
+        self.search_end(input);
+        let lines = input.iter().filter(|byte| **byte == b'\n').count();
+        let is_long = self.has_end && lines > USUAL_FIELDS;
+        is_long.then(|| HEAD_BYTES + input.len() + lines * FIELD_BYTES)
+    }
+
+    fn search_end(&mut self, input: &mut BytesMut) {
         if self.searched_bytes == 0 {
             // Empty lines before a request are permitted.
             let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
@@ -98,11 +104,20 @@
         }
         // The end is an empty line, which may have begun in the bytes searched before.
         let unsearched = &input[self.searched_bytes.saturating_sub(2)..];
-        let has_end = unsearched.windows(2).any(|bytes| bytes == b"\n\n")
+        self.has_end |= unsearched.windows(2).any(|bytes| bytes == b"\n\n")
             || unsearched.windows(3).any(|bytes| bytes == b"\n\r\n");
         self.searched_bytes = input.len();
+    }
+
+    /// Removes the head of a request from the input; none if the head is still incomplete.
+    pub fn decode(
+        &mut self,
+        input: &mut BytesMut,
+        max_bytes: usize,
+    ) -> Result<Option<ParsedHead>, HeadError> {
+        self.search_end(input);
         let may_be_malformed = input.len() >= 2 * self.parsed_bytes;
-        if input.is_empty() || !(has_end || may_be_malformed || input.len() > max_bytes) {
+        if input.is_empty() || !(self.has_end || may_be_malformed || input.len() > max_bytes) {
             return Ok(None);
         }
         self.parsed_bytes = input.len();
@@ -115,7 +130,10 @@
         });
         let (length, head) = match head {
             Ok(Some((length, head))) if length <= max_bytes => (length, head),
-            Ok(None) if input.len() <= max_bytes => return Ok(None),
+            Ok(None) if input.len() <= max_bytes => {
+                self.has_end = false;
+                return Ok(None);
+            }
             Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::HeadTooLarge),
             Err(_) => return Err(HeadError::Malformed),
         };
--- a/src/http_server/pipelined/mod.rs
+++ b/src/http_server/pipelined/mod.rs
@@ -189,6 +189,7 @@
         input: BytesMut::new(),
         input_memory: None,
         head_decoder: HeadDecoder::default(),
+        long_head_memory: None,
         first_byte_at: None,
         last_activity: Instant::now(),
         incoming: None,
@@ -296,6 +297,8 @@
     /// Memory of the input beyond one read.
     input_memory: Option<Reservation>,
     head_decoder: HeadDecoder,
+    /// Memory of a head with many fields, which is reserved before it is parsed.
+    long_head_memory: Option<Reservation>,
     /// When the first byte of the request that is being received was read.
     first_byte_at: Option<(Timestamp, Instant)>,
     last_activity: Instant,
@@ -373,7 +376,7 @@
                 }
                 () = self.ticket.evicted(), if !is_evicted => {
                     is_evicted = true;
-                    if self.incoming.is_some() {
+                    if self.incoming.is_some() || self.memory_wait != MemoryWait::None {
                         self.intake.record(Misuse::Memory);
                         self.reject(StatusCode::SERVICE_UNAVAILABLE);
                     } else if self.running.is_empty() && self.waiting.is_empty() {
@@ -547,6 +550,10 @@
             let (arrived, _) = *self.first_byte_at.get_or_insert(now);
             let mut incoming = match self.incoming.take() {
                 Some(incoming) => incoming,
+                None if !self.reserve_long_head() => {
+                    self.memory_wait = MemoryWait::Paused;
+                    return Ok(());
+                }
                 None => match self.parse_head() {
                     Ok(Some(incoming)) => incoming,
                     Ok(None) => {
@@ -608,16 +615,34 @@
         }))
     }
 
+    /// Reserves the memory that a head with many fields will have once it is parsed: such heads take far more
+    /// memory than their bytes, and a crowd of them took a node of 260 MB to 1 GB while they waited.
+    fn reserve_long_head(&mut self) -> bool {
+        let Some(bytes) = self.head_decoder.long_head_bytes(&mut self.input) else { return true };
+        let mut held = self.long_head_memory.take();
+        let is_reserved = self.extend(&mut held, bytes, SMALL_REQUEST_EIGHTHS);
+        self.long_head_memory = held;
+        is_reserved
+    }
+
     /// Reserves the memory of a head. The first request of a connection is not read further until there is
     /// memory for running it, too; those behind it wait for that before they start.
-    fn reserve_head(&self, incoming: &mut IncomingRequest) -> bool {
+    fn reserve_head(&mut self, incoming: &mut IncomingRequest) -> bool {
         if incoming.head_memory.is_none() {
             if self.unwritten_answers() == 0 && self.waiting.is_empty() {
                 incoming.unreserved_bytes = 0;
             }
             let running_bytes = RUNNING_REQUEST_BYTES - incoming.unreserved_bytes;
             let bytes = incoming.head.held_bytes() + running_bytes;
-            incoming.head_memory = self.reserve(bytes, SMALL_REQUEST_EIGHTHS);
+            let mut held = self.long_head_memory.take();
+            if self.extend(&mut held, bytes, SMALL_REQUEST_EIGHTHS) {
+                if let Some(held) = &mut held {
+                    held.shrink_to(bytes);
+                }
+                incoming.head_memory = held;
+            } else {
+                self.long_head_memory = held;
+            }
         }
         incoming.head_memory.is_some()
     }
@@ -668,6 +693,7 @@
         self.incoming = None;
         self.memory_wait = MemoryWait::None;
         (self.input, self.input_memory) = (BytesMut::new(), None);
+        self.long_head_memory = None;
         let mut response = Response::new(Bytes::new());
         *response.status_mut() = status;
         let memory = self.intake.memory.reserve_always(0);
