Keep the reserve at the end of the grace period for joining tasks

The 200 ms for the listeners of the upstream and the operators were taken from the 900 ms that a stop has left at the end of the grace period. They are waited for only as long as the grace period's own part lasts.

--- a/src/mesh/run.rs
+++ b/src/mesh/run.rs
@@ -185,7 +185,8 @@
     stop_auxiliary.cancel();
     auxiliary.close();
     // What has been asked is still answered, such as a leave message of the upstream.
-    let end_auxiliary = timeout(AUXILIARY_CLOSE_TIME, auxiliary.wait());
+    let auxiliary_end = deadline.min(Instant::now() + AUXILIARY_CLOSE_TIME);
+    let end_auxiliary = timeout_at(auxiliary_end, auxiliary.wait());
     let deregister = async {
         if node.upstream_has_left() {
             let _ = timeout(STOP_MARGIN / 2, control::deregister(&node)).await;
