Count only contacts later than a silence that they judge

Cause: an instance counted as in contact for 2 s after its last exchange, and was lost after the same 2 s. The last exchanges before a cut differ by up to 0.3 s, so a part of 5 in 14 lost the first of the others while the rest still counted for its majority, and went on step by step. After the cut, the hub of the smaller part took over the decisions of the other one, which named its own part; these counted as contacts, but not as members.

Ruled out: the buckets and the proofs of exclusive use; both keep the bound for a fixed fleet (tests/mesh_sole_holder.rs).

Change: contacts count for 1 s, and after the second in which all turn to a new hub where that is what the silence is measured from. Lost instances are no contacts, and an instance in contact is not lost by what another hub has decided.

--- a/src/mesh/losses/mod.rs
+++ b/src/mesh/losses/mod.rs
@@ -7,7 +7,9 @@
 //!
 //! Only the first hub decides, and only while it is in contact with more than half of the registered
 //! instances that are not lost already. A smaller part of a partitioned fleet therefore never takes the
-//! rest for lost, and losses that come one by one never leave the hub without a majority.
+//! rest for lost, and losses that come one by one never leave the hub without a majority. The contacts
+//! that make up the majority are later than the beginning of the silence that they judge: otherwise a
+//! part that was cut off would count the last exchanges of some of the others, and lose the others.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -25,6 +27,11 @@
 /// The same for an instance that has never contacted this hub. The others turn to a new hub within a
 /// second; a longer time would mark nothing while one first hub after the other is lost, one every 2 s.
 const LOST_UNHEARD_AFTER: Duration = Duration::from_millis(1500);
+/// Time after an exchange for which an instance is in contact. It is shorter than [`LOST_AFTER`] by more
+/// than the times of the last exchanges of the instances of a part differ when it is cut off.
+const CONTACT_LIFETIME: Duration = Duration::from_secs(1);
+/// Time in which all instances turn to a new hub.
+const TURN_TIME: Duration = Duration::from_secs(1);
 /// Time as a lost instance after which the registration is removed, so that silence lasts 8 s in all. In
 /// a fleet of three that loses a machine every 3.6 s, at most two lost ones stay registered at a time.
 const REMOVE_AFTER: Duration = Duration::from_secs(6);
@@ -72,14 +79,26 @@
     /// Whether the first hub `own` is in contact with more than half of the registered instances, without
     /// the lost ones.
     pub fn has_majority(&self, now: Timestamp, own: &str, registered: &Addresses) -> bool {
+        self.has_majority_after(now.saturating_sub(CONTACT_LIFETIME), own, registered)
+    }
+
+    /// Whether the first hub `own` has heard more than half of the registered instances at this time or
+    /// later, without the lost ones.
+    fn has_majority_after(&self, earliest: Timestamp, own: &str, registered: &Addresses) -> bool {
         let is_in_contact = |name: &InstanceName| {
             let heard_at = self.watched.get(name).and_then(|watched| watched.heard_at);
-            **name == *own || heard_at.is_some_and(|at| now <= at + LOST_AFTER)
+            **name == *own || heard_at.is_some_and(|at| at >= earliest)
         };
-        let in_contact = registered.keys().filter(|name| is_in_contact(name)).count();
+        let live = registered.keys().filter(|name| !self.lost.contains_key(*name));
+        let in_contact = live.filter(|name| is_in_contact(name)).count();
         in_contact * 2 > self.live_count(registered)
     }
 
+    fn is_in_contact(&self, now: Timestamp, instance: &str) -> bool {
+        let heard_at = self.watched.get(instance).and_then(|watched| watched.heard_at);
+        heard_at.is_some_and(|at| now <= at + CONTACT_LIFETIME)
+    }
+
     /// Marks instances as lost that the first hub `own` has not heard of; returns those.
     pub fn mark_lost(
         &mut self,
@@ -99,7 +118,11 @@
         }
         let is_late = |watched: &Watched| match watched.heard_at {
             Some(heard_at) => now > heard_at + LOST_AFTER,
-            None => now > watched.since + LOST_UNHEARD_AFTER,
+            None => {
+                let earliest = now.saturating_sub(CONTACT_LIFETIME).max(watched.since + TURN_TIME);
+                now > watched.since + LOST_UNHEARD_AFTER
+                    && self.has_majority_after(earliest, own, registered)
+            }
         };
         let late = self.watched.iter().filter(|(name, watched)| {
             ***name != *own && !self.lost.contains_key(*name) && is_late(watched)
@@ -126,10 +149,12 @@
     }
 
     /// Applies what the first hub has decided about an instance: the time for which it is lost, or `None`
-    /// if it is not; returns whether this is a change.
+    /// if it is not; returns whether this is a change. An instance in contact is not lost: the decision may
+    /// come from the hub of another part of the fleet.
     pub fn apply(&mut self, now: Timestamp, instance: &str, lost_for: Option<Duration>) -> bool {
         match lost_for {
             None => self.lost.remove(instance).is_some(),
+            Some(_) if self.is_in_contact(now, instance) => false,
             Some(lost_for) => {
                 let since = now.saturating_sub(lost_for);
                 self.lost.insert(instance.into(), since).is_none()
--- a/tests/mesh_losses.rs
+++ b/tests/mesh_losses.rs
@@ -158,3 +158,65 @@
     assert_eq!(fleet.removed, Vec::<usize>::new());
     assert_eq!(fleet.losses.live_count(&addresses(&fleet.registered)), 5);
 }
+
+/// Guards against a smaller part that takes the others for lost one after the other, since the time of
+/// the last exchange differs between them.
+fn a_minority_never_loses_the_others_in_steps(size: usize, part: usize, spread: Duration) {
+    let registered = addresses(&(0..size).collect());
+    let (own, mut losses) = (name(0), Losses::default());
+    let cut_at = Duration::from_secs(10);
+    let heard = |number: usize| cut_at - spread * number as u32 / size as u32;
+    for number in 1..size {
+        losses.record_contact(heard(number), &name(number));
+    }
+    let mut now = cut_at;
+    while now < cut_at + Duration::from_secs(20) {
+        now += Duration::from_millis(25);
+        for number in 1..part {
+            losses.record_contact(now, &name(number));
+        }
+        assert_eq!(losses.mark_lost(now, &own, &registered), Vec::new(), "at {now:?}");
+    }
+}
+
+crate::cases! { a_minority_never_loses_the_others_in_steps:
+    of_five_in_fourteen(14, 5, Duration::from_millis(290)),
+    of_five_in_fourteen_with_late_exchanges(14, 5, Duration::from_millis(900)),
+    of_half(14, 7, Duration::from_millis(600)),
+    of_one_in_three(3, 1, Duration::from_millis(600)),
+}
+
+/// The same for a hub that has taken over just before its part is cut off, and has not heard of all.
+#[test]
+fn a_new_hub_of_a_minority_never_loses_the_others() {
+    let registered = addresses(&(0..14).collect());
+    let (own, mut losses) = (name(0), Losses::default());
+    let start = Duration::from_secs(10);
+    for step in 0..200 {
+        let now = start + Duration::from_millis(25) * step;
+        let reached = if step < 28 { 9 } else { 5 };
+        for number in 1..reached {
+            losses.record_contact(now, &name(number));
+        }
+        assert_eq!(losses.mark_lost(now, &own, &registered), Vec::new(), "at {now:?}");
+    }
+}
+
+/// Guards against a hub that takes over, after a partition, what the other hub has decided about its own
+/// part, and so has a majority of what is left.
+#[test]
+fn an_instance_in_contact_is_not_lost_by_the_decision_of_another_hub() {
+    let registered = addresses(&(0..14).collect());
+    let (mut losses, now) = (Losses::default(), Duration::from_secs(10));
+    for number in 1..5 {
+        losses.record_contact(now, &name(number));
+    }
+    for number in 1..5 {
+        let is_change = losses.apply(now, &name(number), Some(Duration::from_secs(3)));
+        assert!(!is_change, "{number}");
+    }
+    assert_eq!(losses.live_count(&registered), 14);
+    let later = now + Duration::from_secs(2);
+    assert!(losses.apply(later, &name(4), Some(Duration::from_secs(5))));
+    assert_eq!(losses.live_count(&registered), 13);
+}
