State known losses to a hub that a node turns to

Cause: two parts count by different fleets. Cut into {0, 4} and {1, 2, 3}, node 1 takes 0 and 4 for lost and counts by three; then 3 joins 0 and 4. Node 0 has three of five and node 1 two of three, and both grant the whole rates. A lost instance that is back, and a hub that marks whom it had not heard while it was in the smaller part, lead to the same.

Change: a node that turns to another home states the losses it knew with the last provably only one; the new home needs the majority of that fleet too until it has been the only home by both, for 30 s at most. So does a home for its own fleet before lost instances have joined it again. Without these majorities it marks and removes nobody and makes no claim. Earlier builds state nothing and are counted as before.

--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -94,6 +94,9 @@
         if !node.is_first_hub(now) {
             continue;
         }
+        if !node.homes.lock().has_stated_majorities(now, 0) {
+            continue;
+        }
         let due = node.directory.lock().removable(now, &node.settings.instance);
         let node = &node;
         let removals = due.iter().map(|(instance, address)| async move {
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     ops::Bound,
     sync::Arc,
@@ -332,6 +332,21 @@
         self.losses.lost_for(now, instance)
     }
 
+    /// The lost instances.
+    pub fn lost(&self) -> impl Iterator<Item = &InstanceName> {
+        self.losses.lost()
+    }
+
+    /// The instances without the lost ones.
+    pub fn live(&self) -> BTreeSet<InstanceName> {
+        self.losses.live(&self.addresses)
+    }
+
+    /// The fleet without these lost instances, unless that is the fleet as this node counts it.
+    pub fn fleet_without(&self, lost: &BTreeSet<InstanceName>) -> Option<BTreeSet<InstanceName>> {
+        self.losses.fleet_without(lost, &self.addresses)
+    }
+
     /// Whether any instance is marked as silent or lost.
     pub fn has_marks(&self) -> bool {
         self.losses.has_any() || self.entries.values().any(|entry| entry.member.silent)
--- a/src/mesh/losses/mod.rs
+++ b/src/mesh/losses/mod.rs
@@ -12,7 +12,7 @@
 //! part that was cut off would count the last exchanges of some of the others, and lose the others.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Losses {
     watched: HashMap<InstanceName, Watched>,
+    /// Start of the time in which the hub has been in contact with a majority.
+    majority_since: Option<Timestamp>,
     /// Lost instances, with the time since when they are lost.
     lost: BTreeMap<InstanceName, Timestamp>,
 }
@@ -69,6 +71,7 @@
     /// no reason to contact it. Instances that are lost stay so.
     pub fn reset_contacts(&mut self) {
         self.watched.clear();
+        self.majority_since = None;
     }
 
     /// Number of registered instances, without the lost ones.
@@ -114,6 +117,11 @@
             }
         }
         if !self.has_majority(now, own, registered) {
+            self.majority_since = None;
+            return Vec::new();
+        }
+        // Where the others have just turned to this hub, the one before may still count on them.
+        if now < *self.majority_since.get_or_insert(now) + CONTACT_LIFETIME {
             return Vec::new();
         }
         let is_late = |watched: &Watched| match watched.heard_at {
@@ -162,6 +170,28 @@
         }
     }
 
+    /// The registered instances without the lost ones.
+    pub fn live(&self, registered: &Addresses) -> BTreeSet<InstanceName> {
+        registered.keys().filter(|name| !self.lost.contains_key(*name)).cloned().collect()
+    }
+
+    /// The registered instances without these lost ones, unless that is the fleet as this node counts it.
+    pub fn fleet_without(
+        &self,
+        lost: &BTreeSet<InstanceName>,
+        registered: &Addresses,
+    ) -> Option<BTreeSet<InstanceName>> {
+        let is_counted = |name: &&InstanceName| !lost.contains(*name);
+        let is_same =
+            registered.keys().all(|name| is_counted(&name) != self.lost.contains_key(name));
+        (!is_same).then(|| registered.keys().filter(is_counted).cloned().collect())
+    }
+
+    /// The lost instances.
+    pub fn lost(&self) -> impl Iterator<Item = &InstanceName> {
+        self.lost.keys()
+    }
+
     /// Whether any instance is lost.
     pub fn has_any(&self) -> bool {
         !self.lost.is_empty()
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -1,7 +1,7 @@
 //! State that the listeners and background tasks of a node share.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
@@ -641,6 +641,25 @@
         self.record_peer_contact(now);
     }
 
+    /// The instances that are lost as this node knows them.
+    pub fn lost_instances(&self) -> BTreeSet<InstanceName> {
+        self.directory.lock().lost().cloned().collect()
+    }
+
+    /// Records the instances that were lost as an instance knew them, which used another home before for this
+    /// hub number.
+    pub fn record_stated_losses(
+        &self,
+        now: Timestamp,
+        number: HubNumber,
+        lost: &BTreeSet<InstanceName>,
+    ) {
+        let stated = self.directory.lock().fleet_without(lost);
+        if let Some(members) = stated {
+            self.homes.lock().record_stated_fleet(now, number, members);
+        }
+    }
+
     /// Stops counting an instance that turns to another home for this hub number.
     pub fn release_home(&self, number: HubNumber, instance: &str) {
         let fleet_size = self.fleet_size();
@@ -666,11 +685,15 @@
         }
         let was_hub = self.is_first_hub(now);
         self.first_hub_at_ms.store(clock::to_millis(now), Ordering::Release);
+        let has_majorities = self.homes.lock().has_stated_majorities(now, number);
         let mut directory = self.directory.lock();
         if !was_hub {
             directory.reset_contacts();
         }
-        let lost = directory.mark_lost(now, &self.settings.instance);
+        let lost = match has_majorities {
+            true => directory.mark_lost(now, &self.settings.instance),
+            false => Vec::new(),
+        };
         if directory.mark_silent(now, &self.settings.instance) || !lost.is_empty() {
             self.members.store(Arc::new(directory.members()));
         }
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -266,6 +266,16 @@
     /// is 0.
     #[prost(bool, tag = "17")]
     pub claimed: bool,
+    /// What the sender knew at its last exchange with another instance that was provably the only hub of this
+    /// number; present in the first exchange with the receiver after one with another instance.
+    #[prost(message, optional, tag = "18")]
+    pub losses: ::core::option::Option<KnownLosses>,
+}
+/// Instances that are lost as a node knows them.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KnownLosses {
+    #[prost(string, repeated, tag = "1")]
+    pub instances: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Availability zones under evacuation, as read from the store; see src/mesh/evacuation.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -340,6 +350,10 @@
     /// The receiver does as a request with `claimed` wants; false in replies of earlier builds.
     #[prost(bool, tag = "20")]
     pub yielded: bool,
+    /// Whether the receiver is provably the only hub of the number in the request; absent in replies of earlier
+    /// builds and to requests without a number.
+    #[prost(bool, optional, tag = "21")]
+    pub is_sole: ::core::option::Option<bool>,
     /// Evacuated zones that the hub knows; absent if it knows no state.
     #[prost(message, optional, tag = "17")]
     pub evacuations: ::core::option::Option<Evacuations>,
--- a/src/mesh/rates.rs
+++ b/src/mesh/rates.rs
@@ -9,7 +9,10 @@
 //! Load pattern: one organisation sends eight times its usual demand through all nodes at once,
 //! while another sends three requests per second spread over a dozen nodes.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use crate::{
     clock::Timestamp,
@@ -262,6 +265,34 @@
         }
     }
 
+    /// Records that an instance that uses the node as a home for this number counted with its home before by
+    /// another fleet.
+    pub fn record_stated_fleet(
+        &mut self,
+        now: Timestamp,
+        number: HubNumber,
+        members: BTreeSet<InstanceName>,
+    ) {
+        self.homes.entry(number).or_default().contacts.record_stated_fleet(now, members);
+    }
+
+    /// Records the fleet as the node counted it before lost instances have joined it again.
+    pub fn record_outgrown_fleet(&mut self, now: Timestamp, members: &BTreeSet<InstanceName>) {
+        for numbered in self.homes.values_mut() {
+            numbered.contacts.record_outgrown_fleet(now, members);
+        }
+    }
+
+    /// Whether the node is in contact with most of each fleet that an instance has stated for this number.
+    pub fn has_stated_majorities(&self, now: Timestamp, number: HubNumber) -> bool {
+        self.homes.get(&number).is_none_or(|numbered| numbered.contacts.has_stated_majorities(now))
+    }
+
+    /// Whether the node is provably the only home for this number.
+    pub fn is_sole(&self, now: Timestamp, number: HubNumber) -> bool {
+        self.homes.get(&number).is_some_and(|numbered| now < numbered.home.sole_until)
+    }
+
     /// Whether a claim may make the node's home for this number the only one.
     pub fn can_claim(&self, now: Timestamp, number: HubNumber) -> bool {
         self.homes.get(&number).is_some_and(|numbered| numbered.contacts.can_claim(now))
--- a/src/mesh/sole_holder/mod.rs
+++ b/src/mesh/sole_holder/mod.rs
@@ -15,8 +15,17 @@
 //! could count an instance from before the claim. Until then it counts also instances that have used no
 //! other holder since it sent the claim. Without this, no home granted the whole rates for a second after
 //! a whole fleet had started.
+//!
+//! Nodes may differ in which instances are lost, and so in what is more than half of the fleet: after a
+//! partition that regroups, two halves by different counts have no instance in common. So an instance
+//! that turns to another holder states the fleet by which it counted with its holder before. The new one needs
+//! the majority of that fleet too, until it has once been the only holder by both. The same holds for the
+//! fleet of a holder that a lost instance has joined again.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use crate::{clock::Timestamp, names::InstanceName};
 
@@ -27,6 +36,11 @@
 pub const CONTACT_LIFETIME: Duration = Duration::from_millis(900);
 /// Time for which the counted instances are cached: a holder receives hundreds of requests per second.
 const COUNT_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which a fleet that an instance has stated no longer counts; most of its members may have
+/// ended.
+const STATED_FLEET_LIFETIME: Duration = Duration::from_secs(30);
+/// Maximum number of stated fleets of a holder; the earliest ones give way.
+const MAX_STATED_FLEETS: usize = 8;
 
 /// What a request to a holder shows about the instance that sent it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +90,14 @@
     }
 }
 
+/// Fleet by which an instance counted with its holder before, or the holder itself.
+#[derive(Debug)]
+struct StatedFleet {
+    members: BTreeSet<InstanceName>,
+    stated_at: Timestamp,
+    is_own: bool,
+}
+
 /// Instances in contact with a holder of one hub number.
 #[derive(Debug, Default)]
 pub struct HolderContacts {
@@ -86,6 +108,8 @@
     claimed_at: Option<Timestamp>,
     /// Time until which the node is no holder, since another one has claimed that.
     yielded_until: Timestamp,
+    /// Fleets of which the holder needs the majority besides that of its own.
+    stated: Vec<StatedFleet>,
 }
 
 impl HolderContacts {
@@ -106,6 +130,43 @@
         }
     }
 
+    /// Records the fleet by which an instance counted with its holder before, where it is not this
+    /// holder's. The next request of any instance is counted with it.
+    pub fn record_stated_fleet(&mut self, now: Timestamp, members: BTreeSet<InstanceName>) {
+        self.stated.retain(|it| it.members != members);
+        if self.stated.len() >= MAX_STATED_FLEETS {
+            self.stated.remove(0);
+        }
+        self.stated.push(StatedFleet { members, stated_at: now, is_own: false });
+        self.claimed_at = None;
+        self.counted_until = Timestamp::ZERO;
+    }
+
+    /// Records the fleet of a holder in use before lost instances have joined it again.
+    pub fn record_outgrown_fleet(&mut self, now: Timestamp, members: &BTreeSet<InstanceName>) {
+        let is_recent = |contact: &Contact| now <= contact.received_at + CONTACT_LIFETIME;
+        let is_in_use = self.by_instance.values().any(is_recent);
+        if is_in_use && !self.stated.iter().any(|it| it.is_own) {
+            let members = members.clone();
+            self.stated.push(StatedFleet { members, stated_at: now, is_own: true });
+            self.counted_until = Timestamp::ZERO;
+        }
+    }
+
+    /// Whether the holder is in contact with most of each fleet that an instance has stated.
+    pub fn has_stated_majorities(&self, now: Timestamp) -> bool {
+        let is_recent = |name: &InstanceName| {
+            let contact = self.by_instance.get(name);
+            contact.is_some_and(|contact| now <= contact.received_at + CONTACT_LIFETIME)
+        };
+        let mut fleets =
+            self.stated.iter().filter(|it| now <= it.stated_at + STATED_FLEET_LIFETIME);
+        fleets.all(|fleet| {
+            let in_contact = fleet.members.iter().filter(|name| is_recent(name)).count();
+            in_contact * 2 > fleet.members.len()
+        })
+    }
+
     /// Forgets an instance that turns to another holder.
     pub fn release(&mut self, now: Timestamp, requester: &str, fleet_size: usize) -> Standing {
         self.by_instance.remove(requester);
@@ -113,10 +174,12 @@
     }
 
     /// Whether a claim may make the node the only holder: it is in contact with most of the fleet, and is
-    /// not the only holder yet.
+    /// not the only holder yet. Lost instances confirm no claim, so there is none while others count one of them.
     pub fn can_claim(&self, now: Timestamp) -> bool {
         let has_majority = |it: &Standing| it.contact_fraction > 0.5 && now >= it.sole_until;
-        now >= self.yielded_until && self.standing.as_ref().is_some_and(has_majority)
+        now >= self.yielded_until
+            && self.stated.is_empty()
+            && self.standing.as_ref().is_some_and(has_majority)
     }
 
     /// Records that all other instances have confirmed a claim that was sent at this time.
@@ -145,28 +208,48 @@
     fn count(&mut self, now: Timestamp, fleet_size: usize) -> Standing {
         self.by_instance.retain(|_, contact| now <= contact.received_at + CONTACT_LIFETIME);
         self.claimed_at = self.claimed_at.filter(|at| now < *at + CONTACT_LIFETIME);
+        self.stated.retain(|it| now <= it.stated_at + STATED_FLEET_LIFETIME);
         let contact_fraction = match fleet_size {
             0 => 0.0,
             size => (self.by_instance.len() as f64 / size as f64).min(1.0),
         };
         let claimed_until = self.claimed_at.map(|at| at + CONTACT_LIFETIME);
-        let by_claim =
-            claimed_until.map(|until| self.majority_until(self.claimed_at, fleet_size).min(until));
+        let by_claim = claimed_until
+            .map(|until| self.majorities_until(self.claimed_at, fleet_size).min(until));
         let sole_until = match now < self.yielded_until {
             true => Timestamp::ZERO,
-            false => by_claim.unwrap_or_default().max(self.majority_until(None, fleet_size)),
+            false => by_claim.unwrap_or_default().max(self.majorities_until(None, fleet_size)),
         };
+        if now < sole_until {
+            self.stated.clear();
+        }
         let standing = Standing { contact_fraction, sole_until };
         self.standing = Some(standing);
         self.counted_until = now + COUNT_INTERVAL;
         standing
     }
 
-    /// Time until which more than half of the fleet counts for the holder alone.
-    fn majority_until(&self, claimed_at: Option<Timestamp>, fleet_size: usize) -> Timestamp {
-        let contacts = self.by_instance.values();
+    /// Time until which more than half of the fleet, and of each stated one, counts for the holder alone.
+    fn majorities_until(&self, claimed_at: Option<Timestamp>, fleet_size: usize) -> Timestamp {
+        let of_stated = self.stated.iter().map(|fleet| {
+            let is_member = |name: &InstanceName| fleet.members.contains(name);
+            self.majority_until(claimed_at, fleet.members.len(), is_member)
+        });
+        let of_all = self.majority_until(claimed_at, fleet_size, |_| true);
+        of_stated.fold(of_all, Timestamp::min)
+    }
+
+    /// Time until which more than half of a fleet of this size, with these members, counts for the holder
+    /// alone.
+    fn majority_until(
+        &self,
+        claimed_at: Option<Timestamp>,
+        fleet_size: usize,
+        is_member: impl Fn(&InstanceName) -> bool,
+    ) -> Timestamp {
+        let contacts = self.by_instance.iter().filter(|(name, _)| is_member(name));
         let mut counted: Vec<Timestamp> =
-            contacts.filter_map(|contact| contact.counts_until(claimed_at)).collect();
+            contacts.filter_map(|(_, contact)| contact.counts_until(claimed_at)).collect();
         let majority = fleet_size / 2 + 1;
         // As long as the last of the majority counts, all others of it count too.
         match fleet_size > 0 && counted.len() >= majority {
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -7,7 +7,7 @@
 //! different instances as the same hub, changes only reach them later.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     ops::RangeInclusive,
     sync::Arc,
     time::Duration,
@@ -85,6 +85,8 @@
     /// Generation and sequence of this node's record at the hub.
     known_record: (u64, u64),
     known_incarnation: u64,
+    /// Whether the hub was provably the only one of its number at its last reply.
+    is_sole_hub: bool,
     /// Instances for which the hub sent outdated records.
     outdated: Vec<InstanceName>,
     /// Number of this node's last crash change that was reported to the hub.
@@ -112,19 +114,22 @@
 
 /// Role of the receiving node in an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Role {
+pub enum Role<'a> {
     /// A hub.
     Hub {
         /// Number of the hub; the first hub has the number 0.
         number: HubNumber,
         /// Time for which this node has used no other instance as the hub of this number.
         exclusive: Duration,
+        /// The lost instances at the last exchange with a provably only hub of this number, in the first
+        /// exchange after one with another instance.
+        losses: Option<&'a BTreeSet<InstanceName>>,
     },
     /// Any other node.
     Peer,
 }
 
-impl Role {
+impl Role<'_> {
     fn is_first_hub(self) -> bool {
         matches!(self, Self::Hub { number: 0, .. })
     }
@@ -164,6 +169,7 @@
     let mut pacer = Pacer::default();
     let mut holder_use = HolderUse::new(clock::now());
     let mut last_hub: Option<InstanceName> = None;
+    let mut known_losses = BTreeSet::new();
     let start_end = Instant::now() + START_TIME;
     let mut is_retry = false;
     let mut claims = Claims::new();
@@ -200,7 +206,8 @@
                     contact.request_all_records();
                 }
                 let exclusive = holder_use.begin(now, &hub);
-                let role = Role::Hub { number, exclusive };
+                let losses = Some(&known_losses).filter(|_| is_new && last_hub.is_some());
+                let role = Role::Hub { number, exclusive, losses };
                 let (exchanged, is_released) = tokio::join!(
                     exchange(&node, &address, contact, &wants, role),
                     release(&node, number, released.as_ref()),
@@ -214,6 +221,9 @@
                         is_retry = false;
                         pauses.0.remove(&hub);
                         last_hub = Some(hub);
+                        if contact.is_sole_hub {
+                            known_losses = node.lost_instances();
+                        }
                         if is_new {
                             sleep_until(began + MIN_SYNC_INTERVAL).await;
                             continue;
@@ -255,7 +265,13 @@
                     node.set_hub_count(hub_count(hubs, members.live_len()));
                 }
                 let own = &node.settings.instance;
+                if is_new && last_hub.is_some() {
+                    node.record_stated_losses(now, number, &known_losses);
+                }
                 last_hub = Some(own.clone());
+                if node.homes.lock().is_sole(now, number) {
+                    known_losses = node.lost_instances();
+                }
                 let exclusive_for = holder_use.begin_own(now, own);
                 if let Some(released) = released
                     && release(&node, number, Some(&released)).await
@@ -470,7 +486,7 @@
     address: &InstanceAddress,
     contact: &mut Contact,
     wants: &[Want],
-    role: Role,
+    role: Role<'_>,
 ) -> Result<(), ExchangeFailure> {
     let own = node.own_record();
     let sent_at = clock::now();
@@ -514,6 +530,12 @@
         hub_time_ms: contact.hub_time_ms,
         released: false,
         claimed: false,
+        losses: match role {
+            Role::Hub { losses, .. } => losses.map(|lost| proto::KnownLosses {
+                instances: lost.iter().map(ToString::to_string).collect(),
+            }),
+            Role::Peer => None,
+        },
     };
     let mut peer = node.peer(address.peer_address);
     // The memory of the reply is returned with its extensions.
@@ -538,6 +560,7 @@
     contact.hub_time_ms = reply.hub_time_ms;
     contact.known_record = (reply.known_generation, reply.known_sequence);
     contact.known_incarnation = reply.known_incarnation;
+    contact.is_sole_hub = reply.is_sole.unwrap_or(true);
     node.raise_generation(reply.known_generation, reply.known_incarnation);
     contact.outdated = apply_records(node, std::mem::take(&mut reply.records), role);
     apply_crashed(node, &reply.crashed);
@@ -575,7 +598,7 @@
 pub fn apply_records<D: Dialect>(
     node: &Node<D>,
     records: Vec<proto::InstanceRecord>,
-    role: Role,
+    role: Role<'_>,
 ) -> Vec<InstanceName> {
     let mut outdated = Vec::new();
     if records.is_empty() {
@@ -584,6 +607,7 @@
     let now = clock::now();
     let (mut changed, mut own_earlier) = (false, Vec::new());
     let has_no_hub = node.is_first_hub(now) || !node.has_heard_first_hub();
+    let mut outgrown = None;
     let mut directory = node.directory.lock();
     for record in records {
         let silent = record.silent;
@@ -602,6 +626,10 @@
         // Hubs receive the exchanges of an instance at different times, so only the first hub decides
         // which instances are silent.
         if role.is_first_hub() {
+            let is_back = lost_for.is_none() && directory.lost_for(now, &instance).is_some();
+            if is_back && outgrown.is_none() {
+                outgrown = Some(directory.live());
+            }
             changed |= directory.set_silent(&instance, silent);
             changed |= directory.set_lost(now, &instance, lost_for);
         } else if lost_for.is_some() && has_no_hub {
@@ -613,6 +641,9 @@
         node.members.store(Arc::new(directory.members()));
     }
     drop(directory);
+    if let Some(outgrown) = outgrown {
+        node.homes.lock().record_outgrown_fleet(now, &outgrown);
+    }
     for record in &own_earlier {
         node.apply_earlier_record(record);
     }
@@ -684,7 +715,7 @@
     apply_crashed(node, &request.crashed);
     evacuation::apply_stated(node, now, request.evacuations);
     node.record_peer_contact(now);
-    let (sequence, records, known) = {
+    let (sequence, records, known, outgrown) = {
         let mut directory = node.directory.lock();
         // A process that has just started learns what the earlier one has published, also where its own
         // record takes the place of that one.
@@ -694,6 +725,7 @@
         });
         let mut changed =
             record.is_some_and(|record| directory.merge(record) == MergeResult::Applied);
+        let outgrown = directory.lost_for(now, &instance).map(|_| directory.live());
         changed |= directory.record_contact(now, &instance);
         if changed {
             node.members.store(Arc::new(directory.members()));
@@ -708,8 +740,11 @@
             }
         });
         let records: Vec<_> = earlier.into_iter().chain(records).collect();
-        (changes.sequence, records, directory.record_of(&instance).cloned())
+        (changes.sequence, records, directory.record_of(&instance).cloned(), outgrown)
     };
+    if let Some(outgrown) = outgrown {
+        node.homes.lock().record_outgrown_fleet(now, &outgrown);
+    }
     let wants: Vec<Want> = request
         .wants
         .into_iter()
@@ -730,6 +765,10 @@
                 },
                 None => ContactProof::assumed(now),
             };
+            if let Some(losses) = request.losses {
+                let lost = losses.instances.into_iter().map(InstanceName::from).collect();
+                node.record_stated_losses(now, number, &lost);
+            }
             draw_tokens(node, number, &instance, proof, &wants)
         }
         None => Vec::new(),
@@ -795,6 +834,7 @@
         hub_time_ms: clock::to_millis(now),
         released: false,
         yielded: false,
+        is_sole: hub_number.map(|number| node.homes.lock().is_sole(now, number)),
     }
 }
 
--- a/tests/mesh_node.rs
+++ b/tests/mesh_node.rs
@@ -9,10 +9,11 @@
     http_server::{self, intake::Intake},
     memory::MemoryBudget,
     mesh::{
-        Heartbeat, MeshSettings, Node, Upstream, UpstreamState,
+        Heartbeat, InstanceAddress, MeshSettings, Node, Upstream, UpstreamState,
         link::{self, FrameDecoder, PREAMBLE},
         proto::{ForwardRequest, LinkFrame, LinkSignal, link_frame::Content},
     },
+    names::InstanceName,
     platform::OperatorsPlatform,
 };
 
@@ -161,3 +162,31 @@
     stop.cancel();
     Ok(())
 }
+
+/// Guards against a home that counts by a fleet of which another home may have the majority: the instance
+/// that turned to it knows other losses.
+#[tokio::test]
+async fn a_home_needs_the_majority_of_the_fleet_that_an_instance_states() -> anyhow::Result<()> {
+    let stop = CancellationToken::new();
+    let name = |number: usize| InstanceName::from(format!("node-{number}"));
+    let address =
+        InstanceAddress { zone: "zone-a".into(), peer_address: ([127, 0, 0, 1], 9).into() };
+    for (lost, is_sole) in
+        [(&[][..], true), (&[0, 1], false), (&[3], true), (&[4], false), (&[1, 2, 3], true)]
+    {
+        let node = start_node(stop.clone()).await?;
+        let addresses = (0..5).map(|number| (name(number), address.clone())).collect();
+        node.set_stored_addresses(addresses);
+        assert_eq!(node.fleet_size(), 5);
+        let now = clock::now();
+        let lost = lost.iter().map(|number| name(*number)).collect();
+        node.record_stated_losses(now, 0, &lost);
+        for number in [0, 1, 4] {
+            node.homes.lock().record_contact(now, 0, &name(number), node.fleet_size());
+        }
+        assert_eq!(node.homes.lock().is_sole(now, 0), is_sole, "lost: {lost:?}");
+        assert_eq!(node.homes.lock().has_stated_majorities(now, 0), is_sole, "lost: {lost:?}");
+    }
+    stop.cancel();
+    Ok(())
+}
--- a/tests/mesh_sole_holder.rs
+++ b/tests/mesh_sole_holder.rs
@@ -5,10 +5,15 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use hibiscusdoor::mesh::{
-    CONTACT_LIFETIME, ContactProof, HolderContacts, HolderUse, Organisation, RateHome, RateHomes,
+    Addresses, CONTACT_LIFETIME, ContactProof, HolderContacts, HolderUse, InstanceAddress, Losses,
+    Organisation, RateHome, RateHomes,
 };
 use proptest::{
     prelude::*,
@@ -19,6 +24,9 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 const MAX_PAUSE: Duration = Duration::from_secs(8);
+const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a node that has acted as the hub counts as one.
+const HUB_LIFETIME: Duration = Duration::from_secs(1);
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
 /// Tokens that a node wants with each exchange while the organisation is far over its rate.
@@ -31,6 +39,12 @@
     Organisation { name: "bars".into(), rate_per_s: Some(rate_per_s), burst, rank: None }
 }
 
+fn addresses(nodes: usize) -> Addresses {
+    let address =
+        InstanceAddress { zone: "bole".into(), peer_address: ([10, 0, 0, 1], 7000).into() };
+    Arc::new((0..nodes).map(|node| (name(node), address.clone())).collect::<BTreeMap<_, _>>())
+}
+
 fn name(node: usize) -> Arc<str> {
     format!("node-{node}").into()
 }
@@ -38,7 +52,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Event {
     /// Only nodes of the same part reach each other: those whose bit is set, and the others.
-    Cut(u8),
+    Cut(u16),
     Heal,
     Pause(usize),
     Resume,
@@ -53,6 +67,8 @@
     from: usize,
     proof: ContactProof,
     wanted: f64,
+    /// The lost instances as the sender knew them with the last only holder, if it has turned to another.
+    losses: Option<BTreeSet<Arc<str>>>,
 }
 
 struct Node {
@@ -70,6 +86,14 @@
     is_retry: bool,
     /// Requests that arrived during a pause.
     queue: Vec<Request>,
+    losses: Losses,
+    last_holder: Option<usize>,
+    /// The lost instances at the last exchange with a holder that was the only one.
+    known_losses: BTreeSet<Arc<str>>,
+    /// When the node last acted as the hub.
+    hub_at: Option<Duration>,
+    next_search_at: Duration,
+    searched: usize,
 }
 
 impl Node {
@@ -84,6 +108,12 @@
             pending: None,
             is_retry: false,
             queue: Vec::new(),
+            losses: Losses::default(),
+            last_holder: None,
+            known_losses: BTreeSet::new(),
+            hub_at: None,
+            next_search_at: now + SEARCH_INTERVAL,
+            searched: 0,
         }
     }
 }
@@ -92,7 +122,8 @@
     now: Duration,
     nodes: Vec<Node>,
     organisation: Organisation,
-    cut: u8,
+    cut: u16,
+    registered: Addresses,
     paused: Option<usize>,
     leaving: Option<usize>,
     is_busy: bool,
@@ -109,6 +140,7 @@
             nodes: (0..nodes).map(|index| Node::new(index as u64, now, nodes)).collect(),
             organisation,
             cut: 0,
+            registered: addresses(nodes),
             paused: None,
             leaving: None,
             is_busy: false,
@@ -196,7 +228,9 @@
         };
         self.release(index, released);
         if holder == index {
+            self.act_as_hub(index);
             self.claim(index);
+            self.search(index);
         }
         let wanted = if self.is_busy { WANTED } else { 0.0 };
         let sent_after = match holder == index {
@@ -205,14 +239,19 @@
                 .filter(|(process, _)| *process == self.nodes[holder].process)
                 .map(|(_, at)| at),
         };
-        let request =
-            Request { from: index, proof: ContactProof { sent_after, exclusive_for }, wanted };
+        let node = &self.nodes[index];
+        let is_other = node.last_holder.is_some_and(|last| last != holder);
+        let losses = is_other.then(|| node.known_losses.clone());
+        let proof = ContactProof { sent_after, exclusive_for };
+        let request = Request { from: index, proof, wanted, losses };
         let is_answered =
             holder == index || (self.reaches(index, holder) && self.paused != Some(holder));
         if is_answered {
             let tokens = self.answer(holder, &request);
             self.grants.push((now, tokens));
+            self.take_marks(index, holder);
             let process = self.nodes[holder].process;
+            let is_sole = self.nodes[holder].homes.is_sole(now, 0);
             let interval = if self.is_busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
             let node = &mut self.nodes[index];
             let is_first = node.answered[holder].is_none_or(|(known, _)| known != process);
@@ -220,6 +259,10 @@
             node.failed[holder] = None;
             node.is_retry = false;
             node.holder_use.end(now, true);
+            node.last_holder = Some(holder);
+            if is_sole {
+                node.known_losses = node.losses.lost().cloned().collect();
+            }
             node.next_exchange_at = if is_first { now } else { now + interval };
             return;
         }
@@ -229,11 +272,77 @@
         self.nodes[index].pending = Some((holder, now + EXCHANGE_TIMEOUT));
     }
 
+    fn fleet_size(&self, index: usize) -> usize {
+        self.nodes[index].losses.live_count(&self.registered)
+    }
+
+    fn record_contact(&mut self, index: usize, other: usize) {
+        let node = &mut self.nodes[index];
+        let fleet = node.losses.live(&self.registered);
+        if node.losses.record_contact(self.now, &name(other)) {
+            node.homes.record_outgrown_fleet(self.now, &fleet);
+        }
+    }
+
+    fn is_hub(&self, index: usize) -> bool {
+        self.nodes[index].hub_at.is_some_and(|at| self.now < at + HUB_LIFETIME)
+    }
+
+    fn act_as_hub(&mut self, index: usize) {
+        let (now, was_hub) = (self.now, self.is_hub(index));
+        let node = &mut self.nodes[index];
+        if !was_hub {
+            node.losses.reset_contacts();
+        }
+        node.hub_at = Some(now);
+        if node.homes.has_stated_majorities(now, 0) {
+            node.losses.mark_lost(now, &name(index), &self.registered);
+        }
+    }
+
+    /// Takes over the other node's marks, as in the reply to an exchange with it.
+    fn take_marks(&mut self, index: usize, other: usize) {
+        let now = self.now;
+        let fleet = self.nodes[index].losses.live(&self.registered);
+        let mut is_outgrown = false;
+        for instance in (0..self.nodes.len()).filter(|it| *it != index).map(name) {
+            let lost_for = self.nodes[other].losses.lost_for(now, &instance);
+            let is_change = self.nodes[index].losses.apply(now, &instance, lost_for);
+            is_outgrown |= is_change && lost_for.is_none();
+        }
+        if is_outgrown {
+            self.nodes[index].homes.record_outgrown_fleet(now, &fleet);
+        }
+    }
+
+    /// Makes an exchange with the next other node, as a hub does that is without most of the fleet.
+    fn search(&mut self, index: usize) {
+        let (now, count) = (self.now, self.nodes.len());
+        let node = &mut self.nodes[index];
+        let is_isolated = !node.losses.has_majority(now, &name(index), &self.registered);
+        if !is_isolated || now < node.next_search_at {
+            return;
+        }
+        node.next_search_at = now + SEARCH_INTERVAL;
+        let other = (0..count).filter(|it| *it != index).nth(node.searched % (count - 1));
+        node.searched += 1;
+        let Some(other) = other.filter(|it| self.paused != Some(*it) && self.reaches(index, *it))
+        else {
+            return;
+        };
+        self.record_contact(other, index);
+        for instance in (0..count).filter(|it| *it != index).map(name) {
+            if let Some(lost_for) = self.nodes[other].losses.lost_for(now, &instance) {
+                self.nodes[index].losses.apply(now, &instance, Some(lost_for));
+            }
+        }
+    }
+
     /// Tells a replaced holder that the node no longer uses it, where it can be reached.
     fn release(&mut self, index: usize, replaced: Option<usize>) {
         let Some(replaced) = replaced else { return };
         if self.paused != Some(replaced) && self.reaches(index, replaced) {
-            let fleet = self.nodes.len();
+            let fleet = self.fleet_size(replaced);
             self.nodes[replaced].homes.release(self.now, 0, &name(index), fleet);
             self.nodes[index].holder_use.confirm_release(&name(replaced));
         }
@@ -241,26 +350,40 @@
 
     /// Claims that the node is the only holder, which all others must confirm.
     fn claim(&mut self, index: usize) {
-        let (now, fleet) = (self.now, self.nodes.len());
+        let now = self.now;
         if !self.nodes[index].homes.can_claim(now, 0) {
             return;
         }
-        let others: Vec<usize> = (0..fleet).filter(|it| *it != index).collect();
+        let losses = &self.nodes[index].losses;
+        let others: Vec<usize> = (0..self.nodes.len())
+            .filter(|it| *it != index && losses.lost_for(now, &name(*it)).is_none())
+            .collect();
         let mut confirmed = 0;
         for other in &others {
             if self.paused != Some(*other) && self.reaches(index, *other) {
+                let fleet = self.fleet_size(*other);
                 confirmed += usize::from(self.nodes[*other].homes.yield_to_claim(now, 0, fleet));
             }
         }
         // The answers arrive one step later.
         let sent_at = now.saturating_sub(STEP);
         if confirmed == others.len() {
+            let fleet = self.fleet_size(index);
             self.nodes[index].homes.confirm_claim(now, 0, sent_at, fleet);
         }
     }
 
     fn answer(&mut self, holder: usize, request: &Request) -> f64 {
-        let fleet = self.nodes.len();
+        if request.from != holder {
+            self.record_contact(holder, request.from);
+        }
+        if let Some(lost) = &request.losses {
+            let node = &mut self.nodes[holder];
+            if let Some(members) = node.losses.fleet_without(lost, &self.registered) {
+                node.homes.record_stated_fleet(self.now, 0, members);
+            }
+        }
+        let fleet = self.fleet_size(holder);
         let homes = &mut self.nodes[holder].homes;
         let home =
             homes.record_proven_contact(self.now, 0, &name(request.from), request.proof, fleet);
@@ -383,7 +506,7 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        (0u8..32).prop_map(Event::Cut),
+        (0u16..32).prop_map(Event::Cut),
         Just(Event::Heal),
         (0usize..5).prop_map(Event::Pause),
         Just(Event::Resume),
@@ -469,3 +592,38 @@
     let standing = contacts.record(now, &name(0), ContactProof::assumed(now), 0);
     assert!(standing.sole_until <= now, "{standing:?}");
 }
+
+/// Guards against two homes in the parts of a fleet that was cut in two, or after it has been healed. A
+/// smaller part took the others for lost, one after the other, and granted the whole rates too.
+fn parts_never_have_two_homes(nodes: usize, parts: &[(f64, u16)]) {
+    for start_ms in (0..300).step_by(30) {
+        let mut simulation = Simulation::new(nodes, organisation(100.0, 20.0));
+        for (index, node) in simulation.nodes.iter_mut().enumerate() {
+            node.next_exchange_at += STEP * 2 * index as u32;
+        }
+        simulation.run(Duration::from_secs(5) + Duration::from_millis(start_ms));
+        for (length_s, part) in parts {
+            simulation.apply(Event::Cut(*part));
+            let end = simulation.now + Duration::from_secs_f64(*length_s);
+            while simulation.now < end {
+                simulation.run(STEP);
+                assert!(simulation.sole_homes() <= 1, "two homes at {:?}", simulation.now);
+            }
+            simulation.apply(Event::Demand(true));
+        }
+        let excess = simulation.max_excess();
+        assert!(excess <= 0.0, "{excess} tokens beyond the bound");
+    }
+}
+
+crate::cases! { parts_never_have_two_homes:
+    the_hub_in_the_smaller_part(14, &[(4.7, 0b11111), (12.0, 0)]),
+    the_hub_in_the_larger_part(14, &[(4.7, 0b11_1110_0000), (12.0, 0)]),
+    several_cuts(14, &[(4.7, 0b11111), (12.0, 0), (4.7, 0b110_0001_1000), (12.0, 0)]),
+    a_short_cut(14, &[(2.4, 0b11111), (12.0, 0)]),
+    a_long_cut(14, &[(9.0, 0b11111), (12.0, 0)]),
+    two_halves(14, &[(6.0, 0b111_1111), (12.0, 0)]),
+    one_of_three(3, &[(6.0, 0b1), (12.0, 0)]),
+    parts_that_regroup(5, &[(4.0, 0b10001), (6.0, 0b11001), (12.0, 0)]),
+    a_hub_that_changes_its_part(5, &[(5.5, 0b01010), (4.0, 0b00001), (12.0, 0)]),
+}
