Judge late requests in the soak by when their node sent them

The proxies in front of the upstreams now record when they receive each request, also on connections that they have not passed on yet. The network may hold a request for as long as it likes; the node must not send it later than 2 s after. So the check takes the time at which the proxy last received the request, and the arrival where it has received none: requests that a node sends late are found as before, and a test of the check says so.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,12 +9,16 @@
 #[path = "soak/mod.rs"]
 mod fleet;
 
-use std::{ops::Range, path::Path, time::Duration};
+use std::{collections::HashMap, ops::Range, path::Path, time::Duration};
 
 use anyhow::Context as _;
 use tokio::{task::JoinSet, time::sleep_until};
 
-use fleet::{plan, world::World};
+use fleet::{
+    plan,
+    record::{Record, Run},
+    world::World,
+};
 
 /// Seeds that a run in CI uses, in addition to `FAILED_SEEDS`.
 const CI_SEEDS: Range<u64> = 1..3;
@@ -102,3 +106,32 @@
     println!("seed {seed}: {:?}", world.record.outcomes());
     Ok(violations)
 }
+
+/// Guards against a check that takes a request for late which a proxy of this test has held back, and
+/// against one that excuses any other.
+#[test]
+fn a_request_is_late_by_the_time_at_which_its_node_sent_it() {
+    let known_at = std::time::Instant::now();
+    let after = Duration::from_millis;
+    for (received_ms, arrived_ms, is_late) in [
+        (&[][..], 1_900, false),
+        (&[], 3_000, true),
+        (&[1_900], 3_000, false),
+        (&[2_100], 3_000, true),
+        (&[100, 2_100], 3_000, true),
+        (&[100, 3_100], 3_000, false),
+    ] {
+        let record = Record::default();
+        let received = received_ms.iter().map(|ms| known_at + after(*ms)).collect();
+        record.received.lock().insert("a1".to_owned(), received);
+        let run = Run {
+            at: known_at + after(arrived_ms),
+            organisation: None,
+            defect: None,
+            leaving_known_since: Some(known_at),
+        };
+        record.record_run("a1", run);
+        let violations = record.violations(&HashMap::new());
+        assert_eq!(!violations.is_empty(), is_late, "{received_ms:?} {violations:?}");
+    }
+}
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,7 +1,7 @@
 //! A loopback TCP proxy that can delay or block bytes, in both directions or one, and reset or silence its
 //! connections.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 use tokio::{
@@ -15,6 +15,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use super::record::Record;
+
 const BUFFER_BYTES: usize = 16 << 10;
 /// Interval of the check whether a blocked link forwards bytes again.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -39,6 +41,8 @@
     resets: watch::Sender<u64>,
     /// Number of silences; a change makes all connections silent.
     silences: watch::Sender<u64>,
+    /// Record of the requests that the proxy receives.
+    record: Option<Arc<Record>>,
 }
 
 /// Why a connection is no longer forwarded.
@@ -61,12 +65,23 @@
         address: SocketAddr,
         target: SocketAddr,
         stop: CancellationToken,
+    ) -> anyhow::Result<Arc<Self>> {
+        Self::start_recording(address, target, None, stop).await
+    }
+
+    /// Like [`Self::start`], and records when the proxy receives each request.
+    pub async fn start_recording(
+        address: SocketAddr,
+        target: SocketAddr,
+        record: Option<Arc<Record>>,
+        stop: CancellationToken,
     ) -> anyhow::Result<Arc<Self>> {
         let listener = TcpListener::bind(address).await?;
         let proxy = Arc::new(Self {
             fault: Mutex::new(LinkFault::None),
             resets: watch::Sender::new(0),
             silences: watch::Sender::new(0),
+            record,
         });
         tokio::spawn(accept(proxy.clone(), listener, target, stop));
         Ok(proxy)
@@ -87,6 +102,12 @@
         self.silences.send_modify(|count| *count += 1);
     }
 
+    fn record_received(&self, bytes: &[u8]) {
+        if let Some(record) = &self.record {
+            record.record_received(bytes);
+        }
+    }
+
     /// Waits until the present fault lets bytes in this direction pass.
     async fn wait_to_forward(&self, direction: Direction) {
         loop {
@@ -127,7 +148,19 @@
 
 async fn forward(proxy: Arc<Proxy>, stream: TcpStream, target: SocketAddr) {
     let (mut resets, mut silences) = (proxy.resets.subscribe(), proxy.silences.subscribe());
-    proxy.wait_to_forward(Direction::Request).await;
+    let mut recorded_bytes = 0;
+    let record_first = async {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        if let Ok(received) = stream.peek(&mut buffer).await {
+            proxy.record_received(&buffer[..received]);
+            recorded_bytes = received;
+        }
+        pending::<()>().await;
+    };
+    tokio::select! {
+        () = proxy.wait_to_forward(Direction::Request) => {}
+        () = record_first => {}
+    }
     let Ok(target_stream) = TcpStream::connect(target).await else {
         // Without a listener, a port resets the connection, so the proxy does the same.
         let _ = stream.set_zero_linger();
@@ -140,8 +173,10 @@
     let (mut from_target, mut to_target) = target_stream.into_split();
     // The end of one direction closes the other: the fleet does not need half-open connections.
     let end = tokio::select! {
-        () = copy(&proxy, Direction::Request, &mut from_caller, &mut to_target) => End::Closed,
-        () = copy(&proxy, Direction::Answer, &mut from_target, &mut to_caller) => End::Closed,
+        () = copy(&proxy, Direction::Request, &mut from_caller, &mut to_target, recorded_bytes) => {
+            End::Closed
+        }
+        () = copy(&proxy, Direction::Answer, &mut from_target, &mut to_caller, 0) => End::Closed,
         _ = resets.changed() => End::Reset,
         _ = silences.changed() => End::Silenced,
     };
@@ -161,6 +196,7 @@
     direction: Direction,
     from: &mut OwnedReadHalf,
     to: &mut OwnedWriteHalf,
+    mut recorded_bytes: usize,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -168,6 +204,11 @@
             Ok(0) | Err(_) => return,
             Ok(read) => read,
         };
+        if direction == Direction::Request {
+            let recorded = recorded_bytes.min(read);
+            proxy.record_received(&buffer[recorded..read]);
+            recorded_bytes -= recorded;
+        }
         proxy.wait_to_forward(direction).await;
         if to.write_all(&buffer[..read]).await.is_err() {
             return;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -13,6 +13,8 @@
 /// Time after its node first knew that an upstream leaves in which requests can still arrive at the
 /// upstream, as in the settings of the nodes.
 pub const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Start of the line of a request's head that states its id.
+const ID_FIELD: &str = "x-attempt-id: ";
 /// Window in which the requests of an organisation are counted to check its rate.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 /// Factor on the rate and burst up to which the count is allowed.
@@ -95,6 +97,9 @@
     pub sent: Mutex<HashMap<String, SentRequest>>,
     pub runs: Mutex<HashMap<String, Vec<Run>>>,
     pub keys: Mutex<HashMap<String, KeyState>>,
+    /// Times at which the proxies in front of the upstreams received each request, by its id. A proxy may
+    /// hold back a request that its node sent long before it arrives.
+    pub received: Mutex<HashMap<String, Vec<Instant>>>,
     /// Times at which requests reached each upstream, refused ones included.
     pub arrivals: Mutex<HashMap<String, Vec<Instant>>>,
     pub limits: Mutex<Vec<LimitPeriod>>,
@@ -117,6 +122,22 @@
         self.arrivals.lock().entry(upstream.to_owned()).or_default().push(Instant::now());
     }
 
+    /// Records that a proxy received these bytes, if a head with a request id is among them.
+    pub fn record_received(&self, bytes: &[u8]) {
+        let text = String::from_utf8_lossy(bytes);
+        let mut received = self.received.lock();
+        for line in text.lines().filter_map(|line| line.strip_prefix(ID_FIELD)) {
+            received.entry(line.trim().to_owned()).or_default().push(Instant::now());
+        }
+    }
+
+    /// When the node sent a request that reached its upstream at `arrived_at`.
+    fn forwarded_at(&self, id: &str, arrived_at: Instant) -> Instant {
+        let received = self.received.lock();
+        let earlier = received.get(id).into_iter().flatten().filter(|at| **at <= arrived_at);
+        earlier.max().copied().unwrap_or(arrived_at)
+    }
+
     /// Records that an upstream begins to run a request.
     pub fn record_run(&self, id: &str, run: Run) {
         self.runs.lock().entry(id.to_owned()).or_default().push(run);
@@ -169,9 +190,12 @@
                     violations
                         .push(format!("{id} arrived at the upstream with a defect: {defect}"));
                 }
-                if run.leaving_known_since.is_some_and(|at| run.at > at + DRAIN_LIMIT) {
+                let Some(known_since) = run.leaving_known_since else { continue };
+                if self.forwarded_at(id, run.at) > known_since + DRAIN_LIMIT {
                     violations.push(format!(
-                        "{id} reached an upstream more than 2 s after its node knew that it leaves"
+                        "{id} reached an upstream {:?} after its node knew that it leaves, expected at most \
+                         {DRAIN_LIMIT:?} where no proxy holds it back",
+                        run.at - known_since
                     ));
                 }
             }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -187,8 +187,13 @@
                 node_callers: at(CALLERS_PORT),
             };
             let peers = Proxy::start(at(PEERS_PROXY_PORT), at(PEERS_PORT), stop.clone()).await?;
-            let to_upstream =
-                Proxy::start(at(UPSTREAM_PROXY_PORT), at(UPSTREAM_PORT), stop.clone()).await?;
+            let to_upstream = Proxy::start_recording(
+                at(UPSTREAM_PROXY_PORT),
+                at(UPSTREAM_PORT),
+                Some(record.clone()),
+                stop.clone(),
+            )
+            .await?;
             let to_store = Proxy::start(at(STORE_PROXY_PORT), store_address, stop.clone()).await?;
             let settings = folder.join(format!("node-{index}.json"));
             std::fs::write(&settings, settings_text(index, &upstream_config, address, &bounds)?)?;
