Ask for lost replies on a new link, and notice silent links sooner

Cause: a reply was known only to the link of its request, and nobody asked for it elsewhere. A silent link was noticed after a second, when most of the time of its requests had passed.

Ruled out: running such a request again, since its outcome is unknown; a shorter limit of silence alone, which gives up nodes that are only slow.

When a link goes silent or fails, each open reply is asked for on a new link; the answer is the reply, "running", or "not run", after which nothing that still arrives on the old link runs. A link counts as silent once a ping has had no answer for 250 ms and the node answers on a new connection. Earlier builds ignore the question.

--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -73,7 +73,8 @@
     let forwarding = Forwarding::begin(undispatched);
     let exchange = async {
         match link {
-            Some(link) => link.call(message).await,
+            Some(link) if call.idempotent => link.call(message).await,
+            Some(link) => node.links.call_once(address, &link, message).await,
             None => call_by_grpc(node, member, message).await,
         }
     };
@@ -155,6 +156,7 @@
         repeated: call.repeated,
         route: call.route.to_string(),
         named_rate_per_s: 0.0,
+        link: 0,
         reserved_service: call
             .reservation
             .as_ref()
--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     io,
     net::SocketAddr,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,7 +15,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpStream, tcp::OwnedWriteHalf},
-    sync::{Notify, oneshot},
+    sync::{Notify, mpsc, oneshot},
     time::{sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -26,9 +27,12 @@
             PREAMBLE, frame,
             frames::FrameReader,
             outbox::{Outbox, Position},
+            resume::LinkId,
             signal,
         },
-        proto::{ForwardReply, ForwardRequest, LinkFrame, link_frame::Content},
+        proto::{
+            ForwardReply, ForwardRequest, LinkFrame, LinkResume, ResumeState, link_frame::Content,
+        },
     },
     peers::MAX_MESSAGE_BYTES,
     tcp,
@@ -40,12 +44,20 @@
 /// since its machine still acknowledges them, unless a large frame has filled the window.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a frame, while replies are awaited, after which a link is pinged.
-const PING_AFTER: Duration = Duration::from_millis(400);
-/// Time without a frame, while replies are awaited, after which the link counts as silent.
+const PING_AFTER: Duration = Duration::from_millis(250);
+/// Time without an answer to a ping after which the other node is asked on a new connection. If it answers
+/// there, the link counts as silent; if not, the node may only be slow.
+const PONG_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time without a frame, while replies are awaited, after which the link counts as silent in any case.
 const SILENT_AFTER: Duration = Duration::from_secs(1);
 /// Time without a frame after which a link is probed before a request that must not run twice.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Attempts to ask on a new link for the reply to a request, the time in which the other node must say that
+/// it knows about it, and the pause between two of them.
+const RESUME_ATTEMPTS: usize = 3;
+const RESUME_TIMEOUT: Duration = Duration::from_millis(300);
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
 /// Time without a request after which a link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which a node that does not support links is sent gRPC calls.
@@ -125,7 +137,7 @@
         }
         let failure = match timeout(CONNECT_TIMEOUT, open(address)).await {
             Ok(Ok(stream)) => {
-                let link = Arc::new(Link::new());
+                let link = Arc::new(Link::new(address));
                 slot.link.store(Some(link.clone()));
                 let (stop, running) = (self.stop.clone(), link.clone());
                 let memory = self.memory.clone();
@@ -156,6 +168,74 @@
         self.get(address).await
     }
 
+    /// Sends a request that must not run twice on a link to an address, and waits for its reply. If the link
+    /// goes silent or fails, the reply is asked for on a new one.
+    pub async fn call_once(
+        &self,
+        address: SocketAddr,
+        link: &Link,
+        request: ForwardRequest,
+    ) -> Result<ForwardReply, LinkFailure> {
+        let mut pending = link.start(request)?;
+        let lost = tokio::select! {
+            reply = &mut pending.reply => match flatten(reply) {
+                Err(LinkFailure::Lost(detail)) => Some(detail),
+                ended => return ended,
+            },
+            () = link.silenced.cancelled() => None,
+        };
+        let Some(detail) = lost else {
+            // The process may only be paused, and its answer may still arrive on the silent link.
+            return tokio::select! {
+                biased;
+                reply = &mut pending.reply => match flatten(reply) {
+                    Err(LinkFailure::Lost(detail)) => self.resume(address, link, pending.call, detail).await,
+                    ended => ended,
+                },
+                Some(reply) = self.try_resume(address, link, pending.call) => reply,
+            };
+        };
+        self.resume(address, link, pending.call, detail).await
+    }
+
+    /// Asks for the reply to a request of a link that has failed.
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        link: &Link,
+        call: u64,
+        detail: String,
+    ) -> Result<ForwardReply, LinkFailure> {
+        let resumed = self.try_resume(address, link, call).await;
+        resumed.unwrap_or(Err(LinkFailure::Lost(detail)))
+    }
+
+    /// Asks on a new link for the reply to a request; `None` if the other node does not know of it, or does
+    /// not answer.
+    async fn try_resume(
+        &self,
+        address: SocketAddr,
+        link: &Link,
+        call: u64,
+    ) -> Option<Result<ForwardReply, LinkFailure>> {
+        for attempt in 0..RESUME_ATTEMPTS {
+            if attempt > 0 {
+                sleep(RESUME_PAUSE).await;
+            }
+            let Ok(Some(other)) = self.get(address).await else { continue };
+            match other.resume(LinkResume { link: link.id, call }).await {
+                Resumed::Reply(reply) => return Some(Ok(*reply)),
+                Resumed::NotRun => {
+                    let detail = "the other node has not received the request".to_owned();
+                    return Some(Err(LinkFailure::NotSent(detail)));
+                }
+                Resumed::Unknown => return None,
+                Resumed::NoAnswer => {}
+            }
+        }
+        None
+    }
+
     /// Closes the links to addresses for which `keep` returns false, once their requests have ended.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.slots.lock().retain(|address, slot| {
@@ -196,6 +276,10 @@
 /// A link to another node.
 #[derive(Debug)]
 pub struct Link {
+    id: LinkId,
+    address: SocketAddr,
+    /// Cancelled when the link counts as silent.
+    silenced: CancellationToken,
     outbox: Outbox,
     state: Mutex<State>,
     /// Notified when the first request is added to an idle link, and when the link is retired.
@@ -212,6 +296,8 @@
     is_retired: bool,
     /// When the last frame was read, or `calls` was last empty if that is later.
     heard_at: Instant,
+    /// When the link was pinged, if no frame was read since.
+    pinged_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -219,6 +305,29 @@
     reply: oneshot::Sender<Result<ForwardReply, LinkFailure>>,
     position: Position,
     is_idempotent: bool,
+    /// Receives the states of a request of another link whose reply is asked for.
+    states: Option<mpsc::UnboundedSender<ResumeState>>,
+}
+
+/// A request that was sent, or the question for the reply to one.
+struct SentCall<'a> {
+    call: u64,
+    reply: oneshot::Receiver<Result<ForwardReply, LinkFailure>>,
+    _cancel_guard: CancelGuard<'a>,
+}
+
+/// Answer to the question for the reply to a request of another link.
+enum Resumed {
+    Reply(Box<ForwardReply>),
+    NotRun,
+    Unknown,
+    NoAnswer,
+}
+
+fn flatten(
+    reply: Result<Result<ForwardReply, LinkFailure>, oneshot::error::RecvError>,
+) -> Result<ForwardReply, LinkFailure> {
+    reply.unwrap_or_else(|_| Err(LinkFailure::Lost("the link has ended".to_owned())))
 }
 
 /// Cancels a request at the other node if it is dropped before the reply has arrived.
@@ -237,25 +346,74 @@
 }
 
 impl Link {
-    fn new() -> Self {
+    fn new(address: SocketAddr) -> Self {
         let state = State {
             last_call: 0,
             calls: HashMap::new(),
             probes: Vec::new(),
             is_retired: false,
             heard_at: Instant::now(),
+            pinged_at: None,
         };
-        Self { outbox: Outbox::default(), state: Mutex::new(state), activated: Notify::new() }
+        Self {
+            // Requests with the number 0 cannot be asked for.
+            id: rand::random::<LinkId>().max(1),
+            address,
+            silenced: CancellationToken::new(),
+            outbox: Outbox::default(),
+            state: Mutex::new(state),
+            activated: Notify::new(),
+        }
     }
 
     /// Sends a request and waits for its reply. Dropping the future cancels the request.
     pub async fn call(&self, request: ForwardRequest) -> Result<ForwardReply, LinkFailure> {
+        flatten(self.start(request)?.reply.await)
+    }
+
+    fn start(&self, mut request: ForwardRequest) -> Result<SentCall<'_>, LinkFailure> {
+        let is_idempotent = request.idempotent;
+        request.link = if is_idempotent { 0 } else { self.id };
+        self.push_call(Content::Request(request), is_idempotent, None)
+    }
+
+    /// Asks for the reply to a request of another link.
+    async fn resume(&self, resume: LinkResume) -> Resumed {
+        let (sender, mut states) = mpsc::unbounded_channel();
+        let Ok(mut asked) = self.push_call(Content::Resume(resume), false, Some(sender)) else {
+            return Resumed::NoAnswer;
+        };
+        // An earlier build does not answer.
+        let mut answer_timeout = pin!(sleep(RESUME_TIMEOUT));
+        let mut is_answered = false;
+        loop {
+            tokio::select! {
+                biased;
+                reply = &mut asked.reply => return match flatten(reply) {
+                    Ok(reply) => Resumed::Reply(Box::new(reply)),
+                    Err(_) => Resumed::NoAnswer,
+                },
+                Some(state) = states.recv() => match state {
+                    ResumeState::Running => is_answered = true,
+                    ResumeState::NotRun => return Resumed::NotRun,
+                    ResumeState::Unknown => return Resumed::Unknown,
+                },
+                () = &mut answer_timeout, if !is_answered => return Resumed::NoAnswer,
+            }
+        }
+    }
+
+    fn push_call(
+        &self,
+        content: Content,
+        is_idempotent: bool,
+        states: Option<mpsc::UnboundedSender<ResumeState>>,
+    ) -> Result<SentCall<'_>, LinkFailure> {
         if self.outbox.queued_bytes() > MAX_QUEUED_BYTES {
             let detail = "the other node does not read its requests".to_owned();
             return Err(LinkFailure::NotSent(detail));
         }
         let (sender, reply) = oneshot::channel();
-        let is_idempotent = request.idempotent;
         let call = {
             let mut state = self.state.lock();
             if state.is_retired {
@@ -263,17 +421,18 @@
             }
             if state.calls.is_empty() {
                 state.heard_at = Instant::now();
+                state.pinged_at = None;
                 self.activated.notify_one();
             }
             state.last_call += 1;
             let call = state.last_call;
             // Pushed under the lock, so that the numbers increase on the wire.
-            let position = self.outbox.push(frame(call, Content::Request(request)));
-            state.calls.insert(call, PendingCall { reply: sender, position, is_idempotent });
+            let position = self.outbox.push(frame(call, content));
+            let pending = PendingCall { reply: sender, position, is_idempotent, states };
+            state.calls.insert(call, pending);
             call
         };
-        let _cancel_guard = CancelGuard { link: self, call };
-        reply.await.unwrap_or_else(|_| Err(LinkFailure::Lost("the link has ended".to_owned())))
+        Ok(SentCall { call, reply, _cancel_guard: CancelGuard { link: self, call } })
     }
 
     fn has_answered_recently(&self) -> bool {
@@ -317,6 +476,7 @@
         while let Some(LinkFrame { call, content }) = reader.next().await? {
             let mut state = self.state.lock();
             state.heard_at = Instant::now();
+            state.pinged_at = None;
             match content {
                 Some(Content::Reply(reply)) => {
                     if let Some(pending) = state.calls.remove(&call) {
@@ -338,8 +498,21 @@
                         |_| LinkFailure::NotSent(detail.to_owned()),
                     );
                 }
+                Some(Content::ResumeState(resumed)) => {
+                    let states = state.calls.get(&call).and_then(|it| it.states.as_ref());
+                    if let Some(states) = states {
+                        // The receiver exists as long as the call is pending.
+                        let _ = states.send(resumed.state());
+                    }
+                }
                 // Frames of the other direction, or of a later version.
-                Some(Content::Request(_) | Content::Cancel(_) | Content::Ping(_)) | None => {}
+                Some(
+                    Content::Request(_)
+                    | Content::Cancel(_)
+                    | Content::Ping(_)
+                    | Content::Resume(_),
+                )
+                | None => {}
             }
         }
         Ok(())
@@ -349,9 +522,10 @@
     /// link has been idle for [`IDLE_TIMEOUT`], or is retired and its calls have ended.
     async fn monitor(&self) {
         loop {
-            let (is_idle, is_retired, silence) = {
+            let (is_idle, is_retired, silence, pinged_at) = {
                 let state = self.state.lock();
-                (state.calls.is_empty(), state.is_retired, state.heard_at.elapsed())
+                let silence = state.heard_at.elapsed();
+                (state.calls.is_empty(), state.is_retired, silence, state.pinged_at)
             };
             if is_idle && is_retired {
                 return;
@@ -365,9 +539,17 @@
                 }
                 continue;
             }
+            let is_unanswered = pinged_at.is_some_and(|at| at.elapsed() >= PONG_TIMEOUT);
             if silence >= SILENT_AFTER {
                 self.give_up_idempotent_calls();
-            } else if silence >= PING_AFTER {
+            } else if is_unanswered && !is_retired {
+                let is_reachable =
+                    matches!(timeout(PONG_TIMEOUT, open(self.address)).await, Ok(Ok(_)));
+                if is_reachable && self.state.lock().pinged_at == pinged_at {
+                    self.give_up_idempotent_calls();
+                }
+            } else if silence >= PING_AFTER && pinged_at.is_none() {
+                self.state.lock().pinged_at = Some(Instant::now());
                 self.outbox.push(signal(0, Content::Ping));
             }
             sleep(PING_AFTER / 2).await;
@@ -375,15 +557,16 @@
     }
 
     /// Retires a silent link and fails its idempotent requests, which may be tried elsewhere. Other
-    /// requests go on waiting, since the process may only be paused and their outcome would otherwise
-    /// be unknown.
+    /// requests go on waiting, since the process may only be paused, while their replies are asked for on a
+    /// new link.
     fn give_up_idempotent_calls(&self) {
         let mut state = self.state.lock();
         state.is_retired = true;
         state.end_calls(
             |_, pending| pending.is_idempotent,
-            |_| LinkFailure::Lost(format!("the link was silent for {SILENT_AFTER:?}")),
+            |_| LinkFailure::Lost("the link has gone silent".to_owned()),
         );
+        self.silenced.cancel();
     }
 
     /// Ends all pending requests after the link has failed.
--- a/src/mesh/link/mod.rs
+++ b/src/mesh/link/mod.rs
@@ -9,15 +9,20 @@
 //! Both protocols share the listener for nodes: a link starts with [`PREAMBLE`], which is not the
 //! start of an HTTP/2 connection. The accepting node answers with the same bytes. A node that closes
 //! the connection instead does not support links.
+//!
+//! A request that must not run twice outlives its link at both ends: its reply is asked for on a new link
+//! if the one on which it was sent goes silent or fails.
 
 mod client;
 mod frames;
 mod outbox;
+mod resume;
 mod server;
 
 pub use client::{Link, LinkFailure, Links};
 pub use frames::FrameDecoder;
 pub use outbox::EncodedFrames;
+pub use resume::ServedLinks;
 pub use server::serve;
 
 use crate::mesh::proto::{LinkFrame, LinkSignal, link_frame::Content};
--- a/src/mesh/link/server.rs
+++ b/src/mesh/link/server.rs
@@ -18,7 +18,13 @@
     },
     mesh::{
         Dialect, GuardResult, Node,
-        link::{PREAMBLE, frame, frames::FrameReader, outbox::Outbox, signal},
+        link::{
+            PREAMBLE, frame,
+            frames::FrameReader,
+            outbox::Outbox,
+            resume::{ServedCall, ServedLink},
+            signal,
+        },
         peer_service,
         proto::{ForwardRequest, LinkFrame, link_frame::Content},
     },
@@ -63,6 +69,7 @@
         tasks: JoinSet::new(),
         running: HashMap::new(),
         last_call: 0,
+        served: None,
         is_closing: false,
     };
     {
@@ -106,6 +113,9 @@
     Ok(())
 }
 
+/// The other node has been told on another link that the request does not run.
+struct TakenOver;
+
 /// Requests of a link that run at the local upstream.
 struct Calls<D: Dialect> {
     node: Arc<Node<D>>,
@@ -115,9 +125,19 @@
     running: HashMap<u64, AbortHandle>,
     /// Number of the last request that was started.
     last_call: u64,
+    /// The link in the list of the node, from its first request on that must not run twice.
+    served: Option<Arc<ServedLink>>,
     is_closing: bool,
 }
 
+impl<D: Dialect> Drop for Calls<D> {
+    fn drop(&mut self) {
+        if let Some(served) = &self.served {
+            served.end();
+        }
+    }
+}
+
 impl<D: Dialect> Calls<D> {
     fn handle(&mut self, LinkFrame { call, content }: LinkFrame) {
         match content {
@@ -129,6 +149,10 @@
                     task.abort();
                 }
             }
+            Some(Content::Resume(resume)) => {
+                self.last_call = call;
+                self.node.served_links.resume(resume.link, resume.call, call, &self.outbox);
+            }
             Some(Content::Ping(_)) => drop(self.outbox.push(signal(call, Content::Pong))),
             // Frames of the other direction, or of a later version.
             _ => {}
@@ -137,15 +161,37 @@
 
     fn start(&mut self, call: u64, request: ForwardRequest) {
         self.last_call = call;
+        let Ok(served) = self.begin_served(call, &request) else { return };
         let (node, outbox) = (self.node.clone(), self.outbox.clone());
         let task = self.tasks.spawn(async move {
             let reply = peer_service::answer_forwarded(&node, request).await;
+            if let Some(served) = served {
+                served.end(&reply);
+            }
             outbox.push(frame(call, Content::Reply(reply)));
             call
         });
         self.running.insert(call, task);
     }
 
+    /// Records the start of a request that must not run twice; fails if it must not run at all.
+    fn begin_served(
+        &mut self,
+        call: u64,
+        request: &ForwardRequest,
+    ) -> Result<Option<ServedCall>, TakenOver> {
+        if request.link == 0 || request.idempotent {
+            return Ok(None);
+        }
+        if self.served.is_none() {
+            self.served = self.node.served_links.open(request.link);
+        }
+        match &self.served {
+            Some(served) => served.begin(call).map(Some).ok_or(TakenOver),
+            None => Ok(None),
+        }
+    }
+
     fn remove_ended(&mut self, ended: Result<u64, JoinError>) {
         match ended {
             Ok(call) => drop(self.running.remove(&call)),
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -29,7 +29,7 @@
         evacuation::Evacuations,
         grpc::{self, ReservingChannel},
         leaving::DepartureLog,
-        link::Links,
+        link::{Links, ServedLinks},
         pace::{self, PacedRoots},
         proto::mesh_client::MeshClient,
         request::BufferedRequest,
@@ -125,6 +125,8 @@
     pub refresh_requested: Notify,
     /// Links to other nodes, on which requests are forwarded.
     pub links: Links,
+    /// Links of other nodes to this one.
+    pub served_links: ServedLinks,
     /// Last known era of the store; marked as changed when the store has come back from a copy.
     pub era: watch::Sender<StoreEra>,
     /// Notified when the registration may have been removed while the node was out of contact.
@@ -212,6 +214,7 @@
             tokens_granted: Notify::new(),
             refresh_requested: Notify::new(),
             links,
+            served_links: ServedLinks::default(),
             era: watch::Sender::new(0),
             registration_check: Notify::new(),
             is_fleet_known: AtomicBool::new(false),
--- a/src/mesh/proto.rs
+++ b/src/mesh/proto.rs
@@ -64,6 +64,10 @@
     pub reserved_service: ::prost::alloc::string::String,
     #[prost(uint32, tag = "20")]
     pub reserved_retries_permille: u32,
+    /// Random number of the link on which the request is sent, if it must not run twice: its reply can be asked
+    /// for on another link. 0 otherwise, and in requests of earlier builds.
+    #[prost(fixed64, tag = "21")]
+    pub link: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ForwardReply {
@@ -396,7 +400,7 @@
     /// Number of the request; increases with each request of a link.
     #[prost(uint64, tag = "1")]
     pub call: u64,
-    #[prost(oneof = "link_frame::Content", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "link_frame::Content", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub content: ::core::option::Option<link_frame::Content>,
 }
 /// Nested message and enum types in `LinkFrame`.
@@ -418,8 +422,28 @@
         /// not run; the others still get their replies.
         #[prost(message, tag = "7")]
         Closing(super::LinkSignal),
+        /// Asks for the reply to a request of another link between the two nodes, which has gone silent or has
+        /// failed. It has a number of its own, as a request, and its reply is that of the other request.
+        #[prost(message, tag = "8")]
+        Resume(super::LinkResume),
+        /// State of the request that a `resume` names; the reply, if any, follows.
+        #[prost(message, tag = "9")]
+        ResumeState(super::LinkResumeState),
     }
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LinkResume {
+    /// `link` in the request, and its number on that link.
+    #[prost(fixed64, tag = "1")]
+    pub link: u64,
+    #[prost(uint64, tag = "2")]
+    pub call: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LinkResumeState {
+    #[prost(enumeration = "ResumeState", tag = "1")]
+    pub state: i32,
+}
 /// Content of a frame that only has a kind.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LinkSignal {}
@@ -455,6 +479,38 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum ResumeState {
+    /// The receiver does not know the request, or no longer has its reply.
+    Unknown = 0,
+    /// The request runs; its reply follows.
+    Running = 1,
+    /// The request has not run and will not run.
+    NotRun = 2,
+}
+impl ResumeState {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unknown => "RESUME_STATE_UNKNOWN",
+            Self::Running => "RESUME_STATE_RUNNING",
+            Self::NotRun => "RESUME_STATE_NOT_RUN",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "RESUME_STATE_UNKNOWN" => Some(Self::Unknown),
+            "RESUME_STATE_RUNNING" => Some(Self::Running),
+            "RESUME_STATE_NOT_RUN" => Some(Self::NotRun),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod mesh_client {
     #![allow(
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -121,8 +121,8 @@
         number: HubNumber,
         /// Time for which this node has used no other instance as the hub of this number.
         exclusive: Duration,
-        /// The lost instances at the last exchange with a hub that was provably the only one of this number, in the first
-        /// exchange after one with another instance.
+        /// The lost instances at the last exchange with a hub that was provably the only one of this
+        /// number, in the first exchange after one with another instance.
         losses: Option<&'a BTreeSet<InstanceName>>,
     },
     /// Any other node.
--- a/tests/mesh_link.rs
+++ b/tests/mesh_link.rs
@@ -1,12 +1,15 @@
 //! Links between nodes, against a node that is played by the test.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt as _, StreamExt as _};
 use hibiscusdoor::mesh::{
     link::{LinkFailure, Links, PREAMBLE},
-    proto::{ForwardReply, ForwardRequest, LinkFrame, LinkSignal, link_frame::Content},
+    proto::{
+        ForwardReply, ForwardRequest, LinkFrame, LinkResume, LinkResumeState, LinkSignal,
+        ResumeState, link_frame::Content,
+    },
 };
 use prost::Message as _;
 use tokio::{
@@ -317,3 +320,84 @@
     assert!(matches!(call.await?, Err(LinkFailure::Lost(_))));
     Ok(())
 }
+
+/// What the other node says on a new link about a request whose link has failed.
+#[derive(Debug, Clone, Copy)]
+enum Resumption {
+    Reply,
+    RunsThenReply,
+    State(ResumeState),
+    /// As an earlier build, which does not know the question.
+    Nothing,
+}
+
+/// Loses the link of a request that must not run twice, and returns what becomes of the request.
+async fn ask_on_a_new_link(resumption: Resumption) -> anyhow::Result<Result<String, LinkFailure>> {
+    let (listener, address) = listener().await?;
+    let links = Arc::new(Links::default());
+    let (link, first) = tokio::join!(links.get(address), OtherNode::accept(&listener));
+    let (link, mut first) = (link.expect("a link").expect("a node with links"), first?);
+    let (caller, on) = (links.clone(), link.clone());
+    let called =
+        tokio::spawn(async move { caller.call_once(address, &on, request("a", false)).await });
+    let (call, sent) = first.read_request().await?;
+    assert_ne!(sent.link, 0);
+    drop(first);
+    let mut others = Vec::new();
+    while !called.is_finished() {
+        let Ok(accepted) = timeout(SILENCE, OtherNode::accept(&listener)).await else { continue };
+        let mut other = accepted?;
+        let asked = other.read().await?;
+        assert_eq!(asked.content, Some(Content::Resume(LinkResume { link: sent.link, call })));
+        let state =
+            |state: ResumeState| Content::ResumeState(LinkResumeState { state: i32::from(state) });
+        match resumption {
+            Resumption::Reply => other.reply(asked.call, "whole").await?,
+            Resumption::RunsThenReply => {
+                other.send(asked.call, state(ResumeState::Running)).await?;
+                sleep(Duration::from_millis(600)).await;
+                other.reply(asked.call, "whole").await?;
+            }
+            Resumption::State(value) => other.send(asked.call, state(value)).await?,
+            Resumption::Nothing => sleep(Duration::from_millis(400)).await,
+        }
+        sleep(Duration::from_millis(50)).await;
+        // Without an answer, the link stays open, and is asked again.
+        others.push(other);
+        if matches!(resumption, Resumption::Nothing) {
+            break;
+        }
+    }
+    let ended = timeout(TIMEOUT, called).await??;
+    links.close().await;
+    Ok(ended.map(|reply| reply.detail))
+}
+
+macro_rules! resumed {
+    ($($name:ident($resumption:expr, $expected:pat)),+ $(,)?) => {
+        $(
+            #[tokio::test]
+            async fn $name() -> anyhow::Result<()> {
+                let ended = ask_on_a_new_link($resumption).await?;
+                match &ended {
+                    $expected => Ok(()),
+                    _ => anyhow::bail!("{ended:?}"),
+                }
+            }
+        )+
+    };
+}
+
+// Guard against replies that are lost with their link, and against requests that are taken for not run
+// although nobody has said so.
+resumed! {
+    a_reply_is_asked_for_on_a_new_link(Resumption::Reply, Ok(_)),
+    a_running_request_is_awaited_on_a_new_link(Resumption::RunsThenReply, Ok(_)),
+    a_request_that_never_arrived_is_not_sent(
+        Resumption::State(ResumeState::NotRun), Err(LinkFailure::NotSent(_))
+    ),
+    a_request_that_nobody_knows_is_lost(
+        Resumption::State(ResumeState::Unknown), Err(LinkFailure::Lost(_))
+    ),
+    an_earlier_build_does_not_answer_the_question(Resumption::Nothing, Err(LinkFailure::Lost(_))),
+}
--- a/tests/mesh_node.rs
+++ b/tests/mesh_node.rs
@@ -1,6 +1,13 @@
 //! A node without listeners in the process of the test: the end of a link, and its contact to other nodes.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use futures::FutureExt as _;
@@ -11,7 +18,9 @@
     mesh::{
         Heartbeat, InstanceAddress, MeshSettings, Node, Upstream, UpstreamState,
         link::{self, FrameDecoder, PREAMBLE},
-        proto::{ForwardRequest, LinkFrame, LinkSignal, link_frame::Content},
+        proto::{
+            ForwardRequest, LinkFrame, LinkResume, LinkSignal, ResumeState, link_frame::Content,
+        },
     },
     names::InstanceName,
     platform::OperatorsPlatform,
@@ -22,7 +31,7 @@
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpListener, TcpSocket},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
@@ -34,14 +43,30 @@
 
 /// A node without listeners, and with an upstream whose answers are long.
 async fn start_node(stop: CancellationToken) -> anyhow::Result<Arc<Node<OperatorsPlatform>>> {
+    let body = "x".repeat(REPLY_BODY_BYTES);
+    start_node_with(stop, body, async |_| {}).await
+}
+
+/// A node without listeners, and with an upstream that answers once `work` has ended for the id of a request.
+async fn start_node_with<F: Future<Output = ()> + Send + 'static>(
+    stop: CancellationToken,
+    body: String,
+    work: impl Fn(String) -> F + Clone + Send + Sync + 'static,
+) -> anyhow::Result<Arc<Node<OperatorsPlatform>>> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let upstream = listener.local_addr()?;
-    tokio::spawn(http_server::serve(listener, stop, async |_| {
-        let mut response = http_server::text(StatusCode::OK, &"x".repeat(REPLY_BODY_BYTES));
-        for name in ["x-attempt-id", "x-response-seal"] {
-            response.headers_mut().insert(name, HeaderValue::from_static(REQUEST_ID));
+    tokio::spawn(http_server::serve(listener, stop, move |request| {
+        let id = request.headers().get("x-attempt-id").cloned();
+        let id = id.unwrap_or_else(|| HeaderValue::from_static(REQUEST_ID));
+        let (work, body) = (work.clone(), body.clone());
+        async move {
+            work(id.to_str().unwrap_or_default().to_owned()).await;
+            let mut response = http_server::text(StatusCode::OK, &body);
+            for name in ["x-attempt-id", "x-response-seal"] {
+                response.headers_mut().insert(name, id.clone());
+            }
+            response
         }
-        response
     }));
     let folder = tempfile::tempdir()?;
     let file = folder.path().join("node.json");
@@ -190,3 +215,115 @@
     stop.cancel();
     Ok(())
 }
+
+/// A link to a node, opened by the test.
+struct OpenedLink {
+    stream: TcpStream,
+    decoder: FrameDecoder,
+    input: BytesMut,
+}
+
+impl OpenedLink {
+    async fn open(address: SocketAddr) -> anyhow::Result<Self> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(&PREAMBLE).await?;
+        stream.read_exact(&mut [0; PREAMBLE.len()]).await?;
+        let decoder = FrameDecoder::new(Arc::new(MemoryBudget::new(REPLY_BODY_BYTES * 8)));
+        Ok(Self { stream, decoder, input: BytesMut::new() })
+    }
+
+    async fn send(&mut self, call: u64, content: Content) -> anyhow::Result<()> {
+        Ok(self.stream.write_all(&encode(call, content)).await?)
+    }
+
+    /// Reads the next frame; returns its number, and the status or the state that it states.
+    async fn read(&mut self) -> anyhow::Result<(u64, Result<u32, ResumeState>)> {
+        loop {
+            if let Some(frame) = self.decoder.decode(&mut self.input)? {
+                let stated = match frame.content {
+                    Some(Content::Reply(reply)) => Ok(reply.status),
+                    Some(Content::ResumeState(resumed)) => Err(resumed.state()),
+                    other => anyhow::bail!("{other:?}"),
+                };
+                return Ok((frame.call, stated));
+            }
+            let read = timeout(TIMEOUT, self.stream.read_buf(&mut self.input)).await??;
+            anyhow::ensure!(read > 0, "the link has ended");
+        }
+    }
+}
+
+/// Guards against replies that are lost with their link, and against a request that runs although the node
+/// has said on another link that it does not.
+#[tokio::test]
+async fn replies_are_sent_on_another_link() -> anyhow::Result<()> {
+    const LINK: u64 = 7;
+    let (stop, upstream_stop) = (CancellationToken::new(), CancellationToken::new());
+    let (release, released) = tokio::sync::watch::channel(false);
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = runs.clone();
+    let node = start_node_with(upstream_stop.clone(), "whole".to_owned(), move |id| {
+        let (mut released, counted) = (released.clone(), counted.clone());
+        async move {
+            counted.fetch_add(1, Ordering::SeqCst);
+            if id != "a1" {
+                let _ = released.wait_for(|it| *it).await;
+            }
+        }
+    })
+    .await?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let serving = tokio::spawn({
+        let (node, stop) = (node.clone(), stop.clone());
+        async move {
+            let mut links = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let (node, stop) = (node.clone(), stop.clone());
+                links.spawn(async move {
+                    link::serve(node, stream, &Intake::unlimited().register(), stop).await
+                });
+            }
+        }
+    });
+    let request = |id: &str| {
+        Content::Request(ForwardRequest {
+            request_id: id.to_owned(),
+            service: "orders".to_owned(),
+            method: "POST".to_owned(),
+            authority: "a.example".to_owned(),
+            path: "/orders/1".to_owned(),
+            remaining_ms: 15_000,
+            link: LINK,
+            ..ForwardRequest::default()
+        })
+    };
+    let resume = |link, call| Content::Resume(LinkResume { link, call });
+    let mut first = OpenedLink::open(address).await?;
+    first.send(1, request("a1")).await?;
+    first.send(2, request("a2")).await?;
+    assert_eq!(first.read().await?, (1, Ok(200)));
+    while runs.load(Ordering::SeqCst) < 2 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut second = OpenedLink::open(address).await?;
+    second.send(1, resume(LINK, 1)).await?;
+    assert_eq!(second.read().await?, (1, Ok(200)), "a kept reply");
+    second.send(2, resume(LINK, 2)).await?;
+    assert_eq!(second.read().await?, (2, Err(ResumeState::Running)));
+    second.send(3, resume(LINK, 3)).await?;
+    assert_eq!(second.read().await?, (3, Err(ResumeState::NotRun)));
+    second.send(4, resume(LINK + 1, 1)).await?;
+    assert_eq!(second.read().await?, (4, Err(ResumeState::Unknown)), "another link");
+    // Held up on the first link until now.
+    first.send(3, request("a3")).await?;
+    first.send(4, Content::Ping(LinkSignal {})).await?;
+    assert!(first.read().await.is_err(), "a pong");
+    release.send(true)?;
+    assert_eq!(second.read().await?, (2, Ok(200)));
+    assert_eq!(runs.load(Ordering::SeqCst), 2);
+    stop.cancel();
+    serving.abort();
+    upstream_stop.cancel();
+    Ok(())
+}
