Split the wait for a reply from the question for it

No change of behaviour: call_once read as one nested choice, with an option that stood for a silent link.

--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -177,42 +177,43 @@
         request: ForwardRequest,
     ) -> Result<ForwardReply, LinkFailure> {
         let mut pending = link.start(request)?;
-        let lost = tokio::select! {
-            reply = &mut pending.reply => match flatten(reply) {
-                Err(LinkFailure::Lost(detail)) => Some(detail),
-                ended => return ended,
-            },
-            () = link.silenced.cancelled() => None,
-        };
-        let Some(detail) = lost else {
-            // The process may only be paused, and its answer may still arrive on the silent link.
-            return tokio::select! {
-                biased;
-                reply = &mut pending.reply => match flatten(reply) {
-                    Err(LinkFailure::Lost(detail)) => self.resume(address, link, pending.call, detail).await,
-                    ended => ended,
-                },
-                Some(reply) = self.try_resume(address, link, pending.call) => reply,
-            };
-        };
-        self.resume(address, link, pending.call, detail).await
+        let call = pending.call;
+        tokio::select! {
+            reply = &mut pending.reply => {
+                return self.reply_or_resume(address, link, call, flatten(reply)).await;
+            }
+            () = link.silenced.cancelled() => {}
+        }
+        // The process may only be paused, and its reply may still arrive on the silent link.
+        tokio::select! {
+            biased;
+            reply = &mut pending.reply => {
+                self.reply_or_resume(address, link, call, flatten(reply)).await
+            }
+            Some(reply) = self.resume(address, link, call) => reply,
+        }
     }
 
-    /// Asks for the reply to a request of a link that has failed.
-    async fn resume(
+    /// Returns the result of a request, unless it was lost with its link and can be asked for on a new one.
+    async fn reply_or_resume(
         &self,
         address: SocketAddr,
         link: &Link,
         call: u64,
-        detail: String,
+        reply: Result<ForwardReply, LinkFailure>,
     ) -> Result<ForwardReply, LinkFailure> {
-        let resumed = self.try_resume(address, link, call).await;
-        resumed.unwrap_or(Err(LinkFailure::Lost(detail)))
+        match reply {
+            Err(LinkFailure::Lost(detail)) => {
+                let resumed = self.resume(address, link, call).await;
+                resumed.unwrap_or(Err(LinkFailure::Lost(detail)))
+            }
+            known => known,
+        }
     }
 
     /// Asks on a new link for the reply to a request; `None` if the other node does not know of it, or does
     /// not answer.
-    async fn try_resume(
+    async fn resume(
         &self,
         address: SocketAddr,
         link: &Link,
--- a/src/mesh/link/resume.rs
+++ b/src/mesh/link/resume.rs
@@ -14,7 +14,7 @@
 
 use crate::mesh::{
     link::{frame, outbox::Outbox},
-    proto::{ForwardReply, LinkResumeState, ResumeState, link_frame::Content},
+    proto::{ForwardReply, LinkFrame, LinkResumeState, ResumeState, link_frame::Content},
 };
 
 /// Time for which a reply is kept, and a link after its end. The opening end asks for a reply within some
@@ -36,7 +36,7 @@
 }
 
 impl ServedLinks {
-    /// Returns the link with this number, which is new if it is unknown. It is `None` if too many are known.
+    /// Returns the link with this number, a new one if it is unknown; `None` if too many are known.
     pub(super) fn open(&self, id: LinkId) -> Option<Arc<ServedLink>> {
         let mut links = self.links.lock();
         let now = Instant::now();
@@ -62,7 +62,7 @@
     }
 }
 
-fn state_frame(asked: u64, state: ResumeState) -> crate::mesh::proto::LinkFrame {
+fn state_frame(asked: u64, state: ResumeState) -> LinkFrame {
     frame(asked, Content::ResumeState(LinkResumeState { state: state.into() }))
 }
 
