Share a handler and a runtime between tests

Two handlers of tests/http_server.rs differed in their answer and one limit, and two cases of tests/http_client.rs built the same runtime. The assertions and the limits are the same as before.

--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -314,12 +314,17 @@
     Ok(address)
 }
 
+/// Runs a case in a runtime of its own.
+fn run_case(name: &str, case: impl Future<Output = anyhow::Result<()>>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(case).expect(name);
+}
+
 /// Guards against a response that is handed on as an answer although its status ends no request: a client gets
 /// a status that HTTP does not define, or takes what follows for another protocol. The next request gets its own
 /// answer.
 fn a_status_is_no_answer(start: &'static str) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result: anyhow::Result<()> = runtime.expect("a runtime").block_on(async {
+    run_case(start, async {
         let address = upstream_with_status(start).await?;
         let pool = pool();
         let answer = send(&pool, address, "troubled").await;
@@ -328,7 +333,6 @@
         anyhow::ensure!(send(&pool, address, "good").await.as_deref() == Ok(&b"good"[..]));
         Ok(())
     });
-    result.expect(start);
 }
 
 crate::cases! { a_status_is_no_answer:
@@ -349,8 +353,7 @@
 
 /// Guards against a body that a status does not permit and that is taken for the answer to the next request.
 fn a_body_that_the_status_does_not_permit_is_no_answer(start: &'static str) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result: anyhow::Result<()> = runtime.expect("a runtime").block_on(async {
+    run_case(start, async {
         let address = upstream_with_status(start).await?;
         let pool = pool();
         // The response itself may be an answer without a body.
@@ -358,7 +361,6 @@
         anyhow::ensure!(send(&pool, address, "good").await.as_deref() == Ok(&b"good"[..]));
         Ok(())
     });
-    result.expect(start);
 }
 
 crate::cases! { a_body_that_the_status_does_not_permit_is_no_answer:
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -95,8 +95,24 @@
 /// Times that a test yields to let the server wait for its next event.
 const YIELDS: usize = 8;
 
-#[derive(Debug, Clone, Copy)]
-struct Answering;
+/// A handler with the same answer to each request, and a closing server.
+#[derive(Debug, Clone)]
+struct Answering {
+    answer: Bytes,
+    close_above_connections: usize,
+}
+
+impl Answering {
+    fn short() -> Self {
+        let answer = Bytes::from_static(b"done");
+        Self { answer, close_above_connections: CALLERS }
+    }
+
+    fn long() -> Self {
+        let answer = Bytes::from(vec![b'x'; LONG_ANSWER_BYTES]);
+        Self { answer, close_above_connections: 100 }
+    }
+}
 
 impl Handler for Answering {
     fn limits(&self) -> Limits {
@@ -105,7 +121,7 @@
             max_body_bytes: 4096,
             request_timeout: SHUTDOWN_TIMEOUT,
             idle_timeout: SHUTDOWN_TIMEOUT,
-            close_above_connections: CALLERS,
+            close_above_connections: self.close_above_connections,
         }
     }
 
@@ -122,7 +138,7 @@
         _: Request<Bytes>,
         _: Timestamp,
     ) -> impl Future<Output = Response<Bytes>> + Send + 'static {
-        std::future::ready(Response::new(Bytes::from_static(b"done")))
+        std::future::ready(Response::new(self.answer.clone()))
     }
 }
 
@@ -178,7 +194,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let (shutdown, abort) = (CancellationToken::new(), CancellationToken::new());
-    let server = tokio::spawn(pipelined::serve(listener, shutdown.clone(), abort, Answering));
+    let server =
+        tokio::spawn(pipelined::serve(listener, shutdown.clone(), abort, Answering::short()));
     for _ in 0..YIELDS {
         tokio::task::yield_now().await;
     }
@@ -195,7 +212,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let (shutdown, abort) = (CancellationToken::new(), CancellationToken::new());
-    let server = tokio::spawn(pipelined::serve(listener, shutdown.clone(), abort, Answering));
+    let server =
+        tokio::spawn(pipelined::serve(listener, shutdown.clone(), abort, Answering::short()));
     let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
     let mut stream = std::net::TcpStream::connect(address)?;
     stream.write_all(first)?;
@@ -397,37 +415,6 @@
 /// Receive buffer of such a caller.
 const SMALL_WINDOW_BYTES: usize = 4 << 10;
 
-#[derive(Debug, Clone, Copy)]
-struct LongAnswer;
-
-impl Handler for LongAnswer {
-    fn limits(&self) -> Limits {
-        Limits {
-            max_header_bytes: 4096,
-            max_body_bytes: 4096,
-            request_timeout: SHUTDOWN_TIMEOUT,
-            idle_timeout: SHUTDOWN_TIMEOUT,
-            close_above_connections: 100,
-        }
-    }
-
-    fn may_overlap(&self, _: &Parts) -> bool {
-        true
-    }
-
-    fn is_closing(&self) -> bool {
-        true
-    }
-
-    fn answer(
-        &self,
-        _: Request<Bytes>,
-        _: Timestamp,
-    ) -> impl Future<Output = Response<Bytes>> + Send + 'static {
-        std::future::ready(Response::new(Bytes::from(vec![b'x'; LONG_ANSWER_BYTES])))
-    }
-}
-
 /// Reads an answer in small pieces and sends further requests meanwhile; returns the bytes that arrived
 /// and the error that ended the connection.
 async fn read_while_sending(
@@ -458,7 +445,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let (shutdown, abort) = (CancellationToken::new(), CancellationToken::new());
-    let server = pipelined::serve(listener, shutdown.clone(), abort.clone(), LongAnswer);
+    let server = pipelined::serve(listener, shutdown.clone(), abort.clone(), Answering::long());
     let server = tokio::spawn(server);
     let read = read_while_sending(address, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await?;
     assert!(read.1.is_none() && read.0 > LONG_ANSWER_BYTES, "{read:?}");
@@ -491,7 +478,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let (shutdown, abort) = (CancellationToken::new(), CancellationToken::new());
-    let server = pipelined::serve(listener, shutdown.clone(), abort.clone(), LongAnswer);
+    let server = pipelined::serve(listener, shutdown.clone(), abort.clone(), Answering::long());
     let server = tokio::spawn(server);
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await?;
