Say what is derived or checked in one place

No change of behaviour. A link knows its address, so the calls that resume a request need not be told it. Records of leaving upstreams were put together in three places, recent contacts and stated fleets were checked in three and two, and live instances were filtered in three; each has one function now.

--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -91,10 +91,7 @@
     loop {
         sleep(REMOVAL_INTERVAL).await;
         let now = clock::now();
-        if !node.is_first_hub(now) {
-            continue;
-        }
-        if !node.homes.lock().has_stated_majorities(now, 0) {
+        if !node.is_first_hub(now) || !node.homes.lock().has_stated_majorities(now, 0) {
             continue;
         }
         let due = node.directory.lock().removable(now, &node.settings.instance);
--- a/src/mesh/directory.rs
+++ b/src/mesh/directory.rs
@@ -59,6 +59,11 @@
 }
 
 impl UpstreamRecord {
+    /// Record of an upstream that is leaving, or has left; its start is 0 if it is unknown.
+    pub fn leaving(id: InstanceName, has_left: bool, started_unix_ms: u64, sequence: u64) -> Self {
+        Self { id, slots: 0, ready: false, has_left, started_unix_ms, sequence, pace_per_ks: 0 }
+    }
+
     /// Whether both records describe the same state, regardless of the messages that they come from.
     pub fn has_same_state(&self, other: &Self) -> bool {
         (&self.id, self.slots, self.ready, self.has_left, self.pace_per_ks)
--- a/src/mesh/forward.rs
+++ b/src/mesh/forward.rs
@@ -74,7 +74,7 @@
     let exchange = async {
         match link {
             Some(link) if call.idempotent => link.call(message).await,
-            Some(link) => node.links.call_once(address, &link, message).await,
+            Some(link) => node.links.call_once(&link, message).await,
             None => call_by_grpc(node, member, message).await,
         }
     };
--- a/src/mesh/leaving/stored.rs
+++ b/src/mesh/leaving/stored.rs
@@ -76,15 +76,8 @@
 
 impl From<StoredDeparture> for UpstreamRecord {
     fn from(stored: StoredDeparture) -> Self {
-        Self {
-            id: stored.upstream,
-            slots: 0,
-            ready: false,
-            has_left: stored.left,
-            started_unix_ms: stored.started_unix_ms,
-            sequence: stored.sequence,
-            pace_per_ks: 0,
-        }
+        let StoredDeparture { upstream, left, started_unix_ms, sequence } = stored;
+        Self::leaving(upstream, left, started_unix_ms, sequence)
     }
 }
 
--- a/src/mesh/link/client.rs
+++ b/src/mesh/link/client.rs
@@ -168,11 +168,10 @@
         self.get(address).await
     }
 
-    /// Sends a request that must not run twice on a link to an address, and waits for its reply. If the link
-    /// goes silent or fails, the reply is asked for on a new one.
+    /// Sends a request that must not run twice on a link, and waits for its reply. If the link goes silent or
+    /// fails, the reply is asked for on a new one.
     pub async fn call_once(
         &self,
-        address: SocketAddr,
         link: &Link,
         request: ForwardRequest,
     ) -> Result<ForwardReply, LinkFailure> {
@@ -180,7 +179,7 @@
         let call = pending.call;
         tokio::select! {
             reply = &mut pending.reply => {
-                return self.reply_or_resume(address, link, call, flatten(reply)).await;
+                return self.reply_or_resume(link, call, flatten(reply)).await;
             }
             () = link.silenced.cancelled() => {}
         }
@@ -188,23 +187,22 @@
         tokio::select! {
             biased;
             reply = &mut pending.reply => {
-                self.reply_or_resume(address, link, call, flatten(reply)).await
+                self.reply_or_resume(link, call, flatten(reply)).await
             }
-            Some(reply) = self.resume(address, link, call) => reply,
+            Some(reply) = self.resume(link, call) => reply,
         }
     }
 
     /// Returns the result of a request, unless it was lost with its link and can be asked for on a new one.
     async fn reply_or_resume(
         &self,
-        address: SocketAddr,
         link: &Link,
         call: u64,
         reply: Result<ForwardReply, LinkFailure>,
     ) -> Result<ForwardReply, LinkFailure> {
         match reply {
             Err(LinkFailure::Lost(detail)) => {
-                let resumed = self.resume(address, link, call).await;
+                let resumed = self.resume(link, call).await;
                 resumed.unwrap_or(Err(LinkFailure::Lost(detail)))
             }
             known => known,
@@ -213,17 +211,12 @@
 
     /// Asks on a new link for the reply to a request; `None` if the other node does not know of it, or does
     /// not answer.
-    async fn resume(
-        &self,
-        address: SocketAddr,
-        link: &Link,
-        call: u64,
-    ) -> Option<Result<ForwardReply, LinkFailure>> {
+    async fn resume(&self, link: &Link, call: u64) -> Option<Result<ForwardReply, LinkFailure>> {
         for attempt in 0..RESUME_ATTEMPTS {
             if attempt > 0 {
                 sleep(RESUME_PAUSE).await;
             }
-            let Ok(Some(other)) = self.get(address).await else { continue };
+            let Ok(Some(other)) = self.get(link.address).await else { continue };
             match other.resume(LinkResume { link: link.id, call }).await {
                 Resumed::Reply(reply) => return Some(Ok(*reply)),
                 Resumed::NotRun => {
--- a/src/mesh/losses/mod.rs
+++ b/src/mesh/losses/mod.rs
@@ -76,7 +76,14 @@
 
     /// Number of registered instances, without the lost ones.
     pub fn live_count(&self, registered: &Addresses) -> usize {
-        registered.keys().filter(|name| !self.lost.contains_key(*name)).count()
+        self.live_names(registered).count()
+    }
+
+    fn live_names<'a>(
+        &'a self,
+        registered: &'a Addresses,
+    ) -> impl Iterator<Item = &'a InstanceName> {
+        registered.keys().filter(|name| !self.lost.contains_key(*name))
     }
 
     /// Whether the first hub `own` is in contact with more than half of the registered instances, without
@@ -88,18 +95,14 @@
     /// Whether the first hub `own` has heard more than half of the registered instances at this time or
     /// later, without the lost ones.
     fn has_majority_after(&self, earliest: Timestamp, own: &str, registered: &Addresses) -> bool {
-        let is_in_contact = |name: &InstanceName| {
-            let heard_at = self.watched.get(name).and_then(|watched| watched.heard_at);
-            **name == *own || heard_at.is_some_and(|at| at >= earliest)
-        };
-        let live = registered.keys().filter(|name| !self.lost.contains_key(*name));
-        let in_contact = live.filter(|name| is_in_contact(name)).count();
-        in_contact * 2 > self.live_count(registered)
+        let live = self.live_names(registered);
+        let heard = live.filter(|name| ***name == *own || self.is_heard_after(earliest, name));
+        heard.count() * 2 > self.live_count(registered)
     }
 
-    fn is_in_contact(&self, now: Timestamp, instance: &str) -> bool {
+    fn is_heard_after(&self, earliest: Timestamp, instance: &str) -> bool {
         let heard_at = self.watched.get(instance).and_then(|watched| watched.heard_at);
-        heard_at.is_some_and(|at| now <= at + CONTACT_LIFETIME)
+        heard_at.is_some_and(|at| at >= earliest)
     }
 
     /// Marks instances as lost that the first hub `own` has not heard of; returns those.
@@ -160,9 +163,10 @@
     /// if it is not; returns whether this is a change. An instance in contact is not lost: the decision may
     /// come from the hub of another part of the fleet.
     pub fn apply(&mut self, now: Timestamp, instance: &str, lost_for: Option<Duration>) -> bool {
+        let earliest = now.saturating_sub(CONTACT_LIFETIME);
         match lost_for {
             None => self.lost.remove(instance).is_some(),
-            Some(_) if self.is_in_contact(now, instance) => false,
+            Some(_) if self.is_heard_after(earliest, instance) => false,
             Some(lost_for) => {
                 let since = now.saturating_sub(lost_for);
                 self.lost.insert(instance.into(), since).is_none()
@@ -172,7 +176,7 @@
 
     /// The registered instances without the lost ones.
     pub fn live(&self, registered: &Addresses) -> BTreeSet<InstanceName> {
-        registered.keys().filter(|name| !self.lost.contains_key(*name)).cloned().collect()
+        self.live_names(registered).cloned().collect()
     }
 
     /// The registered instances without these lost ones, unless that is the fleet as this node counts it.
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -92,18 +92,11 @@
 
 impl Departure {
     fn to_record(&self) -> UpstreamRecord {
-        UpstreamRecord {
-            pace_per_ks: 0,
-            id: self.upstream.clone(),
-            slots: 0,
-            ready: false,
-            has_left: true,
-            started_unix_ms: match self.start {
-                DepartedStart::Known(started_unix_ms) => started_unix_ms,
-                DepartedStart::Unknown(_) => 0,
-            },
-            sequence: 0,
-        }
+        let started_unix_ms = match self.start {
+            DepartedStart::Known(started_unix_ms) => started_unix_ms,
+            DepartedStart::Unknown(_) => 0,
+        };
+        UpstreamRecord::leaving(self.upstream.clone(), true, started_unix_ms, 0)
     }
 }
 
@@ -137,14 +130,14 @@
     pub fn departures(&self, now: Timestamp) -> Vec<UpstreamRecord> {
         let recent = self.departures.iter().filter(|it| now < it.at + DEPARTURE_LIFETIME);
         let draining = self.current.as_ref().filter(|it| !it.is_ready() && !self.has_left(now));
-        let draining = draining.map(|it| UpstreamRecord {
-            pace_per_ks: 0,
-            id: it.heartbeat.upstream.clone(),
-            slots: 0,
-            ready: false,
-            has_left: false,
-            started_unix_ms: it.heartbeat.started_unix_ms,
-            sequence: self.leaving_sequence,
+        let draining = draining.map(|it| {
+            let Heartbeat { upstream, started_unix_ms, .. } = &it.heartbeat;
+            UpstreamRecord::leaving(
+                upstream.clone(),
+                false,
+                *started_unix_ms,
+                self.leaving_sequence,
+            )
         });
         let earlier = self.earlier.as_ref().filter(|it| !it.ready && draining.is_none());
         let earlier = earlier.map(|it| UpstreamRecord { pace_per_ks: 0, slots: 0, ..it.clone() });
--- a/src/mesh/sole_holder/mod.rs
+++ b/src/mesh/sole_holder/mod.rs
@@ -81,6 +81,10 @@
 }
 
 impl Contact {
+    fn is_recent(&self, now: Timestamp) -> bool {
+        now <= self.received_at + CONTACT_LIFETIME
+    }
+
     /// Time until which the instance counts for the holder alone, which has sent its claim at this time.
     fn counts_until(&self, claimed_at: Option<Timestamp>) -> Option<Timestamp> {
         let others_until = self.received_at.saturating_sub(self.proof.exclusive_for);
@@ -98,6 +102,12 @@
     is_own: bool,
 }
 
+impl StatedFleet {
+    fn counts(&self, now: Timestamp) -> bool {
+        now <= self.stated_at + STATED_FLEET_LIFETIME
+    }
+}
+
 /// Instances in contact with a holder of one hub number.
 #[derive(Debug, Default)]
 pub struct HolderContacts {
@@ -144,8 +154,7 @@
 
     /// Records the fleet of a holder in use before lost instances have joined it again.
     pub fn record_outgrown_fleet(&mut self, now: Timestamp, members: &BTreeSet<InstanceName>) {
-        let is_recent = |contact: &Contact| now <= contact.received_at + CONTACT_LIFETIME;
-        let is_in_use = self.by_instance.values().any(is_recent);
+        let is_in_use = self.by_instance.values().any(|contact| contact.is_recent(now));
         if is_in_use && !self.stated.iter().any(|it| it.is_own) {
             let members = members.clone();
             self.stated.push(StatedFleet { members, stated_at: now, is_own: true });
@@ -156,12 +165,9 @@
     /// Whether the holder is in contact with most of each fleet that an instance has stated.
     pub fn has_stated_majorities(&self, now: Timestamp) -> bool {
         let is_recent = |name: &InstanceName| {
-            let contact = self.by_instance.get(name);
-            contact.is_some_and(|contact| now <= contact.received_at + CONTACT_LIFETIME)
+            self.by_instance.get(name).is_some_and(|contact| contact.is_recent(now))
         };
-        let mut fleets =
-            self.stated.iter().filter(|it| now <= it.stated_at + STATED_FLEET_LIFETIME);
-        fleets.all(|fleet| {
+        self.stated.iter().filter(|it| it.counts(now)).all(|fleet| {
             let in_contact = fleet.members.iter().filter(|name| is_recent(name)).count();
             in_contact * 2 > fleet.members.len()
         })
@@ -206,9 +212,9 @@
     }
 
     fn count(&mut self, now: Timestamp, fleet_size: usize) -> Standing {
-        self.by_instance.retain(|_, contact| now <= contact.received_at + CONTACT_LIFETIME);
+        self.by_instance.retain(|_, contact| contact.is_recent(now));
         self.claimed_at = self.claimed_at.filter(|at| now < *at + CONTACT_LIFETIME);
-        self.stated.retain(|it| now <= it.stated_at + STATED_FLEET_LIFETIME);
+        self.stated.retain(|it| it.counts(now));
         let contact_fraction = match fleet_size {
             0 => 0.0,
             size => (self.by_instance.len() as f64 / size as f64).min(1.0),
--- a/tests/mesh_link.rs
+++ b/tests/mesh_link.rs
@@ -338,8 +338,7 @@
     let (link, first) = tokio::join!(links.get(address), OtherNode::accept(&listener));
     let (link, mut first) = (link.expect("a link").expect("a node with links"), first?);
     let (caller, on) = (links.clone(), link.clone());
-    let called =
-        tokio::spawn(async move { caller.call_once(address, &on, request("a", false)).await });
+    let called = tokio::spawn(async move { caller.call_once(&on, request("a", false)).await });
     let (call, sent) = first.read_request().await?;
     assert_ne!(sent.link, 0);
     drop(first);
